--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,183 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"github.com/juju/errors"
+
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/settings"
+)
+
+// Headers of requests and answers.
+const (
+	HeaderOutcome  = "Vanilladrift-Outcome"
+	HeaderAdapter  = "Vanilladrift-Adapter"
+	HeaderDeadline = "Vanilladrift-Deadline-Ms"
+	HeaderClass    = "Vanilladrift-Class"
+	HeaderRepeated = "Vanilladrift-Repeated"
+	HeaderKey      = "Idempotency-Key"
+)
+
+const bytesPerToken = 4
+
+// completion is a checked request for a completion.
+type completion struct {
+	id       string
+	path     string
+	body     []byte
+	model    settings.Model
+	short    bool
+	stream   bool
+	hedge    bool
+	tokens   int
+	prompt   int // tokens, estimated from the length
+	deadline time.Time
+}
+
+// wireRequest lists the fields that the node itself reads.
+type wireRequest struct {
+	Model     *string         `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens *int            `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+	N         *int            `json:"n"`
+}
+
+// readBody reads the whole body or refuses it. A body that was cut short is
+// refused, never passed on.
+func readBody(r *http.Request, limit int) ([]byte, error) {
+	const op = "read"
+	if r.ContentLength > int64(limit) {
+		return nil, refusal(op, TooLarge, "the limit is "+strconv.Itoa(limit)+" bytes")
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	if err != nil {
+		e := refusal(op, BadRequest, "the body was cut short")
+		e.Err = err
+		return nil, e
+	}
+	if len(body) > limit {
+		return nil, refusal(op, TooLarge, "the limit is "+strconv.Itoa(limit)+" bytes")
+	}
+	return body, nil
+}
+
+// parseCompletion checks a body against the settings of its branch.
+func parseCompletion(body []byte, path string, tree *settings.Tree, e *settings.Effective) (completion, error) {
+	const op = "parse"
+	if !utf8.Valid(body) {
+		return completion{}, refusal(op, BadRequest, "the body is not valid UTF-8")
+	}
+	if key, err := duplicateKey(body); err != nil {
+		return completion{}, refusal(op, BadRequest, "the body is not a JSON object: "+err.Error())
+	} else if key != "" {
+		return completion{}, refusal(op, BadRequest, "the field "+strconv.Quote(key)+" stands twice")
+	}
+	var req wireRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		return completion{}, refusal(op, BadRequest, err.Error())
+	}
+	c := completion{path: path, body: body, short: e.Class == "short", stream: req.Stream, hedge: e.Hedge, tokens: e.MaxTokens}
+	if reason := c.checkShape(req); reason != "" {
+		return completion{}, refusal(op, BadRequest, reason)
+	}
+	if req.MaxTokens != nil {
+		c.tokens = min(*req.MaxTokens, e.MaxTokens)
+	}
+	c.body = withMaxTokens(body, req, c.tokens)
+	c.prompt = (len(req.Prompt)+len(req.Messages))/bytesPerToken + 1
+	name := ""
+	if req.Model != nil {
+		name = *req.Model
+	}
+	m, err := tree.Resolve(e, name)
+	if err != nil {
+		e := refusal(op, NoSuchModel, err.Error())
+		e.Err = err
+		return completion{}, e
+	}
+	c.model = m
+	return c, nil
+}
+
+func (c completion) checkShape(req wireRequest) string {
+	text := req.Prompt
+	field := "prompt"
+	if c.path == engine.PathChat {
+		text, field = req.Messages, "messages"
+	}
+	switch {
+	case len(text) == 0 || bytes.Equal(text, []byte("null")):
+		return "the field " + field + " is missing"
+	case field == "prompt" && text[0] != '"':
+		return "prompt must be one string"
+	case field == "messages" && text[0] != '[':
+		return "messages must be a list"
+	case req.MaxTokens != nil && *req.MaxTokens < 1:
+		return "max_tokens must be at least 1"
+	case req.N != nil && *req.N != 1:
+		return "n must be 1"
+	}
+	return ""
+}
+
+// withMaxTokens writes the tokens that the branch allows into the body.
+func withMaxTokens(body []byte, req wireRequest, tokens int) []byte {
+	if req.MaxTokens != nil && *req.MaxTokens == tokens {
+		return body
+	}
+	var m map[string]json.RawMessage
+	if err := json.Unmarshal(body, &m); err != nil {
+		return body // it has been parsed before
+	}
+	m["max_tokens"] = json.RawMessage(strconv.Itoa(tokens))
+	out, err := json.Marshal(m)
+	if err != nil {
+		return body
+	}
+	return out
+}
+
+// duplicateKey returns a field of the JSON object that stands twice, since
+// readers differ in which of the two they take.
+func duplicateKey(body []byte) (string, error) {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	tok, err := dec.Token()
+	if err != nil {
+		return "", err
+	}
+	if tok != json.Delim('{') {
+		return "", errors.New("it starts with something else")
+	}
+	seen := map[string]bool{}
+	for dec.More() {
+		tok, err := dec.Token()
+		if err != nil {
+			return "", err
+		}
+		key := tok.(string)
+		if seen[key] {
+			return key, nil
+		}
+		seen[key] = true
+		var skip json.RawMessage
+		if err := dec.Decode(&skip); err != nil {
+			return "", err
+		}
+	}
+	if _, err := dec.Token(); err != nil {
+		return "", err
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return "", errors.New("bytes follow the object")
+	}
+	return "", nil
+}
--- /dev/null
+++ b/cmd/vanilladriftd/check.go
@@ -0,0 +1,17 @@
+package main
+
+import "fmt"
+
+// checkCommand checks the configuration without starting.
+type checkCommand struct {
+	options *options
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	if _, _, err := c.options.config(); err != nil {
+		return err
+	}
+	fmt.Println("the configuration is sound")
+	return nil
+}
--- /dev/null
+++ b/cmd/vanilladriftd/run.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
+
+	"github.com/vanilladrift/vanilladrift/node"
+)
+
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	closeTimeout   = 5 * time.Second
+)
+
+// runCommand runs the node until it is told to stop.
+type runCommand struct {
+	options *options
+}
+
+// Execute implements flags.Commander.
+func (c *runCommand) Execute([]string) error {
+	cfg, tc, err := c.options.config()
+	if err != nil {
+		return err
+	}
+	n := node.New(cfg)
+	servers, err := c.listen(n, tc)
+	if err != nil {
+		return err
+	}
+	n.Start()
+	cfg.Log.Info("serving", "callers", c.options.CallerAddress, "peers", c.options.PeerAddress, "operators", c.options.OperatorAddress)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	return c.drain(n, servers, signals, cfg.Log)
+}
+
+func (c *runCommand) listen(n *node.Node, tc *tls.Config) ([]*http.Server, error) {
+	var servers []*http.Server
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+		tls     *tls.Config
+	}{
+		{c.options.PeerAddress, n.Peers(), tc},
+		{c.options.CallerAddress, n.Callers(), nil},
+		{c.options.OperatorAddress, n.Operators(), nil},
+	} {
+		ln, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, errors.Annotate(err, "listen")
+		}
+		if l.tls != nil {
+			ln = tls.NewListener(ln, l.tls)
+		}
+		srv := &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}
+		servers = append(servers, srv)
+		go func() { _ = srv.Serve(ln) }() // ends with Shutdown
+	}
+	return servers, nil
+}
+
+// drain closes the node and then the listeners. Further signals first report
+// what would be cut and then cut it.
+func (c *runCommand) drain(n *node.Node, servers []*http.Server, signals chan os.Signal, l *log.Logger) error {
+	l.Info("draining", "timeout", c.options.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), c.options.DrainTimeout)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- n.Close(ctx) }()
+	warned := false
+	for {
+		select {
+		case err := <-done:
+			sctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+			defer cancel()
+			for _, srv := range servers {
+				_ = srv.Shutdown(sctx) // what is left has been reported by Close
+			}
+			l.Info("stopped")
+			return err
+		case <-signals:
+			if warned {
+				cancel()
+				continue
+			}
+			warned = true
+			l.Warn("stopping now would cut streams; signal again to do so", "streams", n.InFlight())
+		}
+	}
+}
--- /dev/null
+++ b/demo/world.go
@@ -0,0 +1,244 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/node"
+	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/standin"
+)
+
+const (
+	engineCount  = 4
+	serviceCount = 2
+	nodeCount    = 3
+	adapterCount = 200
+	engineSpeed  = 8
+	slots        = 16
+	places       = 16
+	baseModel    = "base-7b"
+	inForce      = 4 * time.Second
+)
+
+// world is the running system.
+type world struct {
+	table    *standin.Table
+	vms      *standin.VMList
+	engines  []*standin.Engine
+	engineAt []string
+	services []*standin.Service
+	nodes    []*runningNode
+	store    *settings.Store // the operator's own view
+	client   *http.Client
+	servers  []*http.Server
+	edits    int
+}
+
+// runningNode is a node with its caller address.
+type runningNode struct {
+	node    *node.Node
+	callers string
+}
+
+func newWorld(seed uint64) (*world, error) {
+	w := &world{
+		table: &standin.Table{}, vms: &standin.VMList{Lag: 200 * time.Millisecond},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+	}
+	tableAt, err := w.serve(w.table)
+	if err != nil {
+		return nil, err
+	}
+	objectAt, err := w.serve(&standin.Object{})
+	if err != nil {
+		return nil, err
+	}
+	vmsAt, err := w.serve(w.vms)
+	if err != nil {
+		return nil, err
+	}
+	for i := range engineCount {
+		e := &standin.Engine{
+			Slots: slots, Places: places, ChecksFencing: i%2 == 0,
+			ReportLag: 300 * time.Millisecond, Physics: standin.DefaultPhysics.Scaled(engineSpeed),
+		}
+		at, err := w.serve(e)
+		if err != nil {
+			return nil, err
+		}
+		w.engines, w.engineAt = append(w.engines, e), append(w.engineAt, at)
+	}
+	if err := w.startNodes(seed, "http://"+tableAt, "http://"+objectAt, "http://"+vmsAt); err != nil {
+		return nil, err
+	}
+	w.store = w.nodes[0].node.Store()
+	return w, w.configure()
+}
+
+// serve runs a handler on a free loopback port.
+func (w *world) serve(h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	w.run(ln, h)
+	return ln.Addr().String(), nil
+}
+
+func (w *world) run(ln net.Listener, h http.Handler) {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	w.servers = append(w.servers, srv)
+	go func() { _ = srv.Serve(ln) }() // ends with Close
+}
+
+func (w *world) startNodes(seed uint64, tableURL, objectURL, vmsURL string) error {
+	for i := range nodeCount {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		cfg := node.Config{
+			Name: fmt.Sprintf("n%d", i+1), Address: ln.Addr().String(),
+			TableURL: tableURL, ObjectURL: objectURL, VMListURL: vmsURL, Seed: seed + uint64(i),
+		}
+		if err := cfg.Check(); err != nil {
+			return err
+		}
+		n := node.New(cfg)
+		w.run(ln, n.Peers())
+		at, err := w.serve(n.Callers())
+		if err != nil {
+			return err
+		}
+		n.Start()
+		w.nodes = append(w.nodes, &runningNode{n, at})
+	}
+	return nil
+}
+
+// edit makes one change as the operator.
+func (w *world) edit(kind settings.Kind, name string, set map[string]string) error {
+	w.edits++
+	_, err := w.store.Apply(context.Background(), settings.Edit{
+		ID: fmt.Sprintf("demo-%d", w.edits), Kind: kind, Name: name, Set: set,
+		Base: settings.AnyBase, Who: "demo", Why: "demo set-up",
+	}, time.Now())
+	return err
+}
+
+// configure writes the settings of both users.
+func (w *world) configure() error {
+	if err := w.edit(settings.Branch, "/", map[string]string{"load-rate": "60", "load-parallel": "4"}); err != nil {
+		return err
+	}
+	for i, at := range w.engineAt {
+		fencing := "off"
+		if i%2 == 0 {
+			fencing = "on"
+		}
+		if err := w.edit(settings.Backend, engineName(i), map[string]string{
+			"address": at, "base-model": baseModel, "slots": fmt.Sprint(slots), "swap-slots": "2",
+			"places": fmt.Sprint(places), "checks-fencing": fencing, "refuses-when-full": "on",
+		}); err != nil {
+			return err
+		}
+	}
+	for i := range adapterCount {
+		if err := w.edit(settings.Adapter, adapterName(i), map[string]string{
+			"base-model": baseModel, "versions": "v1,v2", "current": "v1",
+		}); err != nil {
+			return err
+		}
+	}
+	return w.configureCallers()
+}
+
+func (w *world) configureCallers() error {
+	for _, b := range []struct {
+		name   string
+		fields map[string]string
+	}{
+		{"/council", map[string]string{"adapter": adapterName(0), "deadline": "20s"}},
+		{"/council/counter", map[string]string{"class": "short", "max-tokens": "32"}},
+		{"/council/depot", map[string]string{"class": "long", "max-tokens": "256"}},
+		{"/wspolnota", map[string]string{"adapter": adapterName(1), "deadline": "30s"}},
+		{"/wspolnota/studio-a", map[string]string{"class": "short", "max-tokens": "64"}},
+		{"/wspolnota/dossiers", map[string]string{"class": "long", "max-tokens": "256"}},
+	} {
+		if err := w.edit(settings.Branch, b.name, b.fields); err != nil {
+			return err
+		}
+	}
+	for key, branch := range callerBranches {
+		if err := w.edit(settings.Caller, key, map[string]string{"branch": branch, "key-hash": caller.HashKey(key)}); err != nil {
+			return err
+		}
+	}
+	for i := range serviceCount {
+		s := &standin.Service{}
+		at, err := w.serve(s)
+		if err != nil {
+			return err
+		}
+		w.services = append(w.services, s)
+		if err := w.edit(settings.Service, serviceName(i), map[string]string{"addresses": at, "repeatable": "/status"}); err != nil {
+			return err
+		}
+	}
+	return w.waitInForce()
+}
+
+// callerBranches maps callers' keys to their branches.
+var callerBranches = map[string]string{
+	"counter": "/council/counter", "depot": "/council/depot",
+	"studio-a": "/wspolnota/studio-a", "dossiers": "/wspolnota/dossiers",
+}
+
+func engineName(i int) string  { return fmt.Sprintf("engine-%d", i+1) }
+func adapterName(i int) string { return fmt.Sprintf("adapter-%03d", i) }
+func serviceName(i int) string { return fmt.Sprintf("ledger-%d", i+1) }
+
+// waitInForce waits until the present revision is in force on every node.
+func (w *world) waitInForce() error {
+	rev := w.store.Tree().Rev()
+	limit := time.Now().Add(inForce)
+	for _, n := range w.nodes {
+		for n.node.Store().Tree().Rev() < rev {
+			if time.Now().After(limit) {
+				return &Error{Op: "settings", Kind: "broken-promise", Broken: []string{"revision was not in force within " + inForce.String()}}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// waitReady waits until every engine has an owner that grants.
+func (w *world) waitReady() error {
+	limit := time.Now().Add(20 * time.Second)
+	for time.Now().Before(limit) {
+		owned := 0
+		for _, n := range w.nodes {
+			owned += n.node.OwnedReady()
+		}
+		if owned == engineCount {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return &Error{Op: "start", Kind: "set-up", Broken: []string{"not every engine has an owner"}}
+}
+
+func (w *world) close() {
+	for _, n := range w.nodes {
+		n.node.Kill()
+	}
+	for _, s := range w.servers {
+		_ = s.Close() // nothing is left to be saved
+	}
+}
--- /dev/null
+++ b/engine/action.go
@@ -0,0 +1,48 @@
+package engine
+
+import "time"
+
+// ActionKind is the kind of an [Action].
+type ActionKind string
+
+// The kinds of action that a scheduler asks for.
+const (
+	Grant  ActionKind = "grant"  // the work may start
+	Refuse ActionKind = "refuse" // the work will not run here
+	Load   ActionKind = "load"   // load Adapter, after unloading Victim if it is set
+)
+
+// Reason tells why work was refused.
+type Reason string
+
+// The reasons for a refusal.
+const (
+	Overflow   Reason = "overflow"    // the wait here is longer than the entry node accepts
+	QueueFull  Reason = "queue-full"  // the queue has no room
+	TooLate    Reason = "too-late"    // the deadline cannot be met
+	Draining   Reason = "draining"    // the engine takes no new work
+	NotLoaded  Reason = "not-loaded"  // the adapter is not loaded and cannot be loaded now
+	LoadFailed Reason = "load-failed" // the adapter could not be loaded
+	Recovering Reason = "recovering"  // a new owner is still taking over
+	Moved      Reason = "moved"       // the engine is changing its owner
+)
+
+// LoadResult is the end of a load that a scheduler asked for.
+type LoadResult struct {
+	Adapter    string
+	Victim     string
+	VictimKept bool // the victim was not unloaded
+	OK         bool // the adapter is loaded
+}
+
+// Action is what a scheduler asks its caller to do.
+type Action struct {
+	Kind       ActionKind
+	Work       *Work  // Grant and Refuse
+	Adapter    string // Load
+	Victim     string // Load: the adapter to unload first, or empty
+	Stable     bool   // Load: the change touches a stable slot, so the intent must be written first
+	Demand     int    // Load: how much work waits for the adapter
+	Reason     Reason // Refuse
+	RetryAfter time.Duration
+}
--- /dev/null
+++ b/engine/rendezvous.go
@@ -0,0 +1,55 @@
+package engine
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rendezvous orders names by weighted rendezvous hashing of key: the first is
+// the choice of every node that knows the same names, and removing a name
+// moves only what it held. A weight of 0 or less excludes the name; a nil
+// weight function gives every name the same weight.
+func Rendezvous(key string, names []string, weight func(name string) float64, k int) []string {
+	type scored struct {
+		name  string
+		score float64
+	}
+	list := make([]scored, 0, len(names))
+	seed := xxhash.Sum64String(key)
+	for _, name := range names {
+		w := 1.0
+		if weight != nil {
+			w = weight(name)
+		}
+		if w <= 0 {
+			continue
+		}
+		list = append(list, scored{name, -math.Log(unit(mix(seed^xxhash.Sum64String(name)))) / w})
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		if c := cmp.Compare(a.score, b.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.name, b.name)
+	})
+	out := make([]string, 0, k)
+	for _, s := range list[:min(k, len(list))] {
+		out = append(out, s.name)
+	}
+	return out
+}
+
+// mix is the finaliser of SplitMix64; it spreads the xor of two hashes.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// unit maps x into the open interval from 0 to 1.
+func unit(x uint64) float64 { return (float64(x>>11) + 0.5) / (1 << 53) }
--- /dev/null
+++ b/engine/router.go
@@ -0,0 +1,185 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// RouterConfig sets the policy of a [Router]. Zero fields take defaults.
+type RouterConfig struct {
+	Choices int // engines that an adapter may be spread over; default 3
+	// ShortWait and LongWait are the queue waits at which an entry node asks
+	// the next choice; defaults 50 ms and 500 ms.
+	ShortWait time.Duration
+	LongWait  time.Duration
+	// SlowFactor is how many times slower than the median an engine must be
+	// to be passed over; default 2.5.
+	SlowFactor float64
+	// ProbeEvery is how often a slow engine gets a request all the same;
+	// default 1 s.
+	ProbeEvery time.Duration
+	// HedgeShare is the largest share of requests that are sent twice, and of
+	// streams that are moved; default 0.03.
+	HedgeShare float64
+	// Memory is how long an observation counts; default 3 s.
+	Memory time.Duration
+}
+
+func (c RouterConfig) withDefaults() RouterConfig {
+	c.Choices = orInt(c.Choices, 3)
+	c.ShortWait = orDuration(c.ShortWait, 50*time.Millisecond)
+	c.LongWait = orDuration(c.LongWait, 500*time.Millisecond)
+	c.SlowFactor = orFloat(c.SlowFactor, 2.5)
+	c.ProbeEvery = orDuration(c.ProbeEvery, time.Second)
+	c.HedgeShare = orFloat(c.HedgeShare, 0.03)
+	c.Memory = orDuration(c.Memory, 3*time.Second)
+	return c
+}
+
+// hedgeBurst is how many hedges may be saved up.
+const hedgeBurst = 20
+
+// Router decides at an entry node which engines to ask for an adapter. It
+// judges engines by the times that this node measured itself, since load
+// reports tell of slow spells late.
+type Router struct {
+	cfg     RouterConfig
+	engines map[string]*engineView
+	median  time.Duration // median time between tokens over the engines
+	hedges  Allowance
+}
+
+// engineView is what an entry node knows of one engine.
+type engineView struct {
+	token   time.Duration // moving average of the time between tokens
+	seen    time.Time     // last observation
+	slow    bool
+	probed  time.Time
+	wait    time.Duration // queue wait that the owner last named
+	waitAt  time.Time
+	drained bool
+}
+
+// NewRouter returns a router that knows no engine.
+func NewRouter(cfg RouterConfig) *Router {
+	cfg = cfg.withDefaults()
+	return &Router{cfg: cfg, engines: make(map[string]*engineView), hedges: Allowance{Share: cfg.HedgeShare, Burst: hedgeBurst}}
+}
+
+func (r *Router) view(name string) *engineView {
+	v := r.engines[name]
+	if v == nil {
+		v = &engineView{}
+		r.engines[name] = v
+	}
+	return v
+}
+
+// SetDrained records that an engine takes no new work.
+func (r *Router) SetDrained(name string, drained bool) { r.view(name).drained = drained }
+
+// MaxWait returns the queue wait that work accepts at its first choices.
+func (r *Router) MaxWait(short bool) time.Duration {
+	if short {
+		return r.cfg.ShortWait
+	}
+	return r.cfg.LongWait
+}
+
+// Candidates returns the engines to ask for an adapter, best first. It counts
+// the request towards the hedge budget.
+func (r *Router) Candidates(now time.Time, adapter string, engines []string, short bool) []string {
+	r.hedges.Earn()
+	live := make([]string, 0, len(engines))
+	for _, e := range engines {
+		if v := r.engines[e]; v == nil || !v.drained {
+			live = append(live, e)
+		}
+	}
+	picks := Rendezvous(adapter, live, nil, r.cfg.Choices)
+	limit := r.MaxWait(short)
+	rank := make(map[string]int, len(picks))
+	for i, e := range picks {
+		rank[e] = i + len(picks)*r.penalty(now, e, limit)
+	}
+	slices.SortStableFunc(picks, func(a, b string) int { return cmp.Compare(rank[a], rank[b]) })
+	return picks
+}
+
+// penalty puts busy engines behind idle ones and slow engines last.
+func (r *Router) penalty(now time.Time, name string, limit time.Duration) int {
+	v := r.engines[name]
+	if v == nil {
+		return 0
+	}
+	if v.slow {
+		if now.Sub(v.probed) > r.cfg.ProbeEvery {
+			v.probed = now
+			return 0
+		}
+		return 2
+	}
+	if v.wait > limit && now.Sub(v.waitAt) < r.cfg.Memory/10 {
+		return 1
+	}
+	return 0
+}
+
+// ObserveWait records the queue wait that an engine's owner named.
+func (r *Router) ObserveWait(now time.Time, name string, wait time.Duration) {
+	v := r.view(name)
+	v.wait, v.waitAt = wait, now
+}
+
+// ObserveToken records a measured time between tokens.
+func (r *Router) ObserveToken(now time.Time, name string, d time.Duration) {
+	v := r.view(name)
+	if v.token == 0 || now.Sub(v.seen) > r.cfg.Memory {
+		v.token = d
+	}
+	v.seen = now
+	v.token += time.Duration(2 * estimateWeight * float64(d-v.token))
+	r.judge(now, v)
+}
+
+func (r *Router) judge(now time.Time, v *engineView) {
+	var tokens []time.Duration
+	for _, o := range r.engines {
+		if o.token > 0 && now.Sub(o.seen) < r.cfg.Memory {
+			tokens = append(tokens, o.token)
+		}
+	}
+	slices.Sort(tokens)
+	r.median = tokens[len(tokens)/2]
+	if len(tokens) < 3 {
+		v.slow = false
+		return
+	}
+	v.slow = float64(v.token) > r.cfg.SlowFactor*float64(r.median)
+}
+
+// Slow reports whether the engine is being passed over.
+func (r *Router) Slow(name string) bool {
+	v := r.engines[name]
+	return v != nil && v.slow
+}
+
+// Median returns the median time between tokens over the engines.
+func (r *Router) Median() time.Duration { return r.median }
+
+// SpendHedge takes one hedge from the budget, or reports that none is left.
+func (r *Router) SpendHedge() bool { return r.hedges.Spend() }
+
+// ShouldMove reports whether a stream with remaining tokens to come should go
+// on at another engine: the engine is slow, and the rest of the answer would
+// take longer there than a restart elsewhere costs.
+func (r *Router) ShouldMove(name string, remaining int, restart time.Duration) bool {
+	v := r.engines[name]
+	if v == nil || !v.slow || r.median == 0 {
+		return false
+	}
+	stay := v.token * time.Duration(remaining)
+	move := r.median*time.Duration(remaining) + restart
+	return stay > move
+}
--- /dev/null
+++ b/engine/scheduler.go
@@ -0,0 +1,508 @@
+package engine
+
+import (
+	"container/heap"
+	"math"
+	"time"
+)
+
+// SchedulerConfig sizes a scheduler. Zero fields take defaults.
+type SchedulerConfig struct {
+	Slots     int // adapters that the engine holds
+	SwapSlots int // of those, slots that may change without an intent
+	Places    int // places in the batch
+	MaxQueue  int // waiting requests; default 1024
+	// LongShare is the largest share of the places that long work may hold;
+	// default 0.5.
+	LongShare float64
+	// Ageing is how many seconds of expected work one second of waiting
+	// outweighs; default 0.5. A large value makes the queue first-in first-out.
+	Ageing float64
+	// LongPenalty is added to the queue key of long work, in seconds; default 1.
+	LongPenalty float64
+	// BatchBonus is taken from the queue key of work whose adapter is already
+	// in the batch, in seconds, which bounds how long it may overtake; default 0.02.
+	BatchBonus float64
+	// MaxLoads is how many loads the engine does at once; default 1.
+	MaxLoads int
+	// HalfLife is the half-life of an adapter's popularity; default 2 minutes.
+	HalfLife time.Duration
+	// LRU evicts the least recently used adapter instead of the least popular.
+	LRU bool
+	// IntentsNeeded is set for engines that ignore fencing tokens.
+	IntentsNeeded bool
+	// TokenTime and LoadTime are the first estimates; defaults 25 ms and 300 ms.
+	TokenTime time.Duration
+	LoadTime  time.Duration
+}
+
+func (c SchedulerConfig) withDefaults() SchedulerConfig {
+	c.Slots = orInt(c.Slots, 8)
+	c.Places = orInt(c.Places, 16)
+	c.MaxQueue = orInt(c.MaxQueue, 1024)
+	c.MaxLoads = orInt(c.MaxLoads, 1)
+	c.LongShare = orFloat(c.LongShare, 0.5)
+	c.Ageing = orFloat(c.Ageing, 0.5)
+	c.LongPenalty = orFloat(c.LongPenalty, 1)
+	c.BatchBonus = orFloat(c.BatchBonus, 0.02)
+	c.HalfLife = orDuration(c.HalfLife, 2*time.Minute)
+	c.TokenTime = orDuration(c.TokenTime, 25*time.Millisecond)
+	c.LoadTime = orDuration(c.LoadTime, 300*time.Millisecond)
+	return c
+}
+
+func orInt(v, def int) int {
+	if v == 0 {
+		return def
+	}
+	return v
+}
+
+func orFloat(v, def float64) float64 {
+	if v == 0 {
+		return def
+	}
+	return v
+}
+
+func orDuration(v, def time.Duration) time.Duration {
+	if v == 0 {
+		return def
+	}
+	return v
+}
+
+// minRetryAfter is the shortest time to come back that a refusal names.
+const minRetryAfter = 100 * time.Millisecond
+
+// estimateWeight is the weight of a new sample in moving averages.
+const estimateWeight = 0.1
+
+// Scheduler decides for one engine: who starts, who waits, who is refused,
+// which adapter is loaded and which is evicted. An adapter with a pin is never
+// evicted; every grant is a pin until it is released.
+type Scheduler struct {
+	cfg      SchedulerConfig
+	epoch    time.Time // queue keys are counted from here
+	adapters map[string]*adapter
+	resident []*adapter // adapters in a slot, whatever their state
+	running  map[string]*Work
+	waiting  map[string]*Work
+	longRun  int
+	loads    int
+	backlog  time.Duration // expected time in the batch of all waiting work
+	token    time.Duration // moving average of the time between tokens
+
+	mode Mode
+}
+
+// Mode restricts what a scheduler may ask for. The zero value restricts
+// nothing.
+type Mode struct {
+	Recovering bool // refuse all new work
+	Draining   bool // refuse all new work; running work goes on
+	ReadOnly   bool // no orders to the engine
+	NoEvict    bool // loads into free slots only
+	SwapOnly   bool // no change that needs an intent
+}
+
+// NewScheduler returns a scheduler for an engine that holds nothing.
+func NewScheduler(cfg SchedulerConfig) *Scheduler {
+	return &Scheduler{
+		cfg:      cfg.withDefaults(),
+		adapters: make(map[string]*adapter),
+		running:  make(map[string]*Work),
+		waiting:  make(map[string]*Work),
+	}
+}
+
+// Mode returns the present mode.
+func (s *Scheduler) Mode() Mode { return s.mode }
+
+// SetMode changes the mode. Waiting work that the new mode rules out is
+// refused at once.
+func (s *Scheduler) SetMode(now time.Time, m Mode) []Action {
+	s.mode = m
+	return s.Tick(now)
+}
+
+// Submit offers work. The answer is a grant, a refusal, or nothing yet.
+func (s *Scheduler) Submit(now time.Time, w Work) []Action {
+	if s.epoch.IsZero() {
+		s.epoch = now
+	}
+	w.arrived = now
+	w.service = s.serviceTime(&w)
+	w.key = w.service.Seconds() + s.cfg.Ageing*now.Sub(s.epoch).Seconds()
+	if !w.Short {
+		w.key += s.cfg.LongPenalty
+	}
+	a := s.adapter(w.Adapter)
+	a.touch(now, s.cfg.HalfLife)
+	if reason := s.refusal(now, a, &w); reason != "" {
+		return []Action{s.refuse(&w, reason)}
+	}
+	heap.Push(&a.waiting, &w)
+	s.waiting[w.ID] = &w
+	s.backlog += w.service
+	return s.dispatch(now, nil)
+}
+
+func (s *Scheduler) refusal(now time.Time, a *adapter, w *Work) Reason {
+	wait := s.wait(a, w)
+	switch {
+	case s.mode.Draining:
+		return Draining
+	case s.mode.Recovering:
+		return Recovering
+	case a.state == held, a.state == absent && !s.loadable():
+		return NotLoaded
+	case len(s.waiting) >= s.cfg.MaxQueue:
+		return QueueFull
+	case now.Add(wait).After(w.Deadline):
+		return TooLate
+	case w.MaxWait > 0 && wait > w.MaxWait:
+		return Overflow
+	}
+	return ""
+}
+
+// Wait returns the expected time until work on the adapter would start.
+func (s *Scheduler) Wait(adapterName string, short bool) time.Duration {
+	a := s.adapters[adapterName]
+	if a == nil {
+		a = &adapter{}
+	}
+	return s.wait(a, &Work{Short: short})
+}
+
+func (s *Scheduler) wait(a *adapter, w *Work) time.Duration {
+	var wait time.Duration
+	if !s.placeFree(w.Short) || s.backlog > 0 {
+		wait = s.backlog / time.Duration(s.cfg.Places)
+		if !s.placeFree(w.Short) {
+			wait += s.token * 4
+		}
+	}
+	if a.state != loaded {
+		wait += s.cfg.LoadTime * time.Duration(1+s.loads)
+	}
+	return wait
+}
+
+// Cancel withdraws waiting work. It has no effect on work that was granted.
+func (s *Scheduler) Cancel(now time.Time, id string) []Action {
+	w, ok := s.waiting[id]
+	if !ok {
+		return nil
+	}
+	s.withdraw(w)
+	return s.dispatch(now, nil)
+}
+
+func (s *Scheduler) withdraw(w *Work) {
+	heap.Remove(&s.adapters[w.Adapter].waiting, w.index)
+	delete(s.waiting, w.ID)
+	s.backlog -= w.service
+}
+
+// Release ends a grant. Missing tells that the engine did not hold the
+// adapter, so that it is loaded again before the next grant.
+func (s *Scheduler) Release(now time.Time, id string, missing bool) []Action {
+	w, ok := s.running[id]
+	if !ok {
+		return nil
+	}
+	delete(s.running, id)
+	if !w.Short {
+		s.longRun--
+	}
+	a := s.adapters[w.Adapter]
+	a.pins--
+	a.used = now
+	if missing && a.state == loaded && w.granted.After(a.loadedAt) {
+		s.vacate(a)
+	}
+	return s.dispatch(now, nil)
+}
+
+// ObserveTokenTime folds a measured time between tokens into the estimate.
+func (s *Scheduler) ObserveTokenTime(d time.Duration) {
+	if s.token == 0 {
+		s.token = d
+	}
+	s.token += time.Duration(estimateWeight * float64(d-s.token))
+}
+
+// Loaded reports the end of a load that the scheduler asked for. When it
+// failed, the work that waits for the adapter is refused.
+func (s *Scheduler) Loaded(now time.Time, r LoadResult) []Action {
+	s.loads--
+	if v := s.adapters[r.Victim]; v != nil && v.state == leaving {
+		if r.VictimKept {
+			v.state = loaded
+		} else {
+			s.vacate(v)
+		}
+	}
+	a := s.adapter(r.Adapter)
+	if r.OK {
+		if a.state == absent {
+			s.occupy(a) // the engine was taken for restarted meanwhile
+		}
+		a.state, a.loadedAt, a.used = loaded, now, now
+		return s.dispatch(now, nil)
+	}
+	s.vacate(a)
+	var acts []Action
+	for len(a.waiting) > 0 {
+		w := a.waiting[0]
+		s.withdraw(w)
+		acts = append(acts, s.refuse(w, LoadFailed))
+	}
+	return s.dispatch(now, acts)
+}
+
+// Sync corrects the slots after a report that is newer than every order: an
+// adapter that the engine does not hold leaves its slot, one that it holds
+// beyond what the scheduler knows takes one. It does nothing while a load is
+// under way.
+func (s *Scheduler) Sync(now time.Time, holds []string) []Action {
+	if s.loads > 0 {
+		return nil
+	}
+	inEngine := make(map[string]bool, len(holds))
+	for _, name := range holds {
+		inEngine[name] = true
+		if a := s.adapter(name); a.state == absent {
+			s.occupy(a)
+			a.state, a.swap, a.used, a.loadedAt = loaded, s.cfg.IntentsNeeded, now, now
+		}
+	}
+	for i := len(s.resident) - 1; i >= 0; i-- {
+		if a := s.resident[i]; a.state == loaded && !inEngine[a.name] {
+			s.vacate(a)
+		}
+	}
+	return s.dispatch(now, nil)
+}
+
+// RefuseAll refuses all waiting work.
+func (s *Scheduler) RefuseAll(now time.Time, reason Reason) []Action {
+	var acts []Action
+	for _, w := range s.waiting {
+		s.withdraw(w)
+		acts = append(acts, s.refuse(w, reason))
+	}
+	return acts
+}
+
+// Reset records that the engine restarted cold: it holds nothing.
+func (s *Scheduler) Reset(now time.Time) []Action {
+	for i := len(s.resident) - 1; i >= 0; i-- {
+		if a := s.resident[i]; a.state == loaded {
+			s.vacate(a)
+		}
+	}
+	return s.dispatch(now, nil)
+}
+
+// Tick refuses waiting work that can no longer meet its deadline or that the
+// mode rules out, and forgets adapters that are neither resident nor popular.
+func (s *Scheduler) Tick(now time.Time) []Action {
+	var acts []Action
+	for _, w := range s.waiting {
+		if reason := s.overdue(now, w); reason != "" {
+			s.withdraw(w)
+			acts = append(acts, s.refuse(w, reason))
+		}
+	}
+	for name, a := range s.adapters {
+		if a.state == absent && len(a.waiting) == 0 && a.pins == 0 && a.popularity(now, s.cfg.HalfLife) < 0.05 {
+			delete(s.adapters, name)
+		}
+	}
+	return s.dispatch(now, acts)
+}
+
+func (s *Scheduler) overdue(now time.Time, w *Work) Reason {
+	a := s.adapters[w.Adapter]
+	switch {
+	case s.mode.Draining:
+		return Draining
+	case s.mode.Recovering:
+		return Recovering
+	case a.state == absent && !s.loadable():
+		return NotLoaded
+	case !now.Before(w.Deadline):
+		return TooLate
+	}
+	return ""
+}
+
+// Adopt records what a new owner found at the engine: adapters that may be
+// granted, adapters that sit in a slot but must not be granted yet, and
+// streams that run under grants of an earlier owner.
+func (s *Scheduler) Adopt(now time.Time, resident []Resident, streams []Work) []Action {
+	for _, r := range resident {
+		a := s.adapter(r.Adapter)
+		if a.state == absent {
+			s.occupy(a)
+		}
+		a.state, a.swap, a.used = loaded, r.Swap, now
+		if r.Held {
+			a.state = held
+		}
+	}
+	for i := range streams {
+		s.pin(now, &streams[i])
+	}
+	return s.dispatch(now, nil)
+}
+
+// Unhold lets held adapters be granted and evicted.
+func (s *Scheduler) Unhold(now time.Time) []Action {
+	for _, a := range s.resident {
+		if a.state == held {
+			a.state = loaded
+		}
+	}
+	return s.dispatch(now, nil)
+}
+
+// Resident is an adapter in a slot of the engine.
+type Resident struct {
+	Adapter string
+	Swap    bool // it sits in a swap slot
+	Held    bool // it must not be granted or evicted yet
+}
+
+// Resident lists the adapters in slots, in no order.
+func (s *Scheduler) Resident() []Resident {
+	list := make([]Resident, 0, len(s.resident))
+	for _, a := range s.resident {
+		list = append(list, Resident{Adapter: a.name, Swap: a.swap, Held: a.state != loaded})
+	}
+	return list
+}
+
+// Running returns the work under grants, in no order.
+func (s *Scheduler) Running() []Work {
+	list := make([]Work, 0, len(s.running))
+	for _, w := range s.running {
+		list = append(list, *w)
+	}
+	return list
+}
+
+// Load returns the numbers of running and waiting requests and the expected
+// wait of short work on a loaded adapter.
+func (s *Scheduler) Load() (running, waiting int, wait time.Duration) {
+	return len(s.running), len(s.waiting), s.wait(&adapter{state: loaded}, &Work{Short: true})
+}
+
+// DistinctRunning returns how many adapters share the batch.
+func (s *Scheduler) DistinctRunning() int {
+	n := 0
+	for _, a := range s.resident {
+		if a.pins > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Scheduler) serviceTime(w *Work) time.Duration {
+	if s.token == 0 {
+		s.token = s.cfg.TokenTime
+	}
+	return time.Duration(w.Tokens)*s.token + time.Duration(w.Prompt)*s.token/64
+}
+
+func (s *Scheduler) refuse(w *Work, reason Reason) Action {
+	_, _, wait := s.Load()
+	return Action{Kind: Refuse, Work: w, Reason: reason, RetryAfter: max(wait, minRetryAfter)}
+}
+
+func (s *Scheduler) pin(now time.Time, w *Work) {
+	if _, ok := s.running[w.ID]; ok {
+		return
+	}
+	w.granted = now
+	s.running[w.ID] = w
+	if !w.Short {
+		s.longRun++
+	}
+	a := s.adapter(w.Adapter)
+	a.pins++
+	a.used = now
+}
+
+// dispatch fills free places and starts loads.
+func (s *Scheduler) dispatch(now time.Time, acts []Action) []Action {
+	for {
+		w := s.pick()
+		if w == nil {
+			break
+		}
+		s.withdraw(w)
+		s.pin(now, w)
+		acts = append(acts, Action{Kind: Grant, Work: w})
+	}
+	for {
+		a, ok := s.nextLoad(now)
+		if !ok {
+			return acts
+		}
+		acts = append(acts, a)
+	}
+}
+
+// pick returns the waiting work that should start now, or nil.
+func (s *Scheduler) pick() *Work {
+	if len(s.waiting) == 0 || !s.placeFree(true) {
+		return nil
+	}
+	long := s.placeFree(false)
+	var best *Work
+	bestKey := math.Inf(1)
+	for _, a := range s.resident {
+		if a.state != loaded || len(a.waiting) == 0 {
+			continue
+		}
+		w := a.waiting.first(long)
+		if w == nil {
+			continue
+		}
+		key := w.key
+		if a.pins > 0 {
+			key -= s.cfg.BatchBonus
+		}
+		if key < bestKey {
+			best, bestKey = w, key
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) placeFree(short bool) bool {
+	if len(s.running) >= s.cfg.Places {
+		return false
+	}
+	return short || s.longRun < max(1, int(s.cfg.LongShare*float64(s.cfg.Places)))
+}
+
+// first returns the head of the queue, or with long false the first short
+// work. An adapter's queue is rarely mixed, so the search is short.
+func (h workHeap) first(long bool) *Work {
+	if long || h[0].Short {
+		return h[0]
+	}
+	var best *Work
+	for _, w := range h {
+		if w.Short && (best == nil || w.key < best.key) {
+			best = w
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/engine/slots.go
@@ -0,0 +1,164 @@
+package engine
+
+import (
+	"math"
+	"time"
+)
+
+type slotState int
+
+const (
+	absent  slotState = iota
+	loading           // a load was asked for
+	loaded
+	leaving // an unload was asked for
+	held    // in a slot, but an earlier owner may still change it
+)
+
+// adapter is what the scheduler knows of one adapter at one engine.
+type adapter struct {
+	name     string
+	state    slotState
+	swap     bool // it sits in a swap slot
+	pins     int
+	waiting  workHeap
+	pop      float64 // decayed count of requests, at popAt
+	popAt    time.Time
+	used     time.Time
+	loadedAt time.Time
+}
+
+func (a *adapter) popularity(now time.Time, halfLife time.Duration) float64 {
+	if a.pop == 0 {
+		return 0
+	}
+	return a.pop * math.Exp2(-float64(now.Sub(a.popAt))/float64(halfLife))
+}
+
+func (a *adapter) touch(now time.Time, halfLife time.Duration) {
+	a.pop = a.popularity(now, halfLife) + 1
+	a.popAt = now
+}
+
+func (s *Scheduler) adapter(name string) *adapter {
+	a := s.adapters[name]
+	if a == nil {
+		a = &adapter{name: name}
+		s.adapters[name] = a
+	}
+	return a
+}
+
+func (s *Scheduler) occupy(a *adapter) {
+	s.resident = append(s.resident, a)
+}
+
+// vacate takes the adapter out of its slot.
+func (s *Scheduler) vacate(a *adapter) {
+	if a.state == absent {
+		return
+	}
+	a.state, a.swap = absent, false
+	for i, r := range s.resident {
+		if r == a {
+			s.resident[i] = s.resident[len(s.resident)-1]
+			s.resident = s.resident[:len(s.resident)-1]
+			return
+		}
+	}
+}
+
+// loadable reports whether an adapter that is absent could be loaded at all
+// in the present mode.
+func (s *Scheduler) loadable() bool {
+	if s.mode.ReadOnly {
+		return false
+	}
+	if !s.mode.SwapOnly || !s.cfg.IntentsNeeded {
+		return true
+	}
+	return s.cfg.SwapSlots > 0
+}
+
+// nextLoad chooses the adapter with the most waiting work and the slot for it.
+func (s *Scheduler) nextLoad(now time.Time) (Action, bool) {
+	if len(s.waiting) == 0 || s.loads >= s.cfg.MaxLoads || s.mode.ReadOnly {
+		return Action{}, false
+	}
+	victim, free := s.slotFor(now)
+	if !free && victim == nil {
+		return Action{}, false
+	}
+	want := s.mostWanted(now)
+	if want == nil {
+		return Action{}, false
+	}
+	act := Action{Kind: Load, Adapter: want.name, Demand: len(want.waiting)}
+	swap := s.cfg.IntentsNeeded && s.swapUsed() < s.cfg.SwapSlots
+	if !free {
+		swap = s.cfg.IntentsNeeded && victim.swap
+		act.Victim = victim.name
+		victim.state = leaving
+	}
+	act.Stable = s.cfg.IntentsNeeded && !swap
+	want.state, want.swap = loading, swap
+	s.occupy(want)
+	s.loads++
+	return act, true
+}
+
+func (s *Scheduler) mostWanted(now time.Time) *adapter {
+	var best *adapter
+	var bestScore float64
+	for _, a := range s.adapters {
+		if a.state != absent || len(a.waiting) == 0 {
+			continue
+		}
+		score := now.Sub(a.waiting[0].arrived).Seconds() + 0.1*float64(len(a.waiting))
+		if best == nil || score > bestScore || score == bestScore && a.name < best.name {
+			best, bestScore = a, score
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) swapUsed() int {
+	n := 0
+	for _, a := range s.resident {
+		if a.swap {
+			n++
+		}
+	}
+	return n
+}
+
+// slotFor returns the adapter to evict, or free if a slot is empty.
+func (s *Scheduler) slotFor(now time.Time) (victim *adapter, free bool) {
+	swapOnly := s.mode.SwapOnly && s.cfg.IntentsNeeded
+	if len(s.resident) < s.cfg.Slots && (!swapOnly || s.swapUsed() < s.cfg.SwapSlots) {
+		return nil, true
+	}
+	if s.mode.NoEvict {
+		return nil, false
+	}
+	for _, a := range s.resident {
+		if a.state != loaded || a.pins > 0 || len(a.waiting) > 0 {
+			continue
+		}
+		if swapOnly && !a.swap {
+			continue
+		}
+		if victim == nil || s.worthLess(now, a, victim) {
+			victim = a
+		}
+	}
+	return victim, false
+}
+
+func (s *Scheduler) worthLess(now time.Time, a, b *adapter) bool {
+	if s.cfg.LRU {
+		return a.used.Before(b.used)
+	}
+	pa, pb := a.popularity(now, s.cfg.HalfLife), b.popularity(now, s.cfg.HalfLife)
+	return pa < pb || pa == pb && a.name < b.name
+}
--- /dev/null
+++ b/engine/work.go
@@ -0,0 +1,52 @@
+package engine
+
+import "time"
+
+// Work is a request as the scheduler sees it.
+type Work struct {
+	ID       string
+	Adapter  string // "adapter@version"
+	Entry    string // the node that will open the stream
+	Short    bool   // class of the request
+	Tokens   int    // expected output tokens
+	Prompt   int    // prompt tokens
+	Deadline time.Time
+	// MaxWait is the longest queue wait that the entry node accepts here
+	// before it asks another engine; zero accepts any wait.
+	MaxWait time.Duration
+
+	arrived time.Time
+	service time.Duration // expected time in the batch
+	key     float64       // order in the queue, lower first
+	index   int           // position in its heap
+	granted time.Time
+}
+
+// workHeap orders the waiting work of one adapter by key.
+type workHeap []*Work
+
+func (h workHeap) Len() int           { return len(h) }
+func (h workHeap) Less(i, j int) bool { return h[i].key < h[j].key }
+func (h workHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *workHeap) Push(x any) {
+	w := x.(*Work)
+	w.index = len(*h)
+	*h = append(*h, w)
+}
+
+// Pop implements heap.Interface.
+func (h *workHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return w
+}
+
+// Age returns how long ago the work was granted.
+func (w Work) Age(now time.Time) time.Duration { return now.Sub(w.granted) }
--- /dev/null
+++ b/node/admission.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/peer/peerpb"
+)
+
+const (
+	releaseTries   = 3
+	releaseTimeout = time.Second
+	movedRetry     = 200 * time.Millisecond
+)
+
+// acquire asks the owner of an engine for a grant, wherever it is.
+func (n *Node) acquire(ctx context.Context, engineName string, w engine.Work) (caller.Grant, error) {
+	owner := n.ownerHint(engineName)
+	for range 2 {
+		resp, err := n.askOwner(ctx, owner, engineName, w)
+		if err != nil {
+			n.forgetHint(engineName, owner)
+			return caller.Grant{}, &caller.Refusal{Reason: engine.Moved, RetryAfter: movedRetry}
+		}
+		switch resp.GetVerdict() {
+		case peerpb.AdmitResponse_VERDICT_GRANTED:
+			n.hint(engineName, owner)
+			return caller.Grant{Engine: engineName, ID: w.ID, Token: resp.GetToken()}, nil
+		case peerpb.AdmitResponse_VERDICT_REFUSED:
+			return caller.Grant{}, &caller.Refusal{
+				Reason:     engine.Reason(resp.GetReason()),
+				RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond,
+				Wait:       time.Duration(resp.GetWaitMs()) * time.Millisecond,
+			}
+		}
+		n.forgetHint(engineName, owner)
+		next := resp.GetOwnerHint()
+		if next == "" || next == owner {
+			break
+		}
+		owner = next
+	}
+	return caller.Grant{}, &caller.Refusal{Reason: engine.Moved, RetryAfter: movedRetry}
+}
+
+func (n *Node) ownerHint(engineName string) string {
+	n.mu.Lock()
+	hint := n.hints[engineName]
+	n.mu.Unlock()
+	if hint != "" {
+		return hint
+	}
+	return n.members.wantedOwner(engineName)
+}
+
+func (n *Node) forgetHint(engineName, owner string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.hints[engineName] == owner {
+		delete(n.hints, engineName)
+	}
+}
+
+func (n *Node) askOwner(ctx context.Context, owner, engineName string, w engine.Work) (*peerpb.AdmitResponse, error) {
+	req := &peerpb.AdmitRequest{
+		Engine: engineName, RequestId: w.ID, Adapter: w.Adapter, Entry: n.cfg.Name, EntryProcess: n.process,
+		ShortClass: w.Short, Tokens: int32(w.Tokens), PromptTokens: int32(w.Prompt),
+		TimeLeftMs: time.Until(w.Deadline).Milliseconds(), MaxWaitMs: w.MaxWait.Milliseconds(),
+	}
+	if owner == n.cfg.Name {
+		return n.admit(ctx, req, n.cfg.Address), nil
+	}
+	m, ok := n.members.get(owner)
+	if !ok {
+		return nil, &caller.Refusal{Reason: engine.Moved}
+	}
+	client, ctx, cancel, ok := n.members.reachable(ctx, m.Address)
+	if !ok {
+		return nil, &caller.Refusal{Reason: engine.Moved}
+	}
+	defer cancel()
+	resp, err := client.Admit(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// admit answers a request for a grant on an engine that this node may own.
+func (n *Node) admit(ctx context.Context, req *peerpb.AdmitRequest, address string) *peerpb.AdmitResponse {
+	o := n.ownedEngine(req.GetEngine())
+	now := time.Now()
+	if o == nil || !n.session.valid(now) {
+		hint := n.ownerHint(req.GetEngine())
+		if hint == n.cfg.Name {
+			hint = ""
+		}
+		return &peerpb.AdmitResponse{Verdict: peerpb.AdmitResponse_VERDICT_NOT_OWNER, OwnerHint: hint}
+	}
+	act := o.submit(ctx, engine.Work{
+		ID: req.GetRequestId(), Adapter: req.GetAdapter(), Entry: req.GetEntryProcess(), Short: req.GetShortClass(),
+		Tokens: int(req.GetTokens()), Prompt: int(req.GetPromptTokens()),
+		Deadline: now.Add(time.Duration(req.GetTimeLeftMs()) * time.Millisecond),
+		MaxWait:  time.Duration(req.GetMaxWaitMs()) * time.Millisecond,
+	}, address)
+	if act.Kind == engine.Grant {
+		return &peerpb.AdmitResponse{Verdict: peerpb.AdmitResponse_VERDICT_GRANTED, Token: o.token}
+	}
+	n.metrics.refused(act.Reason)
+	return &peerpb.AdmitResponse{
+		Verdict: peerpb.AdmitResponse_VERDICT_REFUSED, Reason: string(act.Reason),
+		RetryAfterMs: act.RetryAfter.Milliseconds(), WaitMs: act.RetryAfter.Milliseconds(),
+	}
+}
+
+// release gives a grant back to the engine's present owner. When that fails,
+// the owner finds out by reconciling.
+func (n *Node) release(g caller.Grant, missing bool, tokenTime time.Duration) {
+	if o := n.ownedEngine(g.Engine); o != nil {
+		o.release(g.ID, missing, tokenTime)
+		return
+	}
+	n.wg.Go(func() {
+		for range releaseTries {
+			if n.sendRelease(g, missing, tokenTime) {
+				return
+			}
+			sleep(n.ctx, movedRetry)
+		}
+	})
+}
+
+func (n *Node) sendRelease(g caller.Grant, missing bool, tokenTime time.Duration) bool {
+	m, ok := n.members.get(n.ownerHint(g.Engine))
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, releaseTimeout)
+	defer cancel()
+	_, err := n.members.link(m.Address).client.Release(ctx, connect.NewRequest(&peerpb.ReleaseRequest{Grants: []*peerpb.Released{{
+		Engine: g.Engine, RequestId: g.ID, Token: g.Token, AdapterMissing: missing, TokenTimeUs: tokenTime.Microseconds(),
+	}}}))
+	return err == nil
+}
--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/vanilladrift/vanilladrift/operator"
+)
+
+// Config is the configuration of a node. Zero durations take defaults.
+type Config struct {
+	Name       string // unique among the nodes; a restarted node may keep it
+	Address    string // IP address and port at which peers reach this node
+	Region     string
+	DataCenter string
+
+	TableURL  string
+	ObjectURL string
+	VMListURL string
+	// PeerScheme is "http" or "https".
+	PeerScheme string
+	// Operators holds the credentials of operators; the zero value refuses all.
+	Operators operator.Credentials
+	Profile   bool // serve pprof at the operator address
+
+	LeaseTTL        time.Duration // default 6 s
+	LeaseMargin     time.Duration // default 1 s
+	RenewEvery      time.Duration // default 1.5 s
+	PollEvery       time.Duration // table, VM list and heartbeats; default 1 s
+	SettingsPromise time.Duration // default 4 s
+	DrainGrace      time.Duration // serving on while the balancer notices; default 1 s
+
+	// HTTP sends to engines, the platform and peers; nil means a client with
+	// a transport of its own.
+	HTTP *http.Client
+	// ServiceHTTP sends to plain services; nil means package service's clients.
+	ServiceHTTP *http.Client
+	Log         *log.Logger // nil logs nothing
+	Seed        uint64      // of random choices
+	// Process names this start of the node; empty means a random name.
+	Process string
+}
+
+func (c Config) withDefaults() Config {
+	def := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	def(&c.LeaseTTL, 6*time.Second)
+	def(&c.LeaseMargin, time.Second)
+	def(&c.RenewEvery, 1500*time.Millisecond)
+	def(&c.PollEvery, time.Second)
+	def(&c.SettingsPromise, 4*time.Second)
+	def(&c.DrainGrace, time.Second)
+	if c.PeerScheme == "" {
+		c.PeerScheme = "http"
+	}
+	if c.HTTP == nil {
+		t := http.DefaultTransport.(*http.Transport).Clone()
+		t.MaxIdleConnsPerHost = 256
+		c.HTTP = &http.Client{Transport: t}
+	}
+	return c
+}
+
+// Check reports the first thing in the configuration that is not usable.
+func (c Config) Check() error {
+	const op = "check"
+	d := c.withDefaults()
+	switch {
+	case c.Name == "":
+		return &Error{Op: op, Kind: Invalid, Reason: "the node has no name"}
+	case c.TableURL == "":
+		return &Error{Op: op, Kind: Invalid, Reason: "the table's URL is missing"}
+	case d.LeaseMargin*2 >= d.LeaseTTL:
+		return &Error{Op: op, Kind: Invalid, Reason: "the lease margin must be under half of the lease's time"}
+	case d.RenewEvery*2 >= d.LeaseTTL-d.LeaseMargin:
+		return &Error{Op: op, Kind: Invalid, Reason: "the lease must last longer than two renewals"}
+	case d.PollEvery*2 > d.SettingsPromise:
+		return &Error{Op: op, Kind: Invalid, Reason: "the settings promise must be at least two polls long"}
+	}
+	if _, err := netip.ParseAddrPort(c.Address); err != nil {
+		return &Error{Op: op, Kind: Invalid, Reason: "the peer address must be an IP address and port: " + err.Error()}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/doc.go
@@ -0,0 +1,21 @@
+// Package node assembles a daemon from the other packages: it holds the
+// session in the platform's table, owns engines, answers its peers and serves
+// callers and operators.
+//
+// Every node is alike. Its handlers are plain http.Handlers; the program that
+// runs it chooses the listeners.
+//
+// # Usage
+//
+//	n := node.New(node.Config{Name: "n1", Address: "127.0.0.1:7101", TableURL: ...})
+//	go http.Serve(callers, n.Callers())
+//	go http.Serve(peers, n.Peers())
+//	go http.Serve(operators, n.Operators())
+//	n.Start()
+//	...
+//	n.Close(ctx) // drains, hands engines over and waits
+//
+// # Not covered
+//
+// TLS and the parsing of flags, which are the program's business.
+package node
--- /dev/null
+++ b/node/error.go
@@ -0,0 +1,20 @@
+package node
+
+// ErrorKind classifies an [Error].
+type ErrorKind string
+
+// The kinds of error that this package returns.
+const (
+	Invalid  ErrorKind = "invalid"   // the configuration is not usable
+	CutShort ErrorKind = "cut-short" // the shutdown's time ran out with work in flight
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op     string
+	Kind   ErrorKind
+	Reason string
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string { return "node: " + e.Op + ": " + string(e.Kind) + ": " + e.Reason }
--- /dev/null
+++ b/node/members.go
@@ -0,0 +1,242 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/peer"
+	"github.com/vanilladrift/vanilladrift/peer/peerpb"
+	"github.com/vanilladrift/vanilladrift/peer/peerpb/peerpbconnect"
+	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/table"
+)
+
+const (
+	heartbeatTimeout = time.Second
+	heartbeatFanOut  = 6 // peers that a node sends to in each round
+	downAfter        = 2 // unanswered heartbeats in a row
+)
+
+// member is another node, or this one, as its session row shows it.
+type member struct {
+	table.Session
+	version int64
+	lapsed  bool
+}
+
+// live reports whether the member may own engines.
+func (m member) live() bool { return !m.lapsed && !m.Fenced }
+
+// members is the node's view of the other nodes. Membership comes from the
+// session rows; heartbeats tell at once which peers do not answer, and carry
+// settings revisions.
+type members struct {
+	n *Node
+
+	mu    sync.Mutex
+	watch table.Watch
+	list  []member
+	links map[string]*link // by address
+}
+
+// link is the connection to one peer address.
+type link struct {
+	client  peerpbconnect.PeerClient
+	misses  int
+	process string // the process that last answered
+	// down is closed when the peer stops answering, and replaced when it
+	// answers again.
+	down   chan struct{}
+	isDown bool
+}
+
+func newMembers(n *Node) *members {
+	return &members{
+		n:     n,
+		watch: table.Watch{TTL: n.cfg.LeaseTTL, Margin: n.cfg.LeaseMargin},
+		links: make(map[string]*link),
+	}
+}
+
+// update takes over session rows that were read from the table.
+func (m *members) update(rows []table.Row, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list = m.list[:0:0]
+	for _, row := range rows {
+		s, err := table.DecodeSession(row)
+		if err != nil {
+			m.n.log.Error("session row cannot be read", "err", err)
+			continue
+		}
+		m.watch.See(row.Key, row.Version, now)
+		m.list = append(m.list, member{Session: s, version: row.Version, lapsed: m.watch.Lapsed(row.Key, now)})
+	}
+}
+
+// all returns the members of the last reading, sorted by name.
+func (m *members) all() []member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.list)
+}
+
+// get returns the member with the given name.
+func (m *members) get(name string) (member, bool) {
+	for _, x := range m.all() {
+		if x.Node == name {
+			return x, true
+		}
+	}
+	return member{}, false
+}
+
+// wantedOwner returns the node that should own an engine: the first choice of
+// rendezvous hashing over the live nodes that are not leaving.
+func (m *members) wantedOwner(engineName string) string {
+	var names []string
+	for _, x := range m.all() {
+		if x.live() && !x.Leaving {
+			names = append(names, x.Node)
+		}
+	}
+	first := engine.Rendezvous(engineName, names, nil, 1)
+	if len(first) == 0 {
+		return ""
+	}
+	return first[0]
+}
+
+// link returns the connection to the peer at an address.
+func (m *members) link(address string) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.links[address]
+	if l == nil {
+		url := m.n.cfg.PeerScheme + "://" + address
+		l = &link{client: peerpbconnect.NewPeerClient(m.n.cfg.HTTP, url), down: make(chan struct{})}
+		m.links[address] = l
+	}
+	return l
+}
+
+// reachable returns the peer's client and a context that ends when the peer
+// stops answering; ok is false when it does not answer now.
+func (m *members) reachable(ctx context.Context, address string) (peerpbconnect.PeerClient, context.Context, context.CancelFunc, bool) {
+	l := m.link(address)
+	m.mu.Lock()
+	down, isDown := l.down, l.isDown
+	m.mu.Unlock()
+	if isDown {
+		return nil, nil, nil, false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-down:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return l.client, ctx, cancel, true
+}
+
+// heartbeat tells some peers this node's settings revision.
+func (m *members) heartbeat(ctx context.Context) {
+	var others []member
+	for _, x := range m.all() {
+		if x.Process != m.n.process {
+			others = append(others, x)
+		}
+	}
+	m.n.mu.Lock()
+	m.n.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	m.n.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, x := range others[:min(heartbeatFanOut, len(others))] {
+		wg.Go(func() { m.heartbeatOne(ctx, x.Address) })
+	}
+	wg.Wait()
+}
+
+func (m *members) heartbeatOne(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	l := m.link(address)
+	sent := time.Now()
+	resp, err := l.client.Heartbeat(ctx, connect.NewRequest(&peerpb.HeartbeatRequest{
+		Node: m.n.cfg.Name, Process: m.n.process, Revision: m.n.store.Tree().Rev(),
+	}))
+	if err != nil {
+		m.answered(l, false, "")
+		return
+	}
+	m.answered(l, true, resp.Msg.GetProcess())
+	m.n.catchUpWith(ctx, l.client, resp.Msg.GetRevision(), sent)
+}
+
+func (m *members) answered(l *link, ok bool, process string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if ok {
+		l.misses, l.process = 0, process
+		if l.isDown {
+			l.isDown, l.down = false, make(chan struct{})
+		}
+		return
+	}
+	l.misses++
+	if l.misses >= downAfter && !l.isDown {
+		l.isDown = true
+		close(l.down)
+	}
+}
+
+// catchUpWith fetches settings from a peer that has a later revision. The
+// node's settings are as fresh as the peer's answer once it has caught up.
+func (n *Node) catchUpWith(ctx context.Context, c peerpbconnect.PeerClient, rev int64, sent time.Time) {
+	if mine := n.store.Tree().Rev(); rev > mine {
+		if err := n.fetchChanges(ctx, c, mine); err != nil {
+			n.log.Warn("settings could not be fetched from a peer", "err", err)
+			return
+		}
+	}
+	if n.store.Tree().Rev() >= rev {
+		n.heardSettings(sent)
+	}
+}
+
+func (n *Node) fetchChanges(ctx context.Context, c peerpbconnect.PeerClient, after int64) error {
+	resp, err := c.Changes(ctx, connect.NewRequest(&peerpb.ChangesRequest{After: after}))
+	if err != nil {
+		return err
+	}
+	if resp.Msg.GetSnapshot() {
+		docs := make([]settings.Document, len(resp.Msg.GetDocs()))
+		for i, d := range resp.Msg.GetDocs() {
+			docs[i] = peer.DecodeDocument(d)
+		}
+		n.store.InstallSnapshot(resp.Msg.GetRevision(), docs)
+		return nil
+	}
+	changes := make([]settings.Change, len(resp.Msg.GetChanges()))
+	for i, c := range resp.Msg.GetChanges() {
+		changes[i] = peer.DecodeChange(c)
+	}
+	return n.store.Install(changes)
+}
+
+// pollMembers reads the sessions and takes or gives up engines.
+func (n *Node) pollMembers(ctx context.Context) {
+	rows, err := n.table.Scan(ctx, table.SessionPrefix)
+	if err != nil {
+		return
+	}
+	n.members.update(rows, time.Now())
+	n.settleOwnership(ctx)
+}
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/engine"
+)
+
+// metrics holds the node's instruments.
+type metrics struct {
+	handler  http.Handler
+	meter    metric.Meter
+	requests metric.Int64Counter
+	tokens   metric.Int64Counter
+	refusals metric.Int64Counter
+	hedges   metric.Int64Counter
+	retries  metric.Int64Counter
+
+	loads        metric.Int64Counter
+	loadFailures metric.Int64Counter
+	evictions    metric.Int64Counter
+
+	firstToken metric.Float64Histogram
+	perToken   metric.Float64Histogram
+}
+
+// secondsBuckets are the bounds of histograms of times, in seconds.
+var secondsBuckets = []float64{0.005, 0.01, 0.02, 0.03, 0.043, 0.06, 0.1, 0.2, 0.4, 0.87, 1.5, 3, 6, 15, 60}
+
+func newMetrics() *metrics {
+	reg := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(reg))
+	if err != nil {
+		panic(err) // a fresh registry takes every collector
+	}
+	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter("vanilladrift")
+	m := &metrics{handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{}), meter: meter}
+	m.requests = m.counter("requests", "requests by class, outcome and kind of refusal")
+	m.tokens = m.counter("tokens", "tokens passed on to callers")
+	m.refusals = m.counter("admission-refusals", "admissions refused by this node's schedulers, by reason")
+	m.hedges = m.counter("hedges", "requests with a second attempt beside the first")
+	m.retries = m.counter("retries", "attempts after the first")
+	m.loads = m.counter("adapter-loads", "adapter loads asked for")
+	m.loadFailures = m.counter("adapter-load-failures", "adapter loads that failed")
+	m.evictions = m.counter("evictions", "adapters unloaded to make room")
+	m.firstToken = m.seconds("first-token", "time to the first token")
+	m.perToken = m.seconds("between-tokens", "mean time between tokens of an answer")
+	return m
+}
+
+func (m *metrics) counter(name, help string) metric.Int64Counter {
+	c, err := m.meter.Int64Counter("vanilladrift."+name, metric.WithDescription(help))
+	if err != nil {
+		panic(err) // the names are constants
+	}
+	return c
+}
+
+func (m *metrics) seconds(name, help string) metric.Float64Histogram {
+	h, err := m.meter.Float64Histogram("vanilladrift."+name, metric.WithDescription(help),
+		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(secondsBuckets...))
+	if err != nil {
+		panic(err) // the names are constants
+	}
+	return h
+}
+
+// gauge registers a value that is read when the metrics are fetched.
+func (m *metrics) gauge(name, help string, value func() float64) {
+	_, err := m.meter.Float64ObservableGauge("vanilladrift."+name, metric.WithDescription(help),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(value())
+			return nil
+		}))
+	if err != nil {
+		panic(err) // the names are constants
+	}
+}
+
+// request records how a request ended.
+func (m *metrics) request(ev caller.Event) {
+	ctx := context.Background()
+	class := attribute.String("class", ev.Class)
+	m.requests.Add(ctx, 1, metric.WithAttributes(class,
+		attribute.String("outcome", string(ev.Outcome)), attribute.String("kind", string(ev.Kind))))
+	m.tokens.Add(ctx, int64(ev.Tokens))
+	if ev.Hedged {
+		m.hedges.Add(ctx, 1)
+	}
+	if ev.Attempts > 1 {
+		m.retries.Add(ctx, int64(ev.Attempts-1))
+	}
+	if ev.Kind == "" {
+		m.firstToken.Record(ctx, ev.FirstToken.Seconds(), metric.WithAttributes(class))
+		m.perToken.Record(ctx, ev.PerToken.Seconds(), metric.WithAttributes(class))
+	}
+}
+
+func (m *metrics) refused(reason engine.Reason) {
+	m.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", string(reason))))
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,284 @@
+package node
+
+import (
+	"context"
+	crand "crypto/rand"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/object"
+	"github.com/vanilladrift/vanilladrift/peer"
+	"github.com/vanilladrift/vanilladrift/service"
+	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/table"
+	"github.com/vanilladrift/vanilladrift/vmlist"
+)
+
+// Node is one daemon.
+type Node struct {
+	cfg      Config
+	process  string
+	table    *table.Client
+	vms      *vmlist.Client
+	store    *settings.Store
+	registry *peer.Registry
+	front    *caller.Front
+	ledger   *service.Ledger
+	session  *session
+	members  *members
+	loads    *loadBudget
+	metrics  *metrics
+	log      *log.Logger
+
+	mu      sync.Mutex
+	owned   map[string]*ownedEngine   // engines whose ownership row names this session
+	retired map[string][]*ownedEngine // engines that were lost; their orders may still be on the way
+	hints   map[string]string         // engine to the node that was last heard to own it
+	vmList  vmlist.List
+	fresh   settings.Freshness
+	rng     *rand.Rand
+
+	tableUp  atomic.Bool
+	leaving  atomic.Bool // no new requests
+	requests atomic.Int64
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// New returns a node that has not started. The configuration must have passed
+// [Config.Check].
+func New(cfg Config) *Node {
+	cfg = cfg.withDefaults()
+	n := &Node{
+		cfg: cfg, process: cfg.Process, log: cfg.Log,
+		table:   &table.Client{URL: cfg.TableURL, HTTP: cfg.HTTP},
+		vms:     &vmlist.Client{URL: cfg.VMListURL, HTTP: cfg.HTTP},
+		owned:   make(map[string]*ownedEngine),
+		retired: make(map[string][]*ownedEngine),
+		hints:   make(map[string]string),
+		fresh:   settings.Freshness{Promise: cfg.SettingsPromise},
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
+	}
+	if n.process == "" {
+		n.process = crand.Text()
+	}
+	if n.log == nil {
+		n.log = log.New(io.Discard)
+	}
+	n.registry = &peer.Registry{}
+	n.metrics = newMetrics()
+	n.store = &settings.Store{Table: n.table}
+	n.ledger = &service.Ledger{Table: n.table, Objects: &object.Client{URL: cfg.ObjectURL, HTTP: cfg.HTTP}}
+	n.session = newSession(n)
+	n.members = newMembers(n)
+	n.loads = newLoadBudget(n)
+	n.front = &caller.Front{
+		Tree: n.store.Tree, Ready: n.admitting, Engines: n.enginesFor, Engine: n.engineClient,
+		Acquire: n.acquire, Release: n.release, Ledger: n.ledger, Services: services(cfg),
+		Registry: n.registry, Node: n.cfg.Name, NewID: n.newID, Observe: n.metrics.request,
+	}
+	n.gauges()
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	return n
+}
+
+func services(cfg Config) *service.Client {
+	if cfg.ServiceHTTP == nil {
+		return service.NewClient()
+	}
+	return &service.Client{Once: cfg.ServiceHTTP, Repeat: cfg.ServiceHTTP}
+}
+
+// Start starts the node's loops.
+func (n *Node) Start() {
+	n.every(n.cfg.RenewEvery, n.session.renew)
+	n.every(n.cfg.PollEvery, n.pollMembers)
+	n.every(n.cfg.PollEvery, n.pollSettings)
+	n.every(n.cfg.PollEvery, n.members.heartbeat)
+	n.every(n.cfg.PollEvery, n.pollVMs)
+	n.every(tickEvery, n.tickEngines)
+	n.every(reconcileEvery, n.reconcileGrants)
+}
+
+// every runs f at once and then once per period until the node is closed.
+func (n *Node) every(period time.Duration, f func(ctx context.Context)) {
+	n.wg.Go(func() {
+		t := time.NewTicker(period)
+		defer t.Stop()
+		for {
+			f(n.ctx)
+			select {
+			case <-t.C:
+			case <-n.ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+// Callers returns the handler for callers.
+func (n *Node) Callers() http.Handler { return n.front }
+
+// Store returns the node's settings.
+func (n *Node) Store() *settings.Store { return n.store }
+
+// Name returns the node's name.
+func (n *Node) Name() string { return n.cfg.Name }
+
+func (n *Node) newID() string {
+	return n.cfg.Name + "-" + n.process[:min(8, len(n.process))] + "-" + strconv.FormatInt(n.requests.Add(1), 36)
+}
+
+// admitting returns nil while the node may admit requests.
+func (n *Node) admitting() *caller.Error {
+	if reason := n.notReady(); reason != "" {
+		return &caller.Error{Op: "admit", Kind: caller.NotReady, Outcome: caller.NotRun, Reason: reason, RetryAfter: n.cfg.PollEvery}
+	}
+	return nil
+}
+
+func (n *Node) notReady() string {
+	if n.leaving.Load() {
+		return "the node is shutting down"
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.fresh.Stale(time.Now()) {
+		return "the node has heard neither the table nor a peer, so its settings may be out of date"
+	}
+	return ""
+}
+
+func (n *Node) heardSettings(sent time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fresh.Heard(sent)
+}
+
+// enginesFor returns the backend servers of a base model that take new work.
+func (n *Node) enginesFor(base string) []string {
+	var names []string
+	list := n.vmListNow()
+	for _, b := range n.store.Tree().Backends() {
+		if b.BaseModel == base && !b.Drain && list.State(b.Address) != vmlist.Leaving && list.State(b.Address) != vmlist.Gone {
+			names = append(names, b.Name)
+		}
+	}
+	return names
+}
+
+func (n *Node) backend(name string) (settings.BackendServer, bool) {
+	for _, b := range n.store.Tree().Backends() {
+		if b.Name == name {
+			return b, true
+		}
+	}
+	return settings.BackendServer{}, false
+}
+
+func (n *Node) engineClient(name string) *engine.Client {
+	b, ok := n.backend(name)
+	if !ok {
+		return nil
+	}
+	return &engine.Client{Name: name, URL: "http://" + b.Address, HTTP: n.cfg.HTTP}
+}
+
+func (n *Node) vmListNow() vmlist.List {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.vmList
+}
+
+func (n *Node) pollVMs(ctx context.Context) {
+	list, err := n.vms.List(ctx)
+	if err != nil {
+		return // the last list stays in use
+	}
+	n.mu.Lock()
+	n.vmList = list
+	n.mu.Unlock()
+}
+
+func (n *Node) pollSettings(ctx context.Context) {
+	sent := time.Now()
+	err := n.store.Refresh(ctx)
+	if err == nil {
+		n.heardSettings(sent)
+	}
+	n.tableUp.Store(err == nil)
+}
+
+// Close drains the node: new requests are refused, engines are handed over,
+// and what is in flight is finished. It waits until all of that is done, or
+// returns an error of kind [CutShort] when ctx ends first.
+func (n *Node) Close(ctx context.Context) error {
+	n.session.leave()
+	sleep(ctx, n.cfg.DrainGrace)
+	n.leaving.Store(true)
+	n.handOverAll(ctx)
+	err := n.waitInFlight(ctx)
+	n.ledger.Close()
+	n.session.end(context.WithoutCancel(ctx))
+	n.cancel()
+	n.wg.Wait()
+	return err
+}
+
+func (n *Node) waitInFlight(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		n.front.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return &Error{Op: "close", Kind: CutShort, Reason: strconv.Itoa(n.registry.InUse()) + " streams in flight"}
+	}
+}
+
+// Kill stops the node at once, as a crash would: nothing is drained or
+// released.
+func (n *Node) Kill() {
+	n.leaving.Store(true)
+	n.cancel()
+	n.wg.Wait()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// InFlight returns the number of streams that the node serves as an entry.
+func (n *Node) InFlight() int { return n.registry.InUse() }
+
+// OwnedReady returns how many engines the node owns and grants on.
+func (n *Node) OwnedReady() int {
+	ready := 0
+	for _, o := range n.ownedEngines() {
+		o.mu.Lock()
+		if !o.sched.Mode().Recovering {
+			ready++
+		}
+		o.mu.Unlock()
+	}
+	return ready
+}
--- /dev/null
+++ b/node/orders.go
@@ -0,0 +1,157 @@
+package node
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/table"
+)
+
+const (
+	rowTries  = 5
+	rowPause  = 50 * time.Millisecond
+	fenceWait = 200 * time.Millisecond
+)
+
+// load carries out a load that the scheduler asked for: budget, intent,
+// unload of the victim, load.
+func (o *ownedEngine) load(ctx context.Context, act engine.Action) {
+	o.n.metrics.loads.Add(ctx, 1)
+	done := o.n.loads.acquire(ctx, o.name+"/"+act.Adapter, act.Demand)
+	defer done()
+	res := engine.LoadResult{Adapter: act.Adapter, Victim: act.Victim, VictimKept: true}
+	if o.beginOrder() {
+		o.tryLoad(ctx, act, &res)
+		o.endOrder()
+	}
+	if !res.OK {
+		o.n.metrics.loadFailures.Add(ctx, 1)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.apply(o.sched.Loaded(time.Now(), res))
+}
+
+func (o *ownedEngine) tryLoad(ctx context.Context, act engine.Action, res *engine.LoadResult) {
+	if act.Stable && !o.writeIntent(ctx, act.Victim, act.Adapter) {
+		return
+	}
+	if act.Victim != "" {
+		if !o.order(func(c *engine.Client) (string, error) { return c.Unload(ctx, act.Victim, o.token) }) {
+			res.VictimKept = false // what the engine did is unknown: not granted until a report shows it
+			return
+		}
+		res.VictimKept = false
+		o.n.metrics.evictions.Add(ctx, 1)
+	}
+	res.OK = o.order(func(c *engine.Client) (string, error) { return c.Load(ctx, act.Adapter, o.token) })
+}
+
+// beginOrder enters an order, unless the ownership has ended or the lease has
+// lapsed. A pause of the process after this point is covered by the fencing
+// token or the intent, not by the lease.
+func (o *ownedEngine) beginOrder() bool {
+	if !o.n.session.valid(time.Now()) {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.stopped || o.handing || o.suspects {
+		return false
+	}
+	o.orders++
+	return true
+}
+
+func (o *ownedEngine) endOrder() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.orders--
+	o.lastOrder = time.Now()
+}
+
+// order sends one order. It is not cut short by the end of the ownership, so
+// that its answer tells when it can no longer take effect.
+func (o *ownedEngine) order(send func(c *engine.Client) (string, error)) bool {
+	boot, err := send(o.client())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.noteBoot(time.Now(), boot)
+	switch {
+	case err == nil:
+		return true
+	case engine.IsKind(err, engine.Fenced):
+		o.stopped = true
+	case engine.IsKind(err, engine.Broken):
+		o.doubtful++
+	}
+	o.n.log.Warn("order failed", "engine", o.name, "err", err)
+	return false
+}
+
+// writeIntent records that the victim leaves the stable list and the adapter
+// enters it, before the orders are sent.
+func (o *ownedEngine) writeIntent(ctx context.Context, victim, adapter string) bool {
+	lost, ok := o.writeRow(ctx, func(row table.Owner) table.Owner { return row.WithSwap(victim, adapter) })
+	if lost {
+		o.n.log.Warn("ownership was lost", "engine", o.name)
+		o.n.drop(o)
+	}
+	return ok
+}
+
+// writeRow changes the ownership row. A write without an answer is settled by
+// reading the row back. It reports lost when another owner has written.
+func (o *ownedEngine) writeRow(ctx context.Context, change func(table.Owner) table.Owner) (lost, ok bool) {
+	o.rowMu.Lock()
+	defer o.rowMu.Unlock()
+	next := change(o.row)
+	for range rowTries {
+		ver, err := o.n.table.Commit(ctx, table.Tx{
+			Checks: []table.Check{{Key: next.Key(), Version: o.version}},
+			Puts:   []table.Put{{Key: next.Key(), Value: next.Encode()}},
+		})
+		if err == nil {
+			o.row, o.version = next, ver
+			return false, true
+		}
+		if row, rerr := o.n.table.Get(ctx, next.Key()); rerr == nil && row.Version != o.version {
+			now, derr := table.DecodeOwner(row)
+			if derr == nil && reflect.DeepEqual(now, next) {
+				o.row, o.version = next, row.Version
+				return false, true
+			}
+			return true, false
+		}
+		if table.IsKind(err, table.Unavailable) {
+			return false, false
+		}
+		sleep(ctx, rowPause)
+	}
+	return false, false
+}
+
+// raiseToken makes the engine refuse orders under older tokens.
+func (o *ownedEngine) raiseToken(ctx context.Context) {
+	for ctx.Err() == nil {
+		boot, err := o.client().Fence(ctx, o.token)
+		o.mu.Lock()
+		if err == nil {
+			o.fenceDone = true
+			if o.boot == "" {
+				o.boot = boot
+			}
+		}
+		if engine.IsKind(err, engine.Fenced) {
+			o.stopped = true
+		}
+		end := err == nil || o.stopped
+		o.mu.Unlock()
+		if end {
+			return
+		}
+		sleep(ctx, fenceWait)
+	}
+}
--- /dev/null
+++ b/node/owned.go
@@ -0,0 +1,282 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/table"
+	"github.com/vanilladrift/vanilladrift/vmlist"
+)
+
+const (
+	tickEvery      = 100 * time.Millisecond
+	reconcileEvery = 2 * time.Second
+	reportEvery    = time.Second
+	// reportLag bounds how late a load report may be. An engine that evicts
+	// when it is full gets no orders from a new owner until it has passed.
+	reportLag = 3 * time.Second
+	stopPoll  = 10 * time.Millisecond
+)
+
+// ownedEngine is an engine that this node owns: its scheduler and the orders
+// that the scheduler asks for.
+type ownedEngine struct {
+	n       *Node
+	name    string
+	token   int64
+	backend settings.BackendServer
+	taken   time.Time
+
+	rowMu   sync.Mutex // held while the ownership row is written
+	row     table.Owner
+	version int64
+
+	mu         sync.Mutex
+	sched      *engine.Scheduler
+	waiters    map[string]chan engine.Action
+	entries    map[string]string // process to address of entry nodes with grants
+	stopped    bool              // no order may start
+	handing    bool              // a hand-over is under way
+	orders     int               // orders on the way
+	doubtful   int               // orders without an answer
+	boot       string
+	lastOrder  time.Time
+	lastReport time.Time
+	reporting  bool
+	fenceDone  bool // the engine knows the token
+	barsDone   bool // every entry node has barred older grants
+	suspects   bool // an earlier owner may still send orders
+}
+
+func newOwnedEngine(n *Node, b settings.BackendServer, row table.Owner, ver int64) *ownedEngine {
+	o := &ownedEngine{
+		n: n, name: b.Name, token: row.Token, backend: b, taken: time.Now(), row: row, version: ver,
+		waiters: make(map[string]chan engine.Action), entries: make(map[string]string),
+		fenceDone: !b.ChecksFencing, suspects: len(row.Suspects) > 0,
+	}
+	o.sched = engine.NewScheduler(engine.SchedulerConfig{
+		Slots: b.Slots, SwapSlots: b.SwapSlots, Places: b.Places, IntentsNeeded: !b.ChecksFencing,
+	})
+	o.sched.SetMode(time.Now(), engine.Mode{Recovering: true})
+	return o
+}
+
+// submit offers work and waits for the grant or the refusal.
+func (o *ownedEngine) submit(ctx context.Context, w engine.Work, address string) engine.Action {
+	ch := make(chan engine.Action, 1)
+	o.mu.Lock()
+	if o.stopped || o.handing {
+		o.mu.Unlock()
+		return engine.Action{Kind: engine.Refuse, Reason: engine.Moved, RetryAfter: stopPoll}
+	}
+	o.entries[w.Entry] = address
+	o.waiters[w.ID] = ch
+	o.apply(o.sched.Submit(time.Now(), w))
+	o.mu.Unlock()
+	select {
+	case act := <-ch:
+		return act
+	case <-ctx.Done():
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.waiters, w.ID)
+	o.apply(o.sched.Cancel(time.Now(), w.ID))
+	o.apply(o.sched.Release(time.Now(), w.ID, false)) // if it was granted just now
+	return engine.Action{Kind: engine.Refuse, Reason: engine.TooLate}
+}
+
+// release ends a grant.
+func (o *ownedEngine) release(id string, missing bool, tokenTime time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if tokenTime > 0 {
+		o.sched.ObserveTokenTime(tokenTime)
+	}
+	o.apply(o.sched.Release(time.Now(), id, missing))
+}
+
+// apply carries out what the scheduler asked for. The lock is held.
+func (o *ownedEngine) apply(acts []engine.Action) {
+	for _, act := range acts {
+		if act.Kind == engine.Load {
+			o.n.wg.Go(func() { o.load(o.n.ctx, act) })
+			continue
+		}
+		if ch := o.waiters[act.Work.ID]; ch != nil {
+			delete(o.waiters, act.Work.ID)
+			ch <- act
+		}
+	}
+}
+
+func (o *ownedEngine) refuseAll(now time.Time, reason engine.Reason) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.apply(o.sched.RefuseAll(now, reason))
+}
+
+// mode derives the scheduler's mode from what is known. The lock is held.
+func (o *ownedEngine) mode(now time.Time) engine.Mode {
+	return engine.Mode{
+		Recovering: o.lastReport.IsZero() || !o.fenceDone,
+		Draining:   o.draining(),
+		ReadOnly:   o.suspects || !o.backend.RefusesWhenFull && now.Sub(o.taken) < reportLag,
+		NoEvict:    !o.barsDone,
+		SwapOnly:   !o.n.tableUp.Load(),
+	}
+}
+
+func (o *ownedEngine) draining() bool {
+	state := o.n.vmListNow().State(o.backend.Address)
+	return o.backend.Drain || state == vmlist.Leaving || state == vmlist.Gone
+}
+
+// tick moves the scheduler's time on and polls the engine's report.
+func (o *ownedEngine) tick(ctx context.Context, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if b, ok := o.n.backend(o.name); ok {
+		o.backend = b
+	}
+	if m := o.mode(now); m != o.sched.Mode() {
+		o.apply(o.sched.SetMode(now, m))
+	} else {
+		o.apply(o.sched.Tick(now))
+	}
+	if !o.reporting && now.Sub(o.lastReport) > reportEvery {
+		o.reporting = true
+		o.n.wg.Go(func() { o.report(ctx) })
+	}
+}
+
+// report fetches a load report and corrects the scheduler's view of the slots.
+func (o *ownedEngine) report(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, reportEvery)
+	defer cancel()
+	asked := time.Now()
+	r, err := o.client().Report(ctx)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reporting = false
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	first := o.lastReport.IsZero()
+	o.lastReport = now
+	o.noteBoot(now, r.Boot)
+	switch {
+	case first:
+		o.apply(o.sched.Adopt(now, o.found(r.Loaded), nil))
+	case o.orders == 0 && asked.Sub(o.lastOrder) > reportLag && !o.suspects:
+		o.apply(o.sched.Sync(now, r.Loaded))
+	}
+}
+
+// found sorts what a report shows: while an earlier owner may still send
+// orders, only the adapters on the stable list may be granted.
+func (o *ownedEngine) found(names []string) []engine.Resident {
+	stable := make(map[string]bool, len(o.row.Stable))
+	for _, name := range o.row.Stable {
+		stable[name] = true
+	}
+	list := make([]engine.Resident, 0, len(names))
+	for _, name := range names {
+		swap := !o.backend.ChecksFencing && !stable[name]
+		list = append(list, engine.Resident{Adapter: name, Swap: swap, Held: o.suspects && swap})
+	}
+	return list
+}
+
+// noteBoot notices that the engine restarted cold. The lock is held.
+func (o *ownedEngine) noteBoot(now time.Time, boot string) {
+	if boot == "" || boot == o.boot {
+		return
+	}
+	if o.boot != "" {
+		o.n.log.Warn("engine restarted", "engine", o.name)
+		o.apply(o.sched.Reset(now))
+		o.fenceDone = !o.backend.ChecksFencing
+		if !o.fenceDone {
+			o.n.wg.Go(func() { o.raiseToken(o.n.ctx) })
+		}
+	}
+	o.boot = boot
+}
+
+func (o *ownedEngine) client() *engine.Client {
+	return &engine.Client{Name: o.name, URL: "http://" + o.backend.Address, HTTP: o.n.cfg.HTTP}
+}
+
+// beginHandOver refuses new work from now on; it reports false if a hand-over
+// is under way already.
+func (o *ownedEngine) beginHandOver() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.handing || o.stopped {
+		return false
+	}
+	o.handing = true
+	o.apply(o.sched.RefuseAll(time.Now(), engine.Moved))
+	return true
+}
+
+func (o *ownedEngine) cancelHandOver() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.handing = false
+}
+
+// stopOrders waits until no order is on the way. New ones cannot start while
+// a hand-over is under way.
+func (o *ownedEngine) stopOrders(ctx context.Context) bool {
+	for {
+		o.mu.Lock()
+		idle := o.orders == 0
+		o.mu.Unlock()
+		if idle {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(stopPoll):
+		}
+	}
+}
+
+// releaseRow writes the ownership row without an owner. After an order whose
+// answer never came, this process stays a suspect.
+func (o *ownedEngine) releaseRow(ctx context.Context) bool {
+	o.mu.Lock()
+	doubt := o.doubtful > 0 && !o.backend.ChecksFencing
+	o.mu.Unlock()
+	_, ok := o.writeRow(ctx, func(row table.Owner) table.Owner {
+		if doubt {
+			row.Suspects = append(row.WithoutSuspect(row.Process).Suspects,
+				table.Suspect{Node: row.Node, Process: row.Process, Address: row.Address, Token: row.Token})
+		}
+		row.Node, row.Process, row.Address = "", "", ""
+		return row
+	})
+	return ok
+}
+
+// stop ends the ownership: nothing is granted and no order starts.
+func (o *ownedEngine) stop() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stopped = true
+	o.apply(o.sched.RefuseAll(time.Now(), engine.Moved))
+}
+
+// quiet reports whether no order can leave or be on the way.
+func (o *ownedEngine) quiet() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.stopped && o.orders == 0 && o.doubtful == 0
+}
--- /dev/null
+++ b/node/ownership.go
@@ -0,0 +1,218 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/table"
+)
+
+// settleOwnership takes the engines that this node should own and hands over
+// those that another live node should own.
+func (n *Node) settleOwnership(ctx context.Context) {
+	if !n.session.valid(time.Now()) {
+		return
+	}
+	present := make(map[string]bool)
+	for _, b := range n.store.Tree().Backends() {
+		present[b.Name] = true
+		wanted := n.members.wantedOwner(b.Name)
+		mine := n.ownedEngine(b.Name)
+		switch {
+		case wanted == n.cfg.Name && mine == nil && !n.session.isLeaving():
+			n.takeEngine(ctx, b)
+		case wanted != n.cfg.Name && wanted != "" && mine != nil:
+			n.wg.Go(func() { n.handOver(ctx, mine) })
+		}
+	}
+	for _, o := range n.ownedEngines() {
+		if !present[o.name] {
+			n.wg.Go(func() { n.handOver(ctx, o) })
+		}
+	}
+}
+
+func (n *Node) ownedEngine(name string) *ownedEngine {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owned[name]
+}
+
+func (n *Node) ownedEngines() []*ownedEngine {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := make([]*ownedEngine, 0, len(n.owned))
+	for _, o := range n.owned {
+		list = append(list, o)
+	}
+	return list
+}
+
+// takeEngine makes this node the owner of an engine if nobody else can still
+// believe to own it. One transaction fences the old session and writes the
+// ownership row with a higher fencing token.
+func (n *Node) takeEngine(ctx context.Context, b settings.BackendServer) {
+	row, err := n.table.Get(ctx, table.OwnerPrefix+b.Name)
+	if err != nil && !table.IsKind(err, table.NotFound) {
+		return
+	}
+	old := table.Owner{Engine: b.Name}
+	if err == nil {
+		if old, err = table.DecodeOwner(row); err != nil {
+			n.log.Error("ownership row cannot be read", "err", err)
+			return
+		}
+	}
+	n.session.with(func(me table.Session, check table.Check) {
+		if old.Process == me.Process && old.Epoch == me.Epoch && old.Node == me.Node {
+			n.adopt(b, old, row.Version) // our own write, whose answer was lost
+			return
+		}
+		tx, ok := n.fenceHolder(old)
+		if !ok {
+			n.hint(b.Name, old.Node)
+			return
+		}
+		next := takeover(old, me, b.ChecksFencing)
+		tx.Checks = append(tx.Checks, check, table.Check{Key: next.Key(), Version: row.Version})
+		tx.Puts = append(tx.Puts, table.Put{Key: next.Key(), Value: next.Encode()})
+		ver, err := n.table.Commit(ctx, tx)
+		if err != nil {
+			return // an unknown outcome shows at the next reading
+		}
+		n.log.Info("took engine", "engine", b.Name, "token", next.Token, "from", old.Node)
+		n.adopt(b, next, ver)
+	})
+}
+
+// takeover returns the ownership row of a new owner. An earlier owner that did
+// not release the engine may still send orders, unless the engine arbitrates.
+func takeover(old table.Owner, me table.Session, engineArbitrates bool) table.Owner {
+	next := old
+	next.Node, next.Process, next.Epoch, next.Address = me.Node, me.Process, me.Epoch, me.Address
+	next.Token = old.Token + 1
+	if engineArbitrates {
+		next.Suspects = nil
+		return next
+	}
+	if old.Node != "" {
+		next = next.WithoutSuspect(old.Process)
+		next.Suspects = append(next.Suspects, table.Suspect{Node: old.Node, Process: old.Process, Address: old.Address, Token: old.Token})
+	}
+	return next
+}
+
+// fenceHolder returns the transaction that ends the holder's session, or
+// reports false while the holder may still trust its lease.
+func (n *Node) fenceHolder(old table.Owner) (table.Tx, bool) {
+	if old.Node == "" {
+		return table.Tx{}, true // released
+	}
+	m, ok := n.members.get(old.Node)
+	if !ok {
+		key := table.Session{Node: old.Node}.Key()
+		return table.Tx{Checks: []table.Check{{Key: key}}}, true
+	}
+	check := table.Check{Key: m.Key(), Version: m.version}
+	if m.Process != old.Process || m.Epoch != old.Epoch || m.Fenced {
+		return table.Tx{Checks: []table.Check{check}}, true // the session that held it has ended
+	}
+	if !m.lapsed {
+		return table.Tx{}, false
+	}
+	fenced := m.Session
+	fenced.Fenced = true
+	return table.Tx{Checks: []table.Check{check}, Puts: []table.Put{{Key: fenced.Key(), Value: fenced.Encode()}}}, true
+}
+
+func (n *Node) adopt(b settings.BackendServer, row table.Owner, ver int64) {
+	o := newOwnedEngine(n, b, row, ver)
+	n.mu.Lock()
+	n.owned[b.Name] = o
+	n.hints[b.Name] = n.cfg.Name
+	n.mu.Unlock()
+	n.wg.Go(func() { o.recover(n.ctx) })
+}
+
+// handOver stops granting, waits for orders on the way, and releases the
+// engine. Streams that run go on; the new owner learns of them from their
+// entry nodes.
+func (n *Node) handOver(ctx context.Context, o *ownedEngine) {
+	if !o.beginHandOver() {
+		return
+	}
+	if !o.stopOrders(ctx) || !o.releaseRow(ctx) {
+		o.cancelHandOver()
+		return
+	}
+	n.log.Info("released engine", "engine", o.name)
+	n.drop(o)
+}
+
+func (n *Node) handOverAll(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, o := range n.ownedEngines() {
+			n.handOver(ctx, o)
+		}
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// drop ends the node's ownership of an engine. Orders that are on the way are
+// remembered until they are answered.
+func (n *Node) drop(o *ownedEngine) {
+	o.stop()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.owned[o.name] == o {
+		delete(n.owned, o.name)
+		n.retired[o.name] = append(n.retired[o.name], o)
+	}
+}
+
+// dropAll ends the ownership of every engine, after the session was fenced.
+func (n *Node) dropAll() {
+	for _, o := range n.ownedEngines() {
+		n.drop(o)
+	}
+}
+
+// yielded reports whether no order under a fencing token below the given one
+// can leave this process any more.
+func (n *Node) yielded(engineName string, token int64) bool {
+	if o := n.ownedEngine(engineName); o != nil && o.token < token {
+		n.drop(o) // a later owner exists, so the session was fenced
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.retired[engineName] = slices.DeleteFunc(n.retired[engineName], (*ownedEngine).quiet)
+	return len(n.retired[engineName]) == 0
+}
+
+func (n *Node) hint(engineName, owner string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hints[engineName] = owner
+}
+
+// tickEngines drives the schedulers and keeps an eye on the lease: an owner
+// whose lease has lapsed refuses its queue at once.
+func (n *Node) tickEngines(ctx context.Context) {
+	now := time.Now()
+	valid := n.session.valid(now)
+	for _, o := range n.ownedEngines() {
+		if !valid {
+			o.refuseAll(now, engine.Moved)
+			continue
+		}
+		o.tick(ctx, now)
+	}
+}
--- /dev/null
+++ b/settings/backend.go
@@ -0,0 +1,32 @@
+package settings
+
+// BackendServer is the typed form of a backend document.
+type BackendServer struct {
+	Name            string
+	Address         string // IP address and port
+	BaseModel       string
+	Slots           int  // adapters that the engine can hold
+	SwapSlots       int  // slots that may change while the table is down
+	Places          int  // places in the engine's batch
+	ChecksFencing   bool // the engine refuses orders with an old fencing token
+	RefusesWhenFull bool // the engine refuses a load when no slot is free
+	Region          string
+	DataCenter      string
+	Drain           bool // an operator has asked for no new work
+}
+
+func newBackendServer(d Document) BackendServer {
+	return BackendServer{
+		Name:            d.Name,
+		Address:         d.Fields["address"],
+		BaseModel:       d.Fields["base-model"],
+		Slots:           atoi(d.Fields["slots"]),
+		SwapSlots:       atoi(d.Fields["swap-slots"]),
+		Places:          atoi(d.Fields["places"]),
+		ChecksFencing:   d.Fields["checks-fencing"] == "on",
+		RefusesWhenFull: d.Fields["refuses-when-full"] == "on",
+		Region:          d.Fields["region"],
+		DataCenter:      d.Fields["data-center"],
+		Drain:           d.Fields["drain"] == "on",
+	}
+}
--- /dev/null
+++ b/settings/tree.go
@@ -0,0 +1,311 @@
+package settings
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Tree is an immutable set of documents at one revision. The zero value is
+// not usable; call [New].
+type Tree struct {
+	rev       int64
+	docs      map[Kind]map[string]Document // by kind and name
+	effective map[string]*Effective
+	models    map[modelKey]Model
+	callers   map[string]Document // by key hash
+	backends  []BackendServer
+}
+
+type modelKey struct{ adapter, version string }
+
+// Model is a published version of an adapter.
+type Model struct {
+	Name    string // "adapter@version", the immutable name that engines load
+	Adapter string
+	Base    string // the base model that the adapter belongs to
+}
+
+// New returns the tree at revision 0, which holds only the root branch.
+func New() *Tree {
+	t := &Tree{
+		docs:    map[Kind]map[string]Document{Branch: {"/": {Kind: Branch, Name: "/"}}},
+		models:  map[modelKey]Model{},
+		callers: map[string]Document{},
+	}
+	t.inherit()
+	return t
+}
+
+// Rev returns the revision of the last change that was applied.
+func (t *Tree) Rev() int64 { return t.rev }
+
+// Doc returns the document with the given kind and name.
+func (t *Tree) Doc(kind Kind, name string) (Document, bool) {
+	d, ok := t.docs[kind][name]
+	return d, ok
+}
+
+// Docs returns the documents of one kind, sorted by name.
+func (t *Tree) Docs(kind Kind) []Document {
+	docs := slices.Collect(maps.Values(t.docs[kind]))
+	slices.SortFunc(docs, func(a, b Document) int { return strings.Compare(a.Name, b.Name) })
+	return docs
+}
+
+// Branch returns the effective settings of a branch. It does not allocate.
+func (t *Tree) Branch(name string) (*Effective, bool) {
+	e, ok := t.effective[name]
+	return e, ok
+}
+
+// CallerByKey returns the caller whose key has the given hash.
+func (t *Tree) CallerByKey(hash string) (Document, bool) {
+	d, ok := t.callers[hash]
+	return d, ok
+}
+
+// Backends returns the backend servers, sorted by name. The caller must not
+// modify the slice.
+func (t *Tree) Backends() []BackendServer { return t.backends }
+
+// Edit checks e against the tree and returns the document that it makes. The
+// revision of the document is left for the caller to set.
+func (t *Tree) Edit(e Edit) (Document, error) {
+	const op = "edit"
+	if err := checkName(op, e.Kind, e.Name); err != nil {
+		return Document{}, err
+	}
+	old, exists := t.Doc(e.Kind, e.Name)
+	if e.Base != AnyBase && e.Base != old.Rev {
+		return Document{}, &Error{Op: op, Kind: Conflict, Doc: old.ID(), Reason: "changed since it was read"}
+	}
+	if e.Delete {
+		if !exists {
+			return Document{}, &Error{Op: op, Kind: NotFound, Doc: string(e.Kind) + " " + e.Name}
+		}
+		return t.remove(op, old)
+	}
+	for _, f := range e.Unset {
+		if _, ok := fieldsOf[e.Kind][f]; !ok {
+			return Document{}, invalid(op, string(e.Kind)+" "+e.Name, f, "unknown field")
+		}
+	}
+	d := Document{Kind: e.Kind, Name: e.Name, Fields: old.Fields}.With(e.Set, e.Unset)
+	if err := checkFields(op, d); err != nil {
+		return Document{}, err
+	}
+	return d, t.checkReferences(op, d)
+}
+
+func (t *Tree) remove(op string, d Document) (Document, error) {
+	if d.Kind == Branch {
+		if d.Name == "/" {
+			return Document{}, invalid(op, d.ID(), "", "the root branch cannot be deleted")
+		}
+		for _, o := range t.docs[Branch] {
+			if Parent(o.Name) == d.Name {
+				return Document{}, invalid(op, d.ID(), "", "branch %s would be left without a parent", o.Name)
+			}
+		}
+		for _, o := range t.docs[Caller] {
+			if o.Fields["branch"] == d.Name {
+				return Document{}, invalid(op, d.ID(), "", "caller %s is attached to it", o.Name)
+			}
+		}
+	}
+	if d.Kind == Adapter {
+		for _, o := range t.docs[Branch] {
+			if o.Fields["adapter"] == d.Name {
+				return Document{}, invalid(op, d.ID(), "", "branch %s uses it", o.Name)
+			}
+		}
+	}
+	return Document{Kind: d.Kind, Name: d.Name, Deleted: true}, nil
+}
+
+// checkReferences refuses a document that names another one that is missing.
+func (t *Tree) checkReferences(op string, d Document) error {
+	switch d.Kind {
+	case Branch:
+		if p := Parent(d.Name); p != "" {
+			if _, ok := t.Doc(Branch, p); !ok {
+				return invalid(op, d.ID(), "", "its parent %s does not exist", p)
+			}
+		}
+		return t.checkBranchAdapter(op, d)
+	case Adapter:
+		if !slices.Contains(strings.Split(d.Fields["versions"], ","), d.Fields[current]) {
+			return invalid(op, d.ID(), current, "%s is not among the versions", d.Fields[current])
+		}
+	case Caller:
+		if _, ok := t.Doc(Branch, d.Fields["branch"]); !ok {
+			return invalid(op, d.ID(), "branch", "branch %s does not exist", d.Fields["branch"])
+		}
+		if o, ok := t.callers[d.Fields["key-hash"]]; ok && o.Name != d.Name {
+			return invalid(op, d.ID(), "key-hash", "already used by caller %s", o.Name)
+		}
+	case Backend:
+		if atoi(d.Fields["swap-slots"]) > atoi(d.Fields["slots"]) {
+			return invalid(op, d.ID(), "swap-slots", "more than slots")
+		}
+	}
+	return nil
+}
+
+func (t *Tree) checkBranchAdapter(op string, d Document) error {
+	parent := &defaults
+	if p, ok := t.effective[Parent(d.Name)]; ok {
+		parent = p
+	}
+	e := parent.with(d)
+	if e.Adapter == "" {
+		return nil
+	}
+	if _, err := t.Resolve(e, ""); err != nil {
+		return invalid(op, d.ID(), "adapter", "%s at version %s does not exist", e.Adapter, e.AdapterVersion)
+	}
+	return nil
+}
+
+// WithChanges returns the tree after the changes. Changes that the tree
+// already holds are passed over; one that would leave a gap is an error, so a
+// tree never goes backwards and never skips a revision.
+func (t *Tree) WithChanges(changes ...Change) (*Tree, error) {
+	next := *t
+	next.docs = maps.Clone(t.docs)
+	touched := map[Kind][]Document{}
+	for _, c := range changes {
+		if c.Rev <= next.rev {
+			continue
+		}
+		if c.Rev != next.rev+1 {
+			return nil, &Error{Op: "apply", Kind: Gap, Doc: c.Doc.ID(), Reason: "a revision is missing before this change"}
+		}
+		if touched[c.Doc.Kind] == nil {
+			next.docs[c.Doc.Kind] = maps.Clone(t.docs[c.Doc.Kind])
+		}
+		next.put(c.Doc)
+		next.rev = c.Rev
+		touched[c.Doc.Kind] = append(touched[c.Doc.Kind], c.Doc)
+	}
+	next.index(t, touched)
+	return &next, nil
+}
+
+// FromSnapshot returns a tree that holds exactly docs at revision rev.
+func FromSnapshot(rev int64, docs []Document) *Tree {
+	t := New()
+	t.rev = rev
+	touched := map[Kind][]Document{}
+	for _, d := range docs {
+		t.put(d)
+		touched[d.Kind] = append(touched[d.Kind], d)
+	}
+	t.index(New(), touched)
+	return t
+}
+
+// All returns every document, in no order.
+func (t *Tree) All() []Document {
+	var all []Document
+	for _, docs := range t.docs {
+		all = slices.AppendSeq(all, maps.Values(docs))
+	}
+	return all
+}
+
+func (t *Tree) put(d Document) {
+	if t.docs[d.Kind] == nil {
+		t.docs[d.Kind] = map[string]Document{}
+	}
+	if d.Deleted {
+		delete(t.docs[d.Kind], d.Name)
+		return
+	}
+	t.docs[d.Kind][d.Name] = d
+}
+
+// index brings the derived maps up to date with the documents that changed
+// since old.
+func (t *Tree) index(old *Tree, touched map[Kind][]Document) {
+	if touched[Branch] != nil {
+		t.inherit()
+	}
+	if touched[Adapter] != nil {
+		t.models = maps.Clone(old.models)
+		for _, d := range touched[Adapter] {
+			t.indexModels(old, d)
+		}
+	}
+	if touched[Caller] != nil {
+		t.callers = make(map[string]Document, len(t.docs[Caller]))
+		for _, d := range t.docs[Caller] {
+			t.callers[d.Fields["key-hash"]] = d
+		}
+	}
+	if touched[Backend] != nil {
+		t.backends = nil
+		for _, d := range t.Docs(Backend) {
+			t.backends = append(t.backends, newBackendServer(d))
+		}
+	}
+}
+
+func (t *Tree) indexModels(old *Tree, d Document) {
+	if o, ok := old.Doc(Adapter, d.Name); ok {
+		for v := range strings.SplitSeq(o.Fields["versions"], ",") {
+			delete(t.models, modelKey{d.Name, v})
+		}
+		delete(t.models, modelKey{d.Name, current})
+	}
+	if d.Deleted {
+		return
+	}
+	for v := range strings.SplitSeq(d.Fields["versions"], ",") {
+		m := Model{Name: d.Name + "@" + v, Adapter: d.Name, Base: d.Fields["base-model"]}
+		t.models[modelKey{d.Name, v}] = m
+		if v == d.Fields[current] {
+			t.models[modelKey{d.Name, current}] = m
+		}
+	}
+}
+
+// inherit computes the effective settings of every branch, parents first.
+func (t *Tree) inherit() {
+	branches := t.Docs(Branch)
+	t.effective = make(map[string]*Effective, len(branches))
+	for _, d := range branches {
+		parent := &defaults
+		if p, ok := t.effective[Parent(d.Name)]; ok {
+			parent = p
+		}
+		t.effective[d.Name] = parent.with(d)
+	}
+}
+
+// Resolve returns the model that a request on the branch leads to. The name
+// is that of the request, "adapter" or "adapter@version"; empty means the
+// adapter from the settings. It does not allocate unless it fails.
+func (t *Tree) Resolve(e *Effective, name string) (Model, error) {
+	adapter, version, _ := strings.Cut(name, "@")
+	if adapter == "" {
+		adapter = e.Adapter
+	}
+	if version == "" && adapter == e.Adapter {
+		version = e.AdapterVersion
+	}
+	if version == "" {
+		version = current
+	}
+	if m, ok := t.models[modelKey{adapter, version}]; ok {
+		return m, nil
+	}
+	if adapter == "" {
+		return Model{}, invalid("resolve", "branch "+e.Name, "adapter", "none is set and the request names none")
+	}
+	if _, ok := t.Doc(Adapter, adapter); !ok {
+		return Model{}, &Error{Op: "resolve", Kind: NotFound, Doc: "adapter " + adapter}
+	}
+	return Model{}, &Error{Op: "resolve", Kind: NotFound, Doc: "adapter " + adapter, Field: "versions", Reason: version + " was never published"}
+}
--- /dev/null
+++ b/standin/object.go
@@ -0,0 +1,55 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// Object is a stand-in for the object store.
+type Object struct {
+	mu      sync.Mutex
+	down    bool
+	objects map[string][]byte
+}
+
+// SetDown switches an outage on or off.
+func (o *Object) SetDown(down bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.down = down
+}
+
+// ServeHTTP implements http.Handler.
+func (o *Object) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	key, ok := strings.CutPrefix(r.URL.Path, "/v1/objects/")
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	value, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	if r.Method == http.MethodPut {
+		if o.objects == nil {
+			o.objects = make(map[string][]byte)
+		}
+		o.objects[key] = value
+		return
+	}
+	stored, ok := o.objects[key]
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(stored) // the client has gone away
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,71 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// ServiceFault switches failures of a [Service] on.
+type ServiceFault struct {
+	Down       bool
+	Slow       time.Duration
+	LoseAnswer int // calls that are executed but whose answer is lost
+}
+
+// Service is a stand-in for a plain service, such as an order ledger. It
+// counts how often each body was executed.
+type Service struct {
+	mu       sync.Mutex
+	fault    ServiceFault
+	executed map[string]int
+}
+
+// SetFault replaces the failures in force.
+func (s *Service) SetFault(f ServiceFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Executed returns how often each body was executed.
+func (s *Service) Executed() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.executed)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	fault := s.fault
+	s.mu.Unlock()
+	if fault.Down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(fault.Slow)
+	s.mu.Lock()
+	if s.executed == nil {
+		s.executed = make(map[string]int)
+	}
+	s.executed[string(body)]++
+	lose := s.fault.LoseAnswer > 0
+	if lose {
+		s.fault.LoseAnswer--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, `{"accepted":%q}`+"\n", body)
+}
--- /dev/null
+++ b/table/client.go
@@ -0,0 +1,139 @@
+package table
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/juju/errors"
+)
+
+const (
+	callTimeout  = 2 * time.Second
+	maxScanBytes = 64 << 20
+)
+
+// Client is a client of the table service. It is safe for concurrent use.
+type Client struct {
+	URL  string
+	HTTP *http.Client // nil means http.DefaultClient
+
+	reads, writes, bytes atomic.Int64
+}
+
+// Counts returns the number of reads, of transactions, and of body bytes in
+// both directions since the client was made.
+func (c *Client) Counts() (reads, writes, bodyBytes int64) {
+	return c.reads.Load(), c.writes.Load(), c.bytes.Load()
+}
+
+// Get returns the row, or an error of kind [NotFound].
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	rows, err := c.read(ctx, "get", key, scanQuery{Key: key})
+	if err != nil {
+		return Row{}, err
+	}
+	if len(rows) == 0 {
+		return Row{}, &Error{Op: "get", Kind: NotFound, Key: key}
+	}
+	return rows[0], nil
+}
+
+// Scan returns the rows whose keys start with prefix, sorted by key.
+func (c *Client) Scan(ctx context.Context, prefix string) ([]Row, error) {
+	return c.ScanAfter(ctx, prefix, "", 0)
+}
+
+// ScanAfter is like [Client.Scan] for keys greater than after, at most limit
+// rows; a limit of 0 means no limit.
+func (c *Client) ScanAfter(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	return c.read(ctx, "scan", prefix, scanQuery{Prefix: prefix, After: after, Limit: limit})
+}
+
+type scanQuery struct {
+	Key    string `url:"key,omitempty"`
+	Prefix string `url:"prefix,omitempty"`
+	After  string `url:"after,omitempty"`
+	Limit  int    `url:"limit,omitempty"`
+}
+
+func (c *Client) read(ctx context.Context, op, key string, q scanQuery) ([]Row, error) {
+	c.reads.Add(1)
+	req, err := sling.New().Base(c.URL).Get("/v1/rows").QueryStruct(q).Request()
+	if err != nil {
+		return nil, &Error{Op: op, Kind: Malformed, Key: key, Err: err}
+	}
+	var rows Rows
+	if kind, err := c.do(ctx, req, &rows); err != nil {
+		if kind == Unknown {
+			kind = Unavailable // a read changes nothing
+		}
+		return nil, &Error{Op: op, Kind: kind, Key: key, Err: err}
+	}
+	return rows.Rows, nil
+}
+
+// Commit applies the transaction and returns the version of the rows that it
+// wrote. The error kind tells whether it was applied: [Conflict] and
+// [Unavailable] mean no, [Unknown] means perhaps.
+func (c *Client) Commit(ctx context.Context, tx Tx) (int64, error) {
+	const op = "commit"
+	c.writes.Add(1)
+	req, err := sling.New().Base(c.URL).Post("/v1/tx").BodyJSON(tx).Request()
+	if err != nil {
+		return 0, &Error{Op: op, Kind: Malformed, Err: err}
+	}
+	c.bytes.Add(req.ContentLength)
+	var res TxResult
+	if kind, err := c.do(ctx, req, &res); err != nil {
+		return 0, &Error{Op: op, Kind: kind, Err: err}
+	}
+	if res.Conflict != "" {
+		return 0, &Error{Op: op, Kind: Conflict, Key: res.Conflict}
+	}
+	return res.Version, nil
+}
+
+func (c *Client) do(ctx context.Context, req *http.Request, into any) (ErrorKind, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	hc := c.HTTP
+	if hc == nil {
+		hc = http.DefaultClient
+	}
+	resp, err := hc.Do(req.WithContext(ctx))
+	if err != nil {
+		if neverSent(err) {
+			return Unavailable, errors.Trace(err)
+		}
+		return Unknown, errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	var buf bytes.Buffer
+	n, err := io.Copy(&buf, io.LimitReader(resp.Body, maxScanBytes))
+	c.bytes.Add(n)
+	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusTooManyRequests:
+		return Unavailable, errors.Errorf("status %d", resp.StatusCode)
+	case resp.StatusCode != http.StatusOK:
+		return Unknown, errors.Errorf("status %d", resp.StatusCode)
+	case err != nil:
+		return Unknown, errors.Trace(err)
+	}
+	if err := json.Unmarshal(buf.Bytes(), into); err != nil {
+		return Unknown, errors.Trace(err)
+	}
+	return "", nil
+}
+
+// neverSent reports whether the request failed before a connection stood.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/table/error.go
@@ -0,0 +1,44 @@
+package table
+
+import "github.com/juju/errors"
+
+// ErrorKind classifies an [Error].
+type ErrorKind string
+
+// The kinds of error that this package returns.
+const (
+	Conflict    ErrorKind = "conflict"    // a check failed; nothing was written
+	NotFound    ErrorKind = "not-found"   // the row does not exist
+	Unavailable ErrorKind = "unavailable" // the service did not take the call; nothing was written
+	Unknown     ErrorKind = "unknown"     // no answer came; the write may have been applied
+	Malformed   ErrorKind = "malformed"   // a row or an answer could not be decoded
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Key  string
+	Err  error
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	s := "table: " + e.Op + ": " + string(e.Kind)
+	if e.Key != "" {
+		s += ": " + e.Key
+	}
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// IsKind reports whether err is an [Error] of the given kind.
+func IsKind(err error, kind ErrorKind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
--- /dev/null
+++ b/table/session.go
@@ -0,0 +1,42 @@
+package table
+
+import "encoding/json"
+
+// SessionPrefix is the key prefix of session rows.
+const SessionPrefix = "session/"
+
+// Session is the value of a node's session row.
+type Session struct {
+	Node       string `json:"node"`
+	Process    string `json:"process"` // differs for every start of the daemon
+	Epoch      int64  `json:"epoch"`   // grows when the process replaces a fenced session
+	Counter    int64  `json:"counter"` // grows with each renewal
+	Address    string `json:"address"` // IP address and port for peers
+	Region     string `json:"region,omitempty"`
+	DataCenter string `json:"data-center,omitempty"`
+	Fenced     bool   `json:"fenced,omitempty"`  // a taker has ended the session
+	Leaving    bool   `json:"leaving,omitempty"` // the node is shutting down
+}
+
+// Key returns the key of the row.
+func (s Session) Key() string { return SessionPrefix + s.Node }
+
+// Encode returns the row's value.
+func (s Session) Encode() []byte { return encode(s) }
+
+// DecodeSession decodes a session row.
+func DecodeSession(row Row) (Session, error) {
+	var s Session
+	if err := json.Unmarshal(row.Value, &s); err != nil {
+		return Session{}, &Error{Op: "decode session", Kind: Malformed, Key: row.Key, Err: err}
+	}
+	return s, nil
+}
+
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // rows hold only strings, numbers and booleans
+	}
+	return b
+}
--- /dev/null
+++ b/table/watch.go
@@ -0,0 +1,38 @@
+package table
+
+import "time"
+
+// Watch is the taker's side of sessions: it notes when each session row was
+// first seen at its present version. No clock is compared between VMs.
+type Watch struct {
+	TTL    time.Duration
+	Margin time.Duration
+
+	seen map[string]sighting
+}
+
+type sighting struct {
+	version int64
+	first   time.Time
+}
+
+// See records the version of a session row that was read at now. The time
+// must be taken after the read was answered.
+func (w *Watch) See(key string, version int64, now time.Time) {
+	if w.seen == nil {
+		w.seen = make(map[string]sighting)
+	}
+	if s, ok := w.seen[key]; ok && s.version == version {
+		return
+	}
+	w.seen[key] = sighting{version: version, first: now}
+}
+
+// Forget drops what is known of a session row.
+func (w *Watch) Forget(key string) { delete(w.seen, key) }
+
+// Lapsed reports whether the holder of the session can no longer trust it.
+func (w *Watch) Lapsed(key string, now time.Time) bool {
+	s, ok := w.seen[key]
+	return ok && now.Sub(s.first) > w.TTL+w.Margin
+}
