--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -44,9 +44,9 @@
 func (f *Front) launch(ctx context.Context, c completion, id string, p plan) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{id: id, events: make(chan event, 8), cancel: cancel}
-	f.active.Add(1)
+	f.active.join()
 	go func() {
-		defer f.active.Done()
+		defer f.active.Leave()
 		defer close(a.events)
 		f.try(ctx, c, a, p)
 	}()
--- a/caller/front.go
+++ b/caller/front.go
@@ -68,7 +68,7 @@
 	retries engine.Allowance
 	once    sync.Once
 	limits  Limiter
-	active  sync.WaitGroup
+	active  Inflight
 }
 
 // Event describes how a request ended.
@@ -85,8 +85,9 @@
 }
 
 const (
-	retryShare = 0.1
-	retryBurst = 50
+	closedRetry = time.Second
+	retryShare  = 0.1
+	retryBurst  = 50
 )
 
 func (f *Front) init() {
@@ -101,16 +102,22 @@
 	})
 }
 
-// Wait blocks until no request is in flight.
-func (f *Front) Wait() { f.active.Wait() }
+// Close refuses new requests. The channel that it returns is closed when no
+// request is in flight.
+func (f *Front) Close() <-chan struct{} { return f.active.Close() }
 
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.init()
-	f.active.Add(1)
-	defer f.active.Done()
 	id := f.NewID()
 	w.Header().Set(engine.HeaderRequestID, id)
+	if !f.active.Enter() {
+		e := refusal("serve", NotReady, "the node is shutting down")
+		e.RetryAfter = closedRetry
+		writeError(w, e)
+		return
+	}
+	defer f.active.Leave()
 	if err := f.route(w, r, id); err != nil {
 		writeError(w, err)
 	}
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -288,7 +288,7 @@
 }
 
 // RefuseAll refuses all waiting work.
-func (s *Scheduler) RefuseAll(now time.Time, reason Reason) []Action {
+func (s *Scheduler) RefuseAll(reason Reason) []Action {
 	var acts []Action
 	for _, w := range s.waiting {
 		s.withdraw(w)
--- a/node/admission.go
+++ b/node/admission.go
@@ -124,7 +124,7 @@
 		o.release(g.ID, missing, tokenTime)
 		return
 	}
-	n.wg.Go(func() {
+	n.tasks.Go(func() {
 		for range releaseTries {
 			if n.sendRelease(g, missing, tokenTime) {
 				return
--- /dev/null
+++ b/node/cluster_test.go
@@ -0,0 +1,500 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/standin"
+	"github.com/vanilladrift/vanilladrift/vmlist"
+)
+
+const (
+	testSlots    = 4
+	testAdapters = 8
+	platform     = "platform"
+	outside      = "outside"
+	tableURL     = "http://10.9.0.1:1"
+	objectURL    = "http://10.9.0.2:1"
+	vmListURL    = "http://10.9.0.3:1"
+)
+
+// cluster is a whole system in memory: stand-ins, nodes, and the oracle.
+type cluster struct {
+	net      *standin.Network
+	table    *standin.Table
+	object   *standin.Object
+	vms      *standin.VMList
+	engines  []*standin.Engine
+	services []*standin.Service
+	nodes    []*testNode
+	wg       sync.WaitGroup
+
+	mu       sync.Mutex
+	faults   []string // promises that were broken
+	versions map[string][]versionSpan
+	orders   map[string][]caller.Outcome // by order body
+	answers  map[string]int              // how requests ended
+	edits    int
+}
+
+// testNode is one place for a node; a restart fills it with a new process.
+type testNode struct {
+	index   int
+	start   int // counts the starts
+	node    *Node
+	running bool
+}
+
+// versionSpan records when a version of an adapter may have become current.
+type versionSpan struct {
+	version string
+	from    time.Time // the edit was sent
+	sure    time.Time // the edit was accepted; zero if that is not known
+}
+
+func newCluster(nodes, engines int) *cluster {
+	c := &cluster{
+		net: standin.NewNetwork(), table: &standin.Table{}, object: &standin.Object{}, vms: &standin.VMList{Lag: 2 * time.Second},
+		versions: map[string][]versionSpan{}, orders: map[string][]caller.Outcome{}, answers: map[string]int{},
+	}
+	c.net.Listen(platform, "10.9.0.1:1", c.table)
+	c.net.Listen(platform, "10.9.0.2:1", c.object)
+	c.net.Listen(platform, "10.9.0.3:1", c.vms)
+	for i := range engines {
+		e := &standin.Engine{
+			Slots: testSlots, Places: 6, ChecksFencing: i%2 == 0, EvictsWhenFull: i == 3,
+			ReportLag: time.Second, Physics: standin.DefaultPhysics,
+		}
+		c.engines = append(c.engines, e)
+		c.net.Listen(engineProcess(i), engineAddress(i), e)
+	}
+	for i := range 2 {
+		s := &standin.Service{}
+		c.services = append(c.services, s)
+		c.net.Listen(fmt.Sprintf("service%d", i), serviceAddress(i), s)
+	}
+	for i := range nodes {
+		c.nodes = append(c.nodes, &testNode{index: i})
+		c.startNode(i)
+	}
+	c.configure()
+	return c
+}
+
+func engineProcess(i int) string  { return fmt.Sprintf("engine%d", i) }
+func engineAddress(i int) string  { return fmt.Sprintf("10.1.0.%d:1", i+1) }
+func serviceAddress(i int) string { return fmt.Sprintf("10.2.0.%d:1", i+1) }
+func adapterName(i int) string    { return fmt.Sprintf("a%d", i) }
+func peerAddress(i int) string    { return fmt.Sprintf("10.0.0.%d:1", i+1) }
+func callerAddress(i int) string  { return fmt.Sprintf("10.0.1.%d:1", i+1) }
+func (t *testNode) process() string {
+	return fmt.Sprintf("node%d.%d", t.index, t.start)
+}
+
+func (c *cluster) startNode(i int) {
+	t := c.nodes[i]
+	t.start++
+	client := c.net.Client(t.process())
+	cfg := Config{
+		Name: fmt.Sprintf("n%d", i), Address: peerAddress(i), Process: t.process(),
+		TableURL: tableURL, ObjectURL: objectURL, VMListURL: vmListURL,
+		HTTP: client, ServiceHTTP: client, Seed: uint64(i*100 + t.start),
+	}
+	if err := cfg.Check(); err != nil {
+		panic(err)
+	}
+	c.mu.Lock()
+	t.node = New(cfg)
+	c.mu.Unlock()
+	t.running = true
+	c.net.Listen(t.process(), peerAddress(i), t.node.Peers())
+	c.net.Listen(t.process(), callerAddress(i), t.node.Callers())
+	c.vms.Set(peerAddress(i), vmlist.Live)
+	t.node.Start()
+}
+
+// killNode crashes a node; the VM list tells of it when told is set.
+func (c *cluster) killNode(i int, told bool) {
+	t := c.nodes[i]
+	if !t.running {
+		return
+	}
+	t.running = false
+	c.net.Kill(t.process())
+	t.node.Kill()
+	if told {
+		c.vms.Set(peerAddress(i), vmlist.Gone)
+	}
+}
+
+// closeNode shuts a node down gracefully.
+func (c *cluster) closeNode(i int) error {
+	t := c.nodes[i]
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	err := t.node.Close(ctx)
+	t.running = false
+	c.net.Kill(t.process())
+	return err
+}
+
+// edit applies an operator's change through a node.
+func (c *cluster) edit(node int, e settings.Edit) (settings.Change, error) {
+	c.mu.Lock()
+	c.edits++
+	e.ID = fmt.Sprintf("edit-%d", c.edits)
+	store := c.nodes[node].node.Store()
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return store.Apply(ctx, e, time.Now())
+}
+
+func (c *cluster) mustEdit(kind settings.Kind, name string, set map[string]string) {
+	if _, err := c.edit(0, settings.Edit{Kind: kind, Name: name, Set: set, Base: settings.AnyBase}); err != nil {
+		panic(err)
+	}
+}
+
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+	return "off"
+}
+
+func (c *cluster) configure() {
+	c.mustEdit(settings.Branch, "/", map[string]string{"load-rate": "6", "load-parallel": "3", "deadline": "20s"})
+	for i, e := range c.engines {
+		c.mustEdit(settings.Backend, engineProcess(i), map[string]string{
+			"address": engineAddress(i), "base-model": "base", "slots": fmt.Sprint(testSlots), "swap-slots": "1",
+			"places": "6", "checks-fencing": onOff(e.ChecksFencing), "refuses-when-full": onOff(!e.EvictsWhenFull),
+		})
+	}
+	for i := range testAdapters {
+		c.mustEdit(settings.Adapter, adapterName(i), map[string]string{"base-model": "base", "versions": "v1,v2", "current": "v1"})
+		c.versions[adapterName(i)] = []versionSpan{{"v1", time.Now(), time.Now()}}
+	}
+	c.mustEdit(settings.Branch, "/counter", map[string]string{"class": "short", "max-tokens": "400"})
+	c.mustEdit(settings.Branch, "/depot", map[string]string{"class": "long", "max-tokens": "400"})
+	for _, key := range []string{"counter", "depot"} {
+		c.mustEdit(settings.Caller, key, map[string]string{"branch": "/" + key, "key-hash": caller.HashKey(key)})
+	}
+	for i := range c.services {
+		c.mustEdit(settings.Service, fmt.Sprintf("s%d", i), map[string]string{"addresses": serviceAddress(i), "repeatable": "/status"})
+	}
+}
+
+func (c *cluster) fault(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = append(c.faults, fmt.Sprintf(format, args...))
+}
+
+// publish makes a version current through a node, in the oracle too.
+func (c *cluster) publish(node, adapter int, version string) {
+	name, from := adapterName(adapter), time.Now()
+	_, err := c.edit(node, settings.Edit{Kind: settings.Adapter, Name: name, Set: map[string]string{"current": version}, Base: settings.AnyBase})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	span := versionSpan{version: version, from: from}
+	if err == nil {
+		span.sure = time.Now()
+	}
+	c.versions[name] = append(c.versions[name], span)
+}
+
+// mayBeCurrent reports whether a version may have been in force for a request
+// between start and end, given the promise to have changes in force in time.
+// Any version whose edit was ever sent counts until a later one is sure.
+func (c *cluster) mayBeCurrent(adapter, version string, start, end time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	spans := c.versions[adapter]
+	for i, s := range spans {
+		if s.version != version || s.from.After(end) {
+			continue
+		}
+		replaced := false
+		for _, later := range spans[i+1:] {
+			overlap := s.sure.IsZero() || later.from.Before(s.sure)
+			if !later.sure.IsZero() && !overlap && later.sure.Add(promise).Before(start) {
+				replaced = true
+			}
+		}
+		if !replaced {
+			return true
+		}
+	}
+	return false
+}
+
+// promise is the users' bound for a change to be in force.
+const promise = 4 * time.Second
+
+// request sends a completion through a node and judges the answer.
+func (c *cluster) request(node int, key string, adapter int, version string, tokens int, stream bool) {
+	model := adapterName(adapter)
+	if version != "" {
+		model += "@" + version
+	}
+	c.mu.Lock()
+	c.edits++
+	prompt := fmt.Sprintf("prompt %d", c.edits)
+	c.mu.Unlock()
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d,"stream":%t}`, model, prompt, tokens, stream)
+	start := time.Now()
+	resp, err := c.post(node, engine.PathCompletions, key, "", body)
+	if err != nil {
+		c.count("broken connection")
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		c.refusal(resp, "request")
+		return
+	}
+	text, answered, whole := readTestAnswer(resp.Body, stream)
+	if !whole {
+		c.count("incomplete")
+		return
+	}
+	c.count("served")
+	name, got, _ := strings.Cut(answered, "@")
+	if name != adapterName(adapter) || version != "" && got != version {
+		c.fault("asked for %s, answered by %s", model, answered)
+	}
+	if version == "" && !c.mayBeCurrent(name, got, start, time.Now()) {
+		c.fault("%s answered at %v, which was no longer in force at %v", answered, time.Now(), start)
+	}
+	if text != standin.Answer(answered, prompt, tokens) {
+		c.fault("the answer to %q is not whole: %d bytes", prompt, len(text))
+	}
+}
+
+func (c *cluster) count(what string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answers[what]++
+}
+
+func (c *cluster) refusal(resp *http.Response, what string) caller.Outcome {
+	var e struct {
+		Error struct {
+			Type    string `json:"type"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&e); err != nil || e.Error.Type == "" {
+		c.fault("%s refused with status %d and no typed error", what, resp.StatusCode)
+	}
+	outcome := caller.Outcome(resp.Header.Get(caller.HeaderOutcome))
+	c.count(what + " " + e.Error.Type + " " + string(outcome))
+	return outcome
+}
+
+func (c *cluster) post(node int, path, key, idempotency, body string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callerAddress(node)+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	if idempotency != "" {
+		req.Header.Set(caller.HeaderKey, idempotency)
+	}
+	resp, err := c.net.Client(outside).Do(req)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	b, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	cancel()
+	if err != nil && resp.StatusCode != http.StatusOK {
+		return nil, err
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(b))
+	return resp, nil
+}
+
+func readTestAnswer(r io.Reader, stream bool) (text, model string, whole bool) {
+	if !stream {
+		var a struct {
+			Model   string
+			Choices []struct{ Text string }
+		}
+		if err := json.NewDecoder(r).Decode(&a); err != nil || len(a.Choices) == 0 {
+			return "", "", false
+		}
+		return a.Choices[0].Text, a.Model, true
+	}
+	var b strings.Builder
+	sc := bufio.NewScanner(r)
+	for sc.Scan() {
+		data, _ := strings.CutPrefix(sc.Text(), "data: ")
+		if data == "[DONE]" {
+			return b.String(), model, true
+		}
+		var chunk engine.Chunk
+		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) > 0 {
+			model = chunk.Model
+			b.WriteString(chunk.Choices[0].Text)
+		}
+	}
+	return "", "", false
+}
+
+// order places an order with an idempotency key through a node.
+func (c *cluster) order(node, service, number int) {
+	body := fmt.Sprintf("order %d of service %d", number, service)
+	resp, err := c.post(node, fmt.Sprintf("/v1/services/s%d/place", service), "counter", body, body)
+	outcome := caller.Unknown
+	switch {
+	case err != nil:
+	case resp.StatusCode == http.StatusOK:
+		outcome = caller.Outcome(resp.Header.Get(caller.HeaderOutcome))
+		c.count("order " + string(outcome))
+	default:
+		outcome = c.refusal(resp, "order")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orders[body] = append(c.orders[body], outcome)
+}
+
+// spawn runs f beside the test.
+func (c *cluster) spawn(f func()) { c.wg.Go(f) }
+
+// judge checks what the stand-ins saw.
+func (c *cluster) judge() []string {
+	for i, e := range c.engines {
+		if n := e.Record().EvictedInUse; n > 0 {
+			c.fault("%s evicted %d adapters in use", engineProcess(i), n)
+		}
+	}
+	executed := map[string]int{}
+	for _, s := range c.services {
+		for body, n := range s.Executed() {
+			executed[body] += n
+		}
+	}
+	for body, n := range executed {
+		if n > 1 {
+			c.fault("%q was executed %d times", body, n)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for body, outcomes := range c.orders {
+		notRun, ran := 0, 0
+		for _, o := range outcomes {
+			switch o {
+			case caller.NotRun:
+				notRun++
+			case caller.Ran:
+				ran++
+			}
+		}
+		if notRun == len(outcomes) && executed[body] > 0 {
+			c.faults = append(c.faults, fmt.Sprintf("%q was reported as not run %d times, and ran", body, notRun))
+		}
+		if ran > 0 && executed[body] == 0 {
+			c.faults = append(c.faults, fmt.Sprintf("%q was reported as run, and did not", body))
+		}
+	}
+	return c.faults
+}
+
+// settle mends every fault and gives the system time to recover.
+func (c *cluster) settle() {
+	c.table.SetFault(standin.TableFault{})
+	c.object.SetDown(false)
+	for _, e := range c.engines {
+		e.SetFault(standin.EngineFault{})
+		e.SetLeaving(false)
+	}
+	for _, s := range c.services {
+		s.SetFault(standin.ServiceFault{})
+	}
+	for i, t := range c.nodes {
+		c.net.Thaw(t.process())
+		for _, to := range append([]string{platform}, c.processes()...) {
+			c.net.SetCut(t.process(), to, false)
+			c.net.SetCut(to, t.process(), false)
+		}
+		if !t.running {
+			c.startNode(i)
+		}
+	}
+	time.Sleep(10 * time.Second)
+	for i := range c.engines {
+		c.mustEdit(settings.Backend, engineProcess(i), map[string]string{"drain": "off"}) // the plan's own edit may have failed
+	}
+	time.Sleep(30 * time.Second)
+}
+
+func (c *cluster) processes() []string {
+	var names []string
+	for _, t := range c.nodes {
+		names = append(names, t.process())
+	}
+	for i := range c.engines {
+		names = append(names, engineProcess(i))
+	}
+	return names
+}
+
+// finish waits for all callers and stops every node.
+func (c *cluster) finish() {
+	c.wg.Wait()
+	for i := range c.nodes {
+		c.killNode(i, false)
+	}
+	time.Sleep(time.Minute) // what still runs in the background gives up
+}
+
+// checkLive fails the test unless every engine is owned and in its normal mode
+// and all nodes hold the same revision.
+func (c *cluster) checkLive(t *testing.T) {
+	t.Helper()
+	rev := c.nodes[0].node.Store().Tree().Rev()
+	owners := map[string]int{}
+	for _, tn := range c.nodes {
+		if got := tn.node.Store().Tree().Rev(); got != rev {
+			c.fault("%s has revision %d, another %d", tn.node.Name(), got, rev)
+		}
+		for _, st := range tn.node.status().Engines {
+			if o := tn.node.ownedEngine(st.Engine); o != nil {
+				owners[st.Engine]++
+				if st.Mode != "" {
+					c.fault("%s stays in mode %s at %s", st.Engine, st.Mode, tn.node.Name())
+				}
+			}
+		}
+	}
+	for i := range c.engines {
+		if owners[engineProcess(i)] != 1 {
+			c.fault("%s has %d owners", engineProcess(i), owners[engineProcess(i)])
+		}
+	}
+	served := c.answers["served"]
+	for a := range testAdapters {
+		c.request(a%len(c.nodes), "counter", a, "", 5, true)
+	}
+	if got := c.answers["served"] - served; got != testAdapters {
+		c.fault("after recovery only %d of %d requests were served: %v", got, testAdapters, c.answers)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -53,7 +53,7 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	tasks  caller.Inflight
 }
 
 // New returns a node that has not started. The configuration must have passed
@@ -113,7 +113,7 @@
 
 // every runs f at once and then once per period until the node is closed.
 func (n *Node) every(period time.Duration, f func(ctx context.Context)) {
-	n.wg.Go(func() {
+	n.tasks.Go(func() {
 		t := time.NewTicker(period)
 		defer t.Stop()
 		for {
@@ -232,18 +232,13 @@
 	n.ledger.Close()
 	n.session.end(context.WithoutCancel(ctx))
 	n.cancel()
-	n.wg.Wait()
+	<-n.tasks.Close()
 	return err
 }
 
 func (n *Node) waitInFlight(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		n.front.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-n.front.Close():
 		return nil
 	case <-ctx.Done():
 		return &Error{Op: "close", Kind: CutShort, Reason: strconv.Itoa(n.registry.InUse()) + " streams in flight"}
@@ -255,7 +250,7 @@
 func (n *Node) Kill() {
 	n.leaving.Store(true)
 	n.cancel()
-	n.wg.Wait()
+	<-n.tasks.Close()
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/node/orders.go
+++ b/node/orders.go
@@ -105,8 +105,10 @@
 // writeRow changes the ownership row. A write without an answer is settled by
 // reading the row back. It reports lost when another owner has written.
 func (o *ownedEngine) writeRow(ctx context.Context, change func(table.Owner) table.Owner) (lost, ok bool) {
-	o.rowMu.Lock()
-	defer o.rowMu.Unlock()
+	if o.writing.Acquire(ctx, 1) != nil {
+		return false, false
+	}
+	defer o.writing.Release(1)
 	next := change(o.row)
 	for range rowTries {
 		ver, err := o.n.table.Commit(ctx, table.Tx{
--- a/node/owned.go
+++ b/node/owned.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/table"
@@ -30,7 +32,7 @@
 	backend settings.BackendServer
 	taken   time.Time
 
-	rowMu   sync.Mutex // held while the ownership row is written
+	writing *semaphore.Weighted // held while the ownership row is written or read
 	row     table.Owner
 	version int64
 
@@ -53,7 +55,7 @@
 
 func newOwnedEngine(n *Node, b settings.BackendServer, row table.Owner, ver int64) *ownedEngine {
 	o := &ownedEngine{
-		n: n, name: b.Name, token: row.Token, backend: b, taken: time.Now(), row: row, version: ver,
+		n: n, name: b.Name, token: row.Token, backend: b, taken: time.Now(), writing: semaphore.NewWeighted(1), row: row, version: ver,
 		waiters: make(map[string]chan engine.Action), entries: make(map[string]string),
 		fenceDone: !b.ChecksFencing, suspects: len(row.Suspects) > 0,
 	}
@@ -103,7 +105,7 @@
 func (o *ownedEngine) apply(acts []engine.Action) {
 	for _, act := range acts {
 		if act.Kind == engine.Load {
-			o.n.wg.Go(func() { o.load(o.n.ctx, act) })
+			o.n.tasks.Go(func() { o.load(o.n.ctx, act) })
 			continue
 		}
 		if ch := o.waiters[act.Work.ID]; ch != nil {
@@ -113,10 +115,10 @@
 	}
 }
 
-func (o *ownedEngine) refuseAll(now time.Time, reason engine.Reason) {
+func (o *ownedEngine) refuseAll(reason engine.Reason) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.apply(o.sched.RefuseAll(now, reason))
+	o.apply(o.sched.RefuseAll(reason))
 }
 
 // mode derives the scheduler's mode from what is known. The lock is held.
@@ -149,7 +151,7 @@
 	}
 	if !o.reporting && now.Sub(o.lastReport) > reportEvery {
 		o.reporting = true
-		o.n.wg.Go(func() { o.report(ctx) })
+		o.n.tasks.Go(func() { o.report(ctx) })
 	}
 }
 
@@ -202,7 +204,7 @@
 		o.apply(o.sched.Reset(now))
 		o.fenceDone = !o.backend.ChecksFencing
 		if !o.fenceDone {
-			o.n.wg.Go(func() { o.raiseToken(o.n.ctx) })
+			o.n.tasks.Go(func() { o.raiseToken(o.n.ctx) })
 		}
 	}
 	o.boot = boot
@@ -221,7 +223,7 @@
 		return false
 	}
 	o.handing = true
-	o.apply(o.sched.RefuseAll(time.Now(), engine.Moved))
+	o.apply(o.sched.RefuseAll(engine.Moved))
 	return true
 }
 
@@ -271,7 +273,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.stopped = true
-	o.apply(o.sched.RefuseAll(time.Now(), engine.Moved))
+	o.apply(o.sched.RefuseAll(engine.Moved))
 }
 
 // quiet reports whether no order can leave or be on the way.
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -25,12 +25,12 @@
 		case wanted == n.cfg.Name && mine == nil && !n.session.isLeaving():
 			n.takeEngine(ctx, b)
 		case wanted != n.cfg.Name && wanted != "" && mine != nil:
-			n.wg.Go(func() { n.handOver(ctx, mine) })
+			n.tasks.Go(func() { n.handOver(ctx, mine) })
 		}
 	}
 	for _, o := range n.ownedEngines() {
 		if !present[o.name] {
-			n.wg.Go(func() { n.handOver(ctx, o) })
+			n.tasks.Go(func() { n.handOver(ctx, o) })
 		}
 	}
 }
@@ -66,7 +66,7 @@
 			return
 		}
 	}
-	n.session.with(func(me table.Session, check table.Check) {
+	n.session.with(ctx, func(me table.Session, check table.Check) {
 		if old.Process == me.Process && old.Epoch == me.Epoch && old.Node == me.Node {
 			n.adopt(b, old, row.Version) // our own write, whose answer was lost
 			return
@@ -134,7 +134,7 @@
 	n.owned[b.Name] = o
 	n.hints[b.Name] = n.cfg.Name
 	n.mu.Unlock()
-	n.wg.Go(func() { o.recover(n.ctx) })
+	n.tasks.Go(func() { o.recover(n.ctx) })
 }
 
 // handOver stops granting, waits for orders on the way, and releases the
@@ -210,7 +210,7 @@
 	valid := n.session.valid(now)
 	for _, o := range n.ownedEngines() {
 		if !valid {
-			o.refuseAll(now, engine.Moved)
+			o.refuseAll(engine.Moved)
 			continue
 		}
 		o.tick(ctx, now)
--- a/node/recovery.go
+++ b/node/recovery.go
@@ -116,9 +116,11 @@
 // clearSuspects waits until every earlier owner has yielded or is gone, then
 // strikes them from the row.
 func (o *ownedEngine) clearSuspects(ctx context.Context) {
-	o.rowMu.Lock()
+	if o.writing.Acquire(ctx, 1) != nil {
+		return
+	}
 	suspects := o.row.Suspects
-	o.rowMu.Unlock()
+	o.writing.Release(1)
 	for _, s := range suspects {
 		for !o.harmless(ctx, s) {
 			if o.ended(ctx) {
@@ -185,7 +187,7 @@
 	}
 	for _, o := range n.ownedEngines() {
 		for process, ids := range o.grantsByEntry(time.Now()) {
-			n.wg.Go(func() { o.reconcile(ctx, process, ids) })
+			n.tasks.Go(func() { o.reconcile(ctx, process, ids) })
 		}
 	}
 }
--- a/node/session.go
+++ b/node/session.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/vanilladrift/vanilladrift/table"
 )
 
@@ -12,7 +14,7 @@
 type session struct {
 	n *Node
 
-	mu      sync.Mutex // held while the row is written
+	writing *semaphore.Weighted // held while the row is written
 	row     table.Session
 	version int64 // of the row; 0 before it was first written
 
@@ -23,7 +25,7 @@
 
 func newSession(n *Node) *session {
 	return &session{
-		n: n,
+		n: n, writing: semaphore.NewWeighted(1),
 		row: table.Session{
 			Node: n.cfg.Name, Process: n.process, Epoch: 1, Address: n.cfg.Address,
 			Region: n.cfg.Region, DataCenter: n.cfg.DataCenter,
@@ -62,8 +64,10 @@
 // renew writes the session row once. The lease counts from before the write
 // that was confirmed; a write whose answer was lost is settled by reading back.
 func (s *session) renew(ctx context.Context) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	if s.writing.Acquire(ctx, 1) != nil {
+		return // the node is closing
+	}
+	defer s.writing.Release(1)
 	next := s.row
 	next.Counter++
 	next.Leaving = s.isLeaving()
@@ -130,8 +134,10 @@
 
 // end removes the row, so that the others need not wait for the lease.
 func (s *session) end(ctx context.Context) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	if s.writing.Acquire(ctx, 1) != nil {
+		return
+	}
+	defer s.writing.Release(1)
 	if s.version == 0 {
 		return
 	}
@@ -147,9 +153,11 @@
 
 // with runs f with the present row and a check that it is still in the table,
 // while no renewal is under way. It reports false without a valid lease.
-func (s *session) with(f func(row table.Session, check table.Check)) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (s *session) with(ctx context.Context, f func(row table.Session, check table.Check)) bool {
+	if s.writing.Acquire(ctx, 1) != nil {
+		return false
+	}
+	defer s.writing.Release(1)
 	if !s.valid(time.Now()) {
 		return false
 	}
--- a/standin/object.go
+++ b/standin/object.go
@@ -33,23 +33,27 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	stored, status := o.apply(r.Method, key, value)
+	w.WriteHeader(status)
+	_, _ = w.Write(stored) // the client has gone away
+}
+
+func (o *Object) apply(method, key string, value []byte) (stored []byte, status int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.down {
-		http.Error(w, "down", http.StatusServiceUnavailable)
-		return
+		return nil, http.StatusServiceUnavailable
 	}
-	if r.Method == http.MethodPut {
+	if method == http.MethodPut {
 		if o.objects == nil {
 			o.objects = make(map[string][]byte)
 		}
 		o.objects[key] = value
-		return
+		return nil, http.StatusOK
 	}
 	stored, ok := o.objects[key]
 	if !ok {
-		http.NotFound(w, r)
-		return
+		return nil, http.StatusNotFound
 	}
-	_, _ = w.Write(stored) // the client has gone away
+	return stored, http.StatusOK
 }
--- a/standin/vmlist.go
+++ b/standin/vmlist.go
@@ -39,6 +39,10 @@
 		l.Set(r.FormValue("address"), vmlist.State(r.FormValue("state")))
 		return
 	}
+	writeJSON(w, http.StatusOK, l.list())
+}
+
+func (l *VMList) list() vmlist.List {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.states == nil {
@@ -57,5 +61,5 @@
 		list.VMs = append(list.VMs, vmlist.VM{Address: address, State: state})
 	}
 	slices.SortFunc(list.VMs, func(a, b vmlist.VM) int { return strings.Compare(a.Address, b.Address) })
-	writeJSON(w, http.StatusOK, list)
+	return list
 }
