Bound every wait of a request by its deadline

Cause: a fuzz plan (cut of 100 ms between two nodes) left 7 requests refused after 20 s and 2 unanswered for 3 minutes. A lost AcquireLoad call held the engine's only load for ever, and Admit and Open had no bound of their own.

Ruled out: a fault of the fake network only. It drops calls that cross a cut, as a lost connection does, and nothing may hang on that.

Change: Admit ends shortly after the deadline, AcquireLoad after 5 s (then the node's own share of the budget), a stream without a token for 10 s is resumed elsewhere, one without its first token by the deadline is refused.

Conclusion: TestLostCallsEndByTheDeadline keeps it.

--- a/caller/acquire.go
+++ b/caller/acquire.go
@@ -13,6 +13,9 @@
 // noEngineRetry is the time to come back when no engine can be asked.
 const noEngineRetry = time.Second
 
+// askSlack is how long after the deadline an owner's refusal may arrive.
+const askSlack = 500 * time.Millisecond
+
 // movedPause is how long an entry node waits for a new owner to take over.
 const movedPause = 100 * time.Millisecond
 
@@ -113,6 +116,10 @@
 func (f *Front) ask(ctx context.Context, name, id string, w engine.Work) (Grant, error) {
 	w.ID = id
 	f.Registry.Expect(name, id)
+	// The owner refuses what it cannot start in time; an answer that does not
+	// come shortly after the deadline never will.
+	ctx, cancel := context.WithDeadline(ctx, w.Deadline.Add(askSlack))
+	defer cancel()
 	g, err := f.Acquire(ctx, name, w)
 	if err != nil {
 		f.Registry.End(name, id)
--- a/caller/flow.go
+++ b/caller/flow.go
@@ -14,10 +14,11 @@
 const (
 	maxAttempts    = 6
 	minHedgeDelay  = 100 * time.Millisecond
-	hedgeSteps     = 8  // hedge after this many median times between tokens
-	stallSteps     = 5  // a gap of this many median times counts as an observation
-	restartSteps   = 12 // what moving a stream costs, in median times between tokens
-	idleTimeout    = 60 * time.Second
+	hedgeSteps     = 8                // hedge after this many median times between tokens
+	stallSteps     = 5                // a gap of this many median times counts as an observation
+	restartSteps   = 12               // what moving a stream costs, in median times between tokens
+	stallTimeout   = 10 * time.Second // without a token, an attempt is given up
+	startSlack     = time.Second      // after the deadline, for the owner's own refusal
 	minCheckPeriod = 20 * time.Millisecond
 )
 
@@ -218,8 +219,15 @@
 // check looks for a stalled or slow engine, and starts a spare attempt.
 func (fl *flow) check(ctx context.Context) error {
 	now := time.Now()
-	if now.Sub(fl.lastToken) > idleTimeout && now.After(fl.c.deadline) {
-		return &Error{Op: "complete", Kind: Incomplete, Outcome: fl.outcome(), Reason: "the engine fell silent", RetryAfter: noEngineRetry}
+	switch {
+	case fl.tokens == 0 && now.After(fl.c.deadline.Add(startSlack)):
+		fl.sent = fl.sent || fl.now.engineName() != ""
+		return &Error{Op: "complete", Kind: TooLate, Outcome: fl.outcome(), Reason: "no token came before the deadline", RetryAfter: noEngineRetry}
+	case fl.tokens > 0 && now.Sub(fl.lastToken) > stallTimeout:
+		fl.lastToken = now // counts for the next attempt
+		silent := &engine.Error{Op: "read", Kind: engine.Broken, Engine: fl.now.engineName(), Err: errors.New("no token came")}
+		_, err := fl.handle(ctx, event{err: silent, sent: true})
+		return err
 	}
 	if fl.spare != nil || !fl.c.hedge || !fl.worthSpare(now) {
 		return nil
--- a/node/budget.go
+++ b/node/budget.go
@@ -14,7 +14,10 @@
 // budgetKey is hashed to choose the node that shares out the load budget.
 const budgetKey = "load-budget"
 
-const budgetPoll = 20 * time.Millisecond
+const (
+	budgetPoll    = 20 * time.Millisecond
+	budgetTimeout = 5 * time.Second
+)
 
 // loadBudget shares out the weight store's loads. Every node holds one; the
 // node that rendezvous hashing picks is asked by the others.
@@ -49,6 +52,8 @@
 		return nil, false
 	}
 	defer cancel()
+	rctx, stop := context.WithTimeout(rctx, budgetTimeout)
+	defer stop()
 	_, err := client.AcquireLoad(rctx, connect.NewRequest(&peerpb.AcquireLoadRequest{Id: id, Demand: int32(demand)}))
 	if err != nil {
 		return nil, false
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -33,3 +33,29 @@
 		c.checkLive(t)
 	})
 }
+
+// A call that is lost without an error must not hold the load budget or the
+// request: both once waited for an answer that could not come.
+func TestLostCallsEndByTheDeadline(t *testing.T) {
+	inCluster(t, 7, 4, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		for from := range 7 {
+			for to := range 7 {
+				c.net.SetCut(c.nodes[from].process(), c.nodes[to].process(), from != to)
+			}
+		}
+		for i := range 28 {
+			c.spawn(func() { c.request(i%7, "counter", i%testAdapters, "", 20, false) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		start := time.Now()
+		for from := range 7 {
+			for to := range 7 {
+				c.net.SetCut(c.nodes[from].process(), c.nodes[to].process(), false)
+			}
+		}
+		c.wg.Wait()
+		is.True(time.Since(start) < 23*time.Second) // the branch's deadline and a few seconds
+		c.checkLive(t)
+	})
+}
