Read an owned engine's settings without a lock

Change: an atomic pointer; backend servers are found by name in a map instead of a walk over all of them.

--- a/node/node.go
+++ b/node/node.go
@@ -178,17 +178,8 @@
 	return names
 }
 
-func (n *Node) backend(name string) (settings.BackendServer, bool) {
-	for _, b := range n.store.Tree().Backends() {
-		if b.Name == name {
-			return b, true
-		}
-	}
-	return settings.BackendServer{}, false
-}
-
 func (n *Node) engineClient(name string) *engine.Client {
-	b, ok := n.backend(name)
+	b, ok := n.store.Tree().Backend(name)
 	if !ok {
 		return nil
 	}
--- a/node/owned.go
+++ b/node/owned.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -29,7 +30,7 @@
 	n       *Node
 	name    string
 	token   int64
-	backend settings.BackendServer
+	server  atomic.Pointer[settings.BackendServer]
 	taken   time.Time
 
 	writing *semaphore.Weighted // held while the ownership row is written or read
@@ -55,10 +56,11 @@
 
 func newOwnedEngine(n *Node, b settings.BackendServer, row table.Owner, ver int64) *ownedEngine {
 	o := &ownedEngine{
-		n: n, name: b.Name, token: row.Token, backend: b, taken: time.Now(), writing: semaphore.NewWeighted(1), row: row, version: ver,
+		n: n, name: b.Name, token: row.Token, taken: time.Now(), writing: semaphore.NewWeighted(1), row: row, version: ver,
 		waiters: make(map[string]chan engine.Action), entries: make(map[string]string),
 		fenceDone: !b.ChecksFencing, suspects: len(row.Suspects) > 0,
 	}
+	o.server.Store(&b)
 	o.sched = engine.NewScheduler(engine.SchedulerConfig{
 		Slots: b.Slots, SwapSlots: b.SwapSlots, Places: b.Places, IntentsNeeded: !b.ChecksFencing,
 	})
@@ -66,6 +68,9 @@
 	return o
 }
 
+// backend returns the engine's settings.
+func (o *ownedEngine) backend() *settings.BackendServer { return o.server.Load() }
+
 // submit offers work and waits for the grant or the refusal.
 func (o *ownedEngine) submit(ctx context.Context, w engine.Work, address string) engine.Action {
 	ch := make(chan engine.Action, 1)
@@ -126,23 +131,23 @@
 	return engine.Mode{
 		Recovering: o.lastReport.IsZero() || !o.fenceDone,
 		Draining:   o.draining(),
-		ReadOnly:   o.suspects || !o.backend.RefusesWhenFull && now.Sub(o.taken) < reportLag,
+		ReadOnly:   o.suspects || !o.backend().RefusesWhenFull && now.Sub(o.taken) < reportLag,
 		NoEvict:    !o.barsDone,
 		SwapOnly:   !o.n.tableUp.Load(),
 	}
 }
 
 func (o *ownedEngine) draining() bool {
-	state := o.n.vmListNow().State(o.backend.Address)
-	return o.backend.Drain || state == vmlist.Leaving || state == vmlist.Gone
+	state := o.n.vmListNow().State(o.backend().Address)
+	return o.backend().Drain || state == vmlist.Leaving || state == vmlist.Gone
 }
 
 // tick moves the scheduler's time on and polls the engine's report.
 func (o *ownedEngine) tick(ctx context.Context, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if b, ok := o.n.backend(o.name); ok {
-		o.backend = b
+	if b, ok := o.n.store.Tree().Backend(o.name); ok {
+		o.server.Store(b)
 	}
 	if m := o.mode(now); m != o.sched.Mode() {
 		o.apply(o.sched.SetMode(now, m))
@@ -188,7 +193,7 @@
 	}
 	list := make([]engine.Resident, 0, len(names))
 	for _, name := range names {
-		swap := !o.backend.ChecksFencing && !stable[name]
+		swap := !o.backend().ChecksFencing && !stable[name]
 		list = append(list, engine.Resident{Adapter: name, Swap: swap, Held: o.suspects && swap})
 	}
 	return list
@@ -202,7 +207,7 @@
 	if o.boot != "" {
 		o.n.log.Warn("engine restarted", "engine", o.name)
 		o.apply(o.sched.Reset(now))
-		o.fenceDone = !o.backend.ChecksFencing
+		o.fenceDone = !o.backend().ChecksFencing
 		if !o.fenceDone {
 			o.n.tasks.Go(func() { o.raiseToken(o.n.ctx) })
 		}
@@ -211,7 +216,7 @@
 }
 
 func (o *ownedEngine) client() *engine.Client {
-	return &engine.Client{Name: o.name, URL: "http://" + o.backend.Address, HTTP: o.n.cfg.HTTP}
+	return &engine.Client{Name: o.name, URL: "http://" + o.backend().Address, HTTP: o.n.cfg.HTTP}
 }
 
 // beginHandOver refuses new work from now on; it reports false if a hand-over
@@ -255,7 +260,7 @@
 // answer never came, this process stays a suspect.
 func (o *ownedEngine) releaseRow(ctx context.Context) bool {
 	o.mu.Lock()
-	doubt := o.doubtful > 0 && !o.backend.ChecksFencing
+	doubt := o.doubtful > 0 && !o.backend().ChecksFencing
 	o.mu.Unlock()
 	_, ok := o.writeRow(ctx, func(row table.Owner) table.Owner {
 		if doubt {
--- a/node/recovery.go
+++ b/node/recovery.go
@@ -23,7 +23,7 @@
 // earlier owners are known to be harmless.
 func (o *ownedEngine) recover(ctx context.Context) {
 	var wg sync.WaitGroup
-	if o.backend.ChecksFencing {
+	if o.backend().ChecksFencing {
 		wg.Go(func() { o.raiseToken(ctx) })
 	}
 	wg.Go(func() { o.barAll(ctx) })
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -15,6 +15,7 @@
 	models    map[modelKey]Model
 	callers   map[string]Document // by key hash
 	backends  []BackendServer
+	byBackend map[string]*BackendServer
 }
 
 type modelKey struct{ adapter, version string }
@@ -69,6 +70,12 @@
 // modify the slice.
 func (t *Tree) Backends() []BackendServer { return t.backends }
 
+// Backend returns a backend server. The caller must not modify it.
+func (t *Tree) Backend(name string) (*BackendServer, bool) {
+	b, ok := t.byBackend[name]
+	return b, ok
+}
+
 // Edit checks e against the tree and returns the document that it makes. The
 // revision of the document is left for the caller to set.
 func (t *Tree) Edit(e Edit) (Document, error) {
@@ -245,10 +252,17 @@
 		}
 	}
 	if touched[Backend] != nil {
-		t.backends = nil
-		for _, d := range t.Docs(Backend) {
-			t.backends = append(t.backends, newBackendServer(d))
-		}
+		t.indexBackends()
+	}
+}
+
+func (t *Tree) indexBackends() {
+	docs := t.Docs(Backend)
+	t.backends = make([]BackendServer, len(docs))
+	t.byBackend = make(map[string]*BackendServer, len(docs))
+	for i, d := range docs {
+		t.backends[i] = newBackendServer(d)
+		t.byBackend[d.Name] = &t.backends[i]
 	}
 }
 
