Try again after a failed load; gossip to two peers and probe the silent ones

Cause: the demo showed one request refused as no-capacity: a new owner worked from a late report, its load was refused as full, and the waiting work with it. Heartbeats to all peers would grow with the square of the nodes.

Change: a failed load costs the request a retry instead of its answer. Each round sends heartbeats to two random peers and to those that owe an answer. Peers speak HTTP/2.

--- a/caller/acquire.go
+++ b/caller/acquire.go
@@ -25,7 +25,7 @@
 	for round := 0; ; round++ {
 		g, err := f.tryAcquire(ctx, c, id+"r"+strconv.Itoa(round), p)
 		var r *Refusal
-		if p.spare || !errors.As(err, &r) || r.Reason != engine.Moved && r.Reason != engine.Recovering {
+		if p.spare || !errors.As(err, &r) || !f.passing(r.Reason) {
 			return g, err
 		}
 		if time.Now().Add(movedPause).After(c.deadline) {
@@ -39,6 +39,18 @@
 	}
 }
 
+// passing reports whether the cause of a refusal is likely to pass soon, so
+// that the request should be tried again. A load that failed costs a retry.
+func (f *Front) passing(r engine.Reason) bool {
+	switch r {
+	case engine.Moved, engine.Recovering:
+		return true
+	case engine.LoadFailed:
+		return f.spendRetry()
+	}
+	return false
+}
+
 // tryAcquire asks the adapter's choices in turn whether they can start soon;
 // when none can, the request waits at the one that names the shortest wait.
 func (f *Front) tryAcquire(ctx context.Context, c completion, id string, p plan) (Grant, error) {
@@ -85,7 +97,7 @@
 	switch r {
 	case engine.Overflow:
 		return 2
-	case engine.Moved, engine.Recovering:
+	case engine.Moved, engine.Recovering, engine.LoadFailed:
 		return 1
 	}
 	return 0
--- a/cmd/vanilladriftd/options.go
+++ b/cmd/vanilladriftd/options.go
@@ -4,7 +4,6 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"os"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/vanilladrift/vanilladrift/node"
+	"github.com/vanilladrift/vanilladrift/peer"
 )
 
 // options are the daemon's flags.
@@ -74,12 +74,9 @@
 	if err != nil {
 		return cfg, nil, err
 	}
+	cfg.PeerHTTP = peer.NewHTTPClient(tc)
 	if tc != nil {
 		cfg.PeerScheme = "https"
-		t := http.DefaultTransport.(*http.Transport).Clone()
-		t.TLSClientConfig = tc
-		t.MaxIdleConnsPerHost = 256
-		cfg.HTTP = &http.Client{Transport: t}
 	}
 	return cfg, tc, cfg.Check()
 }
@@ -108,5 +105,6 @@
 	return &tls.Config{
 		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
 		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+		NextProtos: []string{"h2", "http/1.1"},
 	}, nil
 }
--- a/cmd/vanilladriftd/run.go
+++ b/cmd/vanilladriftd/run.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"github.com/vanilladrift/vanilladrift/node"
+	"github.com/vanilladrift/vanilladrift/peer"
 )
 
 const (
@@ -51,12 +52,12 @@
 	var servers []*http.Server
 	for _, l := range []struct {
 		address string
-		handler http.Handler
+		srv     *http.Server
 		tls     *tls.Config
 	}{
-		{c.options.PeerAddress, n.Peers(), tc},
-		{c.options.CallerAddress, n.Callers(), nil},
-		{c.options.OperatorAddress, n.Operators(), nil},
+		{c.options.PeerAddress, peer.NewHTTPServer(n.Peers(), tc), tc},
+		{c.options.CallerAddress, &http.Server{Handler: n.Callers()}, nil},
+		{c.options.OperatorAddress, &http.Server{Handler: n.Operators()}, nil},
 	} {
 		ln, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -65,11 +66,9 @@
 		if l.tls != nil {
 			ln = tls.NewListener(ln, l.tls)
 		}
-		srv := &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		}
-		servers = append(servers, srv)
-		go func() { _ = srv.Serve(ln) }() // ends with Shutdown
+		l.srv.ReadHeaderTimeout, l.srv.IdleTimeout, l.srv.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
+		servers = append(servers, l.srv)
+		go func() { _ = l.srv.Serve(ln) }() // ends with Shutdown
 	}
 	return servers, nil
 }
--- a/demo/world.go
+++ b/demo/world.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/node"
+	"github.com/vanilladrift/vanilladrift/peer"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
 )
@@ -23,6 +24,8 @@
 	places       = 16
 	baseModel    = "base-7b"
 	inForce      = 4 * time.Second
+
+	headerTimeout = 10 * time.Second
 )
 
 // world is the running system.
@@ -91,7 +94,11 @@
 }
 
 func (w *world) run(ln net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	w.runServer(ln, &http.Server{Handler: h})
+}
+
+func (w *world) runServer(ln net.Listener, srv *http.Server) {
+	srv.ReadHeaderTimeout = headerTimeout
 	w.servers = append(w.servers, srv)
 	go func() { _ = srv.Serve(ln) }() // ends with Close
 }
@@ -105,12 +112,13 @@
 		cfg := node.Config{
 			Name: fmt.Sprintf("n%d", i+1), Address: ln.Addr().String(),
 			TableURL: tableURL, ObjectURL: objectURL, VMListURL: vmsURL, Seed: seed + uint64(i),
+			PeerHTTP: peer.NewHTTPClient(nil),
 		}
 		if err := cfg.Check(); err != nil {
 			return err
 		}
 		n := node.New(cfg)
-		w.run(ln, n.Peers())
+		w.runServer(ln, peer.NewHTTPServer(n.Peers(), nil))
 		at, err := w.serve(n.Callers())
 		if err != nil {
 			return err
--- a/node/config.go
+++ b/node/config.go
@@ -33,9 +33,11 @@
 	SettingsPromise time.Duration // default 4 s
 	DrainGrace      time.Duration // serving on while the balancer notices; default 1 s
 
-	// HTTP sends to engines, the platform and peers; nil means a client with
-	// a transport of its own.
+	// HTTP sends to engines and the platform; nil means a client with a
+	// transport of its own.
 	HTTP *http.Client
+	// PeerHTTP sends to peers; nil means HTTP.
+	PeerHTTP *http.Client
 	// ServiceHTTP sends to plain services; nil means package service's clients.
 	ServiceHTTP *http.Client
 	Log         *log.Logger // nil logs nothing
@@ -64,6 +66,9 @@
 		t.MaxIdleConnsPerHost = 256
 		c.HTTP = &http.Client{Transport: t}
 	}
+	if c.PeerHTTP == nil {
+		c.PeerHTTP = c.HTTP
+	}
 	return c
 }
 
--- a/node/members.go
+++ b/node/members.go
@@ -18,8 +18,9 @@
 
 const (
 	heartbeatTimeout = time.Second
-	heartbeatFanOut  = 6 // peers that a node sends to in each round
-	downAfter        = 2 // unanswered heartbeats in a row
+	gossipFanOut     = 2                      // peers chosen at random in each round, to spread settings
+	probeAfter       = 300 * time.Millisecond // a call this old makes its peer be probed
+	downAfter        = 2                      // unanswered heartbeats in a row
 )
 
 // member is another node, or this one, as its session row shows it.
@@ -47,6 +48,7 @@
 // link is the connection to one peer address.
 type link struct {
 	client  peerpbconnect.PeerClient
+	calls   map[*int]time.Time // outstanding calls by their start
 	misses  int
 	process string // the process that last answered
 	// down is closed when the peer stops answering, and replaced when it
@@ -119,7 +121,7 @@
 	l := m.links[address]
 	if l == nil {
 		url := m.n.cfg.PeerScheme + "://" + address
-		l = &link{client: peerpbconnect.NewPeerClient(m.n.cfg.HTTP, url), down: make(chan struct{})}
+		l = &link{client: peerpbconnect.NewPeerClient(m.n.cfg.PeerHTTP, url), calls: make(map[*int]time.Time), down: make(chan struct{})}
 		m.links[address] = l
 	}
 	return l
@@ -136,32 +138,56 @@
 		return nil, nil, nil, false
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	call := new(int)
+	m.mu.Lock()
+	l.calls[call] = time.Now()
+	m.mu.Unlock()
 	go func() {
 		select {
 		case <-down:
 			cancel()
 		case <-ctx.Done():
 		}
+		m.mu.Lock()
+		delete(l.calls, call)
+		m.mu.Unlock()
 	}()
 	return l.client, ctx, cancel, true
 }
 
-// heartbeat tells some peers this node's settings revision.
+// heartbeat tells some peers this node's settings revision, and probes the
+// peers that owe an answer. The traffic does not grow with the number of nodes.
 func (m *members) heartbeat(ctx context.Context) {
-	var others []member
-	for _, x := range m.all() {
-		if x.Process != m.n.process {
-			others = append(others, x)
+	var wg sync.WaitGroup
+	for address := range m.targets(time.Now()) {
+		wg.Go(func() { m.heartbeatOne(ctx, address) })
+	}
+	wg.Wait()
+}
+
+// targets returns the addresses for one round of heartbeats.
+func (m *members) targets(now time.Time) map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	set := make(map[string]bool)
+	for address, l := range m.links {
+		if l.isDown {
+			set[address] = true
+		}
+		for _, start := range l.calls {
+			if now.Sub(start) > probeAfter {
+				set[address] = true
+			}
 		}
 	}
 	m.n.mu.Lock()
-	m.n.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	m.n.mu.Unlock()
-	var wg sync.WaitGroup
-	for _, x := range others[:min(heartbeatFanOut, len(others))] {
-		wg.Go(func() { m.heartbeatOne(ctx, x.Address) })
+	defer m.n.mu.Unlock()
+	for i, k := range m.n.rng.Perm(len(m.list)) {
+		if x := m.list[k]; i <= gossipFanOut && x.Process != m.n.process {
+			set[x.Address] = true
+		}
 	}
-	wg.Wait()
+	return set
 }
 
 func (m *members) heartbeatOne(ctx context.Context, address string) {
--- a/node/owned.go
+++ b/node/owned.go
@@ -27,11 +27,11 @@
 // ownedEngine is an engine that this node owns: its scheduler and the orders
 // that the scheduler asks for.
 type ownedEngine struct {
-	n       *Node
-	name    string
-	token   int64
-	server  atomic.Pointer[settings.BackendServer]
-	taken   time.Time
+	n      *Node
+	name   string
+	token  int64
+	server atomic.Pointer[settings.BackendServer]
+	taken  time.Time
 
 	writing *semaphore.Weighted // held while the ownership row is written or read
 	row     table.Owner
