Work out the two-year size from measured slopes

Change: package capacity measures slopes and computes state, wire, processor and table calls of each role. Two lines that broke were mended at once: a node hashed every engine over every node in every round, and a settings change copied the maps of all adapters.

--- a/caller/acquire.go
+++ b/caller/acquire.go
@@ -40,12 +40,13 @@
 }
 
 // passing reports whether the cause of a refusal is likely to pass soon, so
-// that the request should be tried again. A load that failed costs a retry.
+// that the request should be tried again. A load that failed, or an engine that
+// this node did not know to be draining, costs a retry.
 func (f *Front) passing(r engine.Reason) bool {
 	switch r {
 	case engine.Moved, engine.Recovering:
 		return true
-	case engine.LoadFailed:
+	case engine.LoadFailed, engine.Draining:
 		return f.spendRetry()
 	}
 	return false
@@ -97,7 +98,7 @@
 	switch r {
 	case engine.Overflow:
 		return 2
-	case engine.Moved, engine.Recovering, engine.LoadFailed:
+	case engine.Moved, engine.Recovering, engine.LoadFailed, engine.Draining:
 		return 1
 	}
 	return 0
--- /dev/null
+++ b/capacity/measure.go
@@ -0,0 +1,475 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/peer"
+	"github.com/vanilladrift/vanilladrift/peer/peerpb"
+	"github.com/vanilladrift/vanilladrift/peer/peerpb/peerpbconnect"
+	"github.com/vanilladrift/vanilladrift/service"
+	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/standin"
+	"github.com/vanilladrift/vanilladrift/table"
+)
+
+const (
+	callRounds   = 3000
+	ledgerCalls  = 2000
+	ledgerAtOnce = 64
+)
+
+// Measure measures every slope on this machine.
+func Measure() (Slopes, error) {
+	var s Slopes
+	s.BaseBytes = heap()
+	measureTree(&s)
+	measureDecisions(&s)
+	if err := measureCalls(&s); err != nil {
+		return s, err
+	}
+	return s, measureLedger(&s)
+}
+
+// heap returns the bytes of live objects.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// cpu returns the processor time of this process in nanoseconds.
+func cpu() float64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err) // the arguments are constants
+	}
+	return float64(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// cost returns the processor time of f divided by n.
+func cost(n int, f func()) float64 {
+	before := cpu()
+	f()
+	return (cpu() - before) / float64(n)
+}
+
+// fit returns the line through points by least squares.
+func fit(x, y []float64) (fixed, slope float64) {
+	n := float64(len(x))
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx, sy, sxx, sxy = sx+x[i], sy+y[i], sxx+x[i]*x[i], sxy+x[i]*y[i]
+	}
+	slope = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return (sy - slope*sx) / n, slope
+}
+
+func adapterDoc(i int) settings.Document {
+	return settings.Document{
+		Kind: settings.Adapter, Name: fmt.Sprintf("adapter-%06d", i),
+		Fields: map[string]string{"base-model": "base-7b", "versions": "v1,v2", "current": "v2"},
+	}
+}
+
+func callerDoc(i int) settings.Document {
+	return settings.Document{
+		Kind: settings.Caller, Name: fmt.Sprintf("caller-%06d", i),
+		Fields: map[string]string{"branch": "/", "key-hash": fmt.Sprintf("%064x", i)},
+	}
+}
+
+func branchDoc(i int) settings.Document {
+	return settings.Document{
+		Kind: settings.Branch, Name: fmt.Sprintf("/branch-%06d", i),
+		Fields: map[string]string{"adapter": fmt.Sprintf("adapter-%06d", i), "class": "short", "max-tokens": "200"},
+	}
+}
+
+func backendDoc(i int) settings.Document {
+	return settings.Document{
+		Kind: settings.Backend, Name: fmt.Sprintf("engine-%06d", i),
+		Fields: map[string]string{
+			"address": fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), "base-model": "base-7b", "slots": "16",
+			"swap-slots": "2", "places": "32", "checks-fencing": "on",
+		},
+	}
+}
+
+// treeBytes returns the memory that one document of a kind takes, from trees of
+// several sizes.
+func treeBytes(doc func(i int) settings.Document) float64 {
+	var x, y []float64
+	for _, n := range []int{2_000, 5_000, 10_000, 20_000} {
+		before := heap()
+		docs := make([]settings.Document, n)
+		for i := range docs {
+			docs[i] = doc(i)
+		}
+		t := settings.FromSnapshot(1, docs)
+		clear(docs)
+		x, y = append(x, float64(n)), append(y, heap()-before)
+		runtime.KeepAlive(t)
+	}
+	_, slope := fit(x, y)
+	return slope
+}
+
+func measureTree(s *Slopes) {
+	s.AdapterBytes = treeBytes(adapterDoc)
+	s.CallerBytes = treeBytes(callerDoc)
+	s.BranchBytes = treeBytes(branchDoc)
+	s.BackendBytes = treeBytes(backendDoc)
+	var x, y []float64
+	for _, n := range []int{2_000, 8_000, 16_000, 34_000} {
+		docs := make([]settings.Document, n)
+		for i := range docs {
+			docs[i] = adapterDoc(i)
+		}
+		t := settings.FromSnapshot(0, docs)
+		const rounds = 20
+		ns := cost(rounds, func() {
+			for i := range rounds {
+				var err error
+				t, err = t.WithChanges(settings.Change{Rev: int64(i + 1), Doc: adapterDoc(i)})
+				if err != nil {
+					panic(err) // the revisions follow each other
+				}
+			}
+		})
+		x, y = append(x, float64(n)), append(y, ns)
+	}
+	s.ChangeNs, s.ChangeAdapterNs = fit(x, y)
+	s.ChangeNs = max(0, s.ChangeNs)
+	c := settings.Change{Rev: 123456, ID: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Who: "operator", Why: "new season", When: time.Now(), Old: adapterDoc(1).Fields, Doc: adapterDoc(1)}
+	s.ChangeWireBytes = float64(proto.Size(peer.EncodeChange(c)))
+	s.ChangeRowBytes = float64(settings.RowBytes(c))
+}
+
+func measureDecisions(s *Slopes) {
+	const rounds = 200_000
+	docs := []settings.Document{adapterDoc(0), adapterDoc(1)}
+	name := ""
+	for range 12 {
+		name += "/level"
+		docs = append(docs, settings.Document{Kind: settings.Branch, Name: name, Fields: map[string]string{"adapter": "adapter-000001"}})
+	}
+	t := settings.FromSnapshot(1, docs)
+	s.ResolveNs = cost(rounds, func() {
+		for range rounds {
+			e, _ := t.Branch(name)
+			if _, err := t.Resolve(e, ""); err != nil {
+				panic(err) // the adapter exists
+			}
+		}
+	})
+	measureScheduler(s, rounds)
+	var x, y []float64
+	for _, n := range []int{10, 50, 100, 435} {
+		names := make([]string, n)
+		for i := range names {
+			names[i] = fmt.Sprintf("engine-%06d", i)
+		}
+		r := engine.NewRouter(engine.RouterConfig{})
+		const rounds = 2000
+		ns := cost(rounds, func() {
+			for i := range rounds {
+				r.Candidates(time.Time{}, names[i%n], names, true)
+			}
+		})
+		x, y = append(x, float64(n)), append(y, ns)
+	}
+	s.RouteFixedNs, s.RouteEngineNs = fit(x, y)
+	s.RouteFixedNs = max(0, s.RouteFixedNs)
+	s.RendezvousNodeNs = s.RouteEngineNs
+	owners := make(map[string]string)
+	for i := range 10_000 {
+		owners[fmt.Sprintf("engine-%06d", i)] = "node-123"
+	}
+	s.LookupNs = cost(100*len(owners), func() {
+		for range 100 {
+			for name := range owners {
+				if owners[name] == "" {
+					panic("every engine has an owner")
+				}
+			}
+		}
+	})
+	before := heap()
+	reg := &peer.Registry{}
+	const grants = 20_000
+	for i := range grants {
+		id := fmt.Sprintf("request-%d", i)
+		reg.Expect("engine", id)
+		_ = reg.Start("engine", id, 1, "adapter@v1", true) // it was expected just now
+	}
+	s.GrantBytes = (heap() - before) / grants
+	runtime.KeepAlive(reg)
+}
+
+func measureScheduler(s *Slopes, rounds int) {
+	now := time.Unix(0, 0)
+	sched := engine.NewScheduler(engine.SchedulerConfig{Slots: 16, Places: 32})
+	sched.Adopt(now, []engine.Resident{{Adapter: "a@1"}}, nil)
+	work := engine.Work{Adapter: "a@1", Short: true, Tokens: 40, Deadline: now.Add(time.Hour)}
+	s.SchedulerNs = cost(rounds, func() {
+		for range rounds {
+			now = now.Add(time.Millisecond)
+			work.ID = "r"
+			sched.Submit(now, work)
+			sched.Release(now, "r", false)
+		}
+	})
+	s.TickEngineNs = cost(rounds, func() {
+		for range rounds {
+			sched.Tick(now)
+		}
+	})
+	before := heap()
+	big := engine.NewScheduler(engine.SchedulerConfig{Slots: 16, Places: 1, MaxQueue: 1 << 20})
+	const waiting = 20_000
+	for i := range waiting {
+		work.ID, work.Deadline = fmt.Sprintf("request-%d", i), now.Add(1e6*time.Hour)
+		big.Submit(now, work)
+	}
+	s.SchedulerBytes = (heap() - before) / waiting
+	runtime.KeepAlive(big)
+	b := engine.Budget{Rate: 1e9, Parallel: 8}
+	s.BudgetNs = cost(rounds, func() {
+		for range rounds {
+			now = now.Add(time.Millisecond)
+			b.Ask(now, engine.LoadRequest{ID: "x", Demand: 1})
+			b.Next(now)
+			b.Done("x")
+		}
+	})
+}
+
+// countingListener counts the bytes of its connections, both ways.
+type countingListener struct {
+	net.Listener
+	n *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.n}, err
+}
+
+type countingConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// listen serves on a loopback port and counts the bytes.
+func listen(srv *http.Server) (url string, n *atomic.Int64, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	n = new(atomic.Int64)
+	srv.ReadHeaderTimeout = 10 * time.Second
+	go func() { _ = srv.Serve(countingListener{ln, n}) }() // ends with Close
+	return "http://" + ln.Addr().String(), n, nil
+}
+
+// echoPeer answers the calls whose cost is measured.
+type echoPeer struct {
+	peerpbconnect.UnimplementedPeerHandler
+}
+
+// Heartbeat implements the Peer service.
+func (echoPeer) Heartbeat(context.Context, *connect.Request[peerpb.HeartbeatRequest]) (*connect.Response[peerpb.HeartbeatResponse], error) {
+	return connect.NewResponse(&peerpb.HeartbeatResponse{Node: "node-123", Process: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Revision: 123456}), nil
+}
+
+// Admit implements the Peer service.
+func (echoPeer) Admit(context.Context, *connect.Request[peerpb.AdmitRequest]) (*connect.Response[peerpb.AdmitResponse], error) {
+	return connect.NewResponse(&peerpb.AdmitResponse{Verdict: peerpb.AdmitResponse_VERDICT_GRANTED, Token: 1234}), nil
+}
+
+// Release implements the Peer service.
+func (echoPeer) Release(context.Context, *connect.Request[peerpb.ReleaseRequest]) (*connect.Response[peerpb.ReleaseResponse], error) {
+	return connect.NewResponse(&peerpb.ReleaseResponse{}), nil
+}
+
+// perCall returns the processor time and the bytes of one call, after a first
+// one that opens the connection.
+func perCall(n *atomic.Int64, call func() error) (ns, wire float64, err error) {
+	if err := call(); err != nil {
+		return 0, 0, err
+	}
+	before := n.Load()
+	ns = cost(callRounds, func() {
+		for range callRounds {
+			if e := call(); e != nil {
+				err = e
+			}
+		}
+	})
+	return ns, float64(n.Load()-before) / callRounds, err
+}
+
+func measureCalls(s *Slopes) error {
+	ctx := context.Background()
+	mux := http.NewServeMux()
+	mux.Handle(peerpbconnect.NewPeerHandler(echoPeer{}))
+	srv := peer.NewHTTPServer(mux, nil)
+	defer srv.Close()
+	url, n, err := listen(srv)
+	if err != nil {
+		return err
+	}
+	c := peerpbconnect.NewPeerClient(peer.NewHTTPClient(nil), url)
+	beat := &peerpb.HeartbeatRequest{Node: "node-123", Process: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Revision: 123456}
+	s.HeartbeatNs, s.HeartbeatBytes, err = perCall(n, func() error {
+		_, err := c.Heartbeat(ctx, connect.NewRequest(beat))
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	admit := &peerpb.AdmitRequest{
+		Engine: "engine-001234", RequestId: "node-123-ABCDEFGH-zz12.1r0a", Adapter: "adapter-012345@v2", Entry: "node-123",
+		EntryProcess: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", ShortClass: true, Tokens: 200, PromptTokens: 300, TimeLeftMs: 20000, MaxWaitMs: 50,
+	}
+	release := &peerpb.ReleaseRequest{Grants: []*peerpb.Released{{Engine: admit.Engine, RequestId: admit.RequestId, Token: 1234, TokenTimeUs: 25000}}}
+	s.AdmitNs, s.AdmitBytes, err = perCall(n, func() error {
+		if _, err := c.Admit(ctx, connect.NewRequest(admit)); err != nil {
+			return err
+		}
+		_, err := c.Release(ctx, connect.NewRequest(release))
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return measureTable(ctx, s)
+}
+
+func session(i int) table.Session {
+	return table.Session{
+		Node: fmt.Sprintf("node-%03d", i), Process: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Epoch: 1, Counter: 123456,
+		Address: fmt.Sprintf("10.0.%d.%d:7101", i/250, i%250), Region: "waikato", DataCenter: "waikato-1",
+	}
+}
+
+func measureTable(ctx context.Context, s *Slopes) error {
+	srv := &http.Server{Handler: &standin.Table{}}
+	defer srv.Close()
+	url, n, err := listen(srv)
+	if err != nil {
+		return err
+	}
+	c := &table.Client{URL: url}
+	row := session(0)
+	var ver int64
+	s.RenewNs, s.RenewBytes, err = perCall(n, func() error {
+		var err error
+		ver, err = c.Commit(ctx, table.Tx{Checks: []table.Check{{Key: row.Key(), Version: ver}}, Puts: []table.Put{{Key: row.Key(), Value: row.Encode()}}})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if _, err := c.Commit(ctx, table.Tx{Puts: []table.Put{{Key: "settings/head", Value: []byte("123456")}}}); err != nil {
+		return err
+	}
+	s.HeadNs, s.HeadBytes, err = perCall(n, func() error {
+		_, err := c.Get(ctx, "settings/head")
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	var x, ns, wire []float64
+	for _, rows := range []int{7, 60, 180, 360} {
+		var tx table.Tx
+		for i := range rows {
+			tx.Puts = append(tx.Puts, table.Put{Key: session(i).Key(), Value: session(i).Encode()})
+		}
+		if _, err := c.Commit(ctx, tx); err != nil {
+			return err
+		}
+		t, b, err := perCall(n, func() error {
+			_, err := c.Scan(ctx, table.SessionPrefix)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		x, ns, wire = append(x, float64(rows)), append(ns, t), append(wire, b)
+	}
+	s.ScanFixedNs, s.ScanRowNs = fit(x, ns)
+	s.ScanFixedNs = max(0, s.ScanFixedNs)
+	_, s.ScanRowBytes = fit(x, wire)
+	owner := table.Owner{Engine: "engine-001234", Node: row.Node, Process: row.Process, Epoch: 1, Address: row.Address, Token: 1234}
+	for i := range 16 {
+		owner.Stable = append(owner.Stable, fmt.Sprintf("adapter-%06d@v2", i))
+	}
+	s.OwnerRowBytes = float64(len(owner.Encode()))
+	return nil
+}
+
+func measureLedger(s *Slopes) error {
+	fake := &standin.Table{}
+	srv := &http.Server{Handler: fake}
+	defer srv.Close()
+	url, _, err := listen(srv)
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * ledgerAtOnce}}
+	l := &service.Ledger{Table: &table.Client{URL: url, HTTP: client}}
+	send := func(context.Context, service.Call) (service.Answer, error) { return service.Answer{Status: 200}, nil }
+	var failed atomic.Pointer[error]
+	s.LedgerNs = cost(ledgerCalls, func() {
+		var wg sync.WaitGroup
+		for w := range ledgerAtOnce {
+			wg.Go(func() {
+				for i := w; i < ledgerCalls; i += ledgerAtOnce {
+					c := service.Call{Caller: "c", Key: fmt.Sprint(i), Attempt: fmt.Sprint("a", i), Method: "POST", Path: "/", Body: []byte("order")}
+					if _, err := l.Do(context.Background(), c, send); err != nil {
+						failed.Store(&err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+	})
+	l.Close()
+	reads, writes := fake.Counts()
+	s.LedgerReads, s.LedgerTx = float64(reads)/ledgerCalls, float64(writes)/ledgerCalls
+	if err := failed.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
--- /dev/null
+++ b/capacity/page_test.go
@@ -0,0 +1,30 @@
+package capacity
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The tables on the page must follow from the slopes beside it.
+func TestPageFollowsFromSlopes(t *testing.T) {
+	is := is.New(t)
+	raw, err := os.ReadFile("../docs/capacity-slopes.json")
+	is.NoErr(err)
+	var s Slopes
+	is.NoErr(json.Unmarshal(raw, &s))
+	page, err := os.ReadFile("../docs/CAPACITY.md")
+	is.NoErr(err)
+	for _, z := range []Size{Today, TwoYears} {
+		_, rest, ok := strings.Cut(string(page), "<!-- "+z.Name+" -->\n")
+		is.True(ok)
+		got, _, ok := strings.Cut(rest, "<!-- end -->")
+		is.True(ok)
+		var want strings.Builder
+		Markdown(&want, s, z)
+		is.Equal(got, want.String())
+	}
+}
--- a/cmd/vanilladrift/main.go
+++ b/cmd/vanilladrift/main.go
@@ -99,6 +99,7 @@
 	add(e, "list", "list engines and their owners", &engineListCommand{client: &opts})
 	add(e, "drain", "let an engine take no new work, or take it again with --off", &engineDrainCommand{client: &opts})
 	add(root, "demo", "run the whole system in one process and check its promises", &demoCommand{})
+	add(root, "capacity", "measure what the system costs and work out larger sizes", &capacityCommand{})
 	add(root, "experiment", "measure scheduling policies on a model of the engines", &experimentCommand{})
 	return p
 }
--- a/demo/traffic.go
+++ b/demo/traffic.go
@@ -228,11 +228,12 @@
 func (t *traffic) refused(resp *http.Response) {
 	var e struct {
 		Error struct {
-			Type string `json:"type"`
+			Type    string `json:"type"`
+			Message string `json:"message"`
 		} `json:"error"`
 	}
 	_ = json.NewDecoder(resp.Body).Decode(&e) // an empty type shows in the summary
-	t.count(func(r *Result) { r.Refused[e.Error.Type+"/"+resp.Header.Get(caller.HeaderOutcome)]++ })
+	t.count(func(r *Result) { r.Refused[resp.Header.Get(caller.HeaderOutcome)+", "+e.Error.Type+": "+e.Error.Message]++ })
 }
 
 // readAnswer returns the text, the model that answered, and whether the answer
--- a/node/admission.go
+++ b/node/admission.go
@@ -54,7 +54,11 @@
 	if hint != "" {
 		return hint
 	}
-	return n.members.wantedOwner(engineName)
+	dataCenter := ""
+	if b, ok := n.store.Tree().Backend(engineName); ok {
+		dataCenter = b.DataCenter
+	}
+	return n.members.wantedOwner(engineName, dataCenter)
 }
 
 func (n *Node) forgetHint(engineName, owner string) {
--- a/node/budget.go
+++ b/node/budget.go
@@ -36,7 +36,7 @@
 // acquire waits for a load from the budget. Out of reach of the node that
 // shares it out, this node gives itself its part of the rate.
 func (l *loadBudget) acquire(ctx context.Context, id string, demand int) (done func()) {
-	host, ok := l.n.members.get(l.n.members.wantedOwner(budgetKey))
+	host, ok := l.n.members.get(l.n.members.wantedOwner(budgetKey, ""))
 	if ok && host.Process != l.n.process {
 		if done, ok := l.acquireFrom(ctx, host, id, demand); ok {
 			return done
@@ -105,7 +105,7 @@
 // node's part of it on any other.
 func (l *loadBudget) share() (rate float64, parallel int) {
 	root, _ := l.n.store.Tree().Branch("/")
-	if l.n.members.wantedOwner(budgetKey) == l.n.cfg.Name {
+	if l.n.members.wantedOwner(budgetKey, "") == l.n.cfg.Name {
 		return root.LoadRate, root.LoadParallel
 	}
 	return root.LoadRate / float64(max(1, len(l.n.members.all()))), 1
--- a/node/members.go
+++ b/node/members.go
@@ -43,6 +43,16 @@
 	watch table.Watch
 	list  []member
 	links map[string]*link // by address
+	// candidates are the nodes that may own engines, and wanted remembers who
+	// should own what, until the candidates change.
+	candidates []candidate
+	wanted     map[string]string
+}
+
+// candidate is a node that may own engines.
+type candidate struct {
+	name       string
+	dataCenter string
 }
 
 // link is the connection to one peer address.
@@ -79,6 +89,15 @@
 		m.watch.See(row.Key, row.Version, now)
 		m.list = append(m.list, member{Session: s, version: row.Version, lapsed: m.watch.Lapsed(row.Key, now)})
 	}
+	var candidates []candidate
+	for _, x := range m.list {
+		if x.live() && !x.Leaving {
+			candidates = append(candidates, candidate{x.Node, x.DataCenter})
+		}
+	}
+	if !slices.Equal(candidates, m.candidates) {
+		m.candidates, m.wanted = candidates, make(map[string]string)
+	}
 }
 
 // all returns the members of the last reading, sorted by name.
@@ -98,20 +117,31 @@
 	return member{}, false
 }
 
-// wantedOwner returns the node that should own an engine: the first choice of
-// rendezvous hashing over the live nodes that are not leaving.
-func (m *members) wantedOwner(engineName string) string {
-	var names []string
-	for _, x := range m.all() {
-		if x.live() && !x.Leaving {
-			names = append(names, x.Node)
+// wantedOwner returns the node that should own an engine, or look after another
+// thing with a name: the first choice of rendezvous hashing over the live nodes
+// that are not leaving. Nodes of the same data centre go first.
+func (m *members) wantedOwner(name, dataCenter string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if owner, ok := m.wanted[name]; ok {
+		return owner
+	}
+	var near, all []string
+	for _, c := range m.candidates {
+		all = append(all, c.name)
+		if c.dataCenter == dataCenter {
+			near = append(near, c.name)
 		}
 	}
-	first := engine.Rendezvous(engineName, names, nil, 1)
-	if len(first) == 0 {
-		return ""
+	if len(near) > 0 {
+		all = near
+	}
+	owner := ""
+	if first := engine.Rendezvous(name, all, nil, 1); len(first) > 0 {
+		owner = first[0]
+		m.wanted[name] = owner
 	}
-	return first[0]
+	return owner
 }
 
 // link returns the connection to the peer at an address.
--- a/node/owned.go
+++ b/node/owned.go
@@ -17,7 +17,7 @@
 const (
 	tickEvery      = 100 * time.Millisecond
 	reconcileEvery = 2 * time.Second
-	reportEvery    = time.Second
+	reportEvery    = 2 * time.Second
 	// reportLag bounds how late a load report may be. An engine that evicts
 	// when it is full gets no orders from a new owner until it has passed.
 	reportLag = 3 * time.Second
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -19,7 +19,7 @@
 	present := make(map[string]bool)
 	for _, b := range n.store.Tree().Backends() {
 		present[b.Name] = true
-		wanted := n.members.wantedOwner(b.Name)
+		wanted := n.members.wantedOwner(b.Name, b.DataCenter)
 		mine := n.ownedEngine(b.Name)
 		switch {
 		case wanted == n.cfg.Name && mine == nil && !n.session.isLeaving():
--- a/settings/store.go
+++ b/settings/store.go
@@ -360,3 +360,12 @@
 	}
 	return out, nil
 }
+
+// RowBytes returns the bytes of keys and values that a change writes.
+func RowBytes(c Change) int {
+	n := 0
+	for _, p := range changeTx(c, 0).Puts {
+		n += len(p.Key) + len(p.Value)
+	}
+	return n
+}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -10,9 +10,9 @@
 // not usable; call [New].
 type Tree struct {
 	rev       int64
-	docs      map[Kind]map[string]Document // by kind and name
+	docs      map[Kind]shards[string, Document] // by kind and name
 	effective map[string]*Effective
-	models    map[modelKey]Model
+	models    shards[modelKey, Model]
 	callers   map[string]Document // by key hash
 	backends  []BackendServer
 	byBackend map[string]*BackendServer
@@ -29,11 +29,8 @@
 
 // New returns the tree at revision 0, which holds only the root branch.
 func New() *Tree {
-	t := &Tree{
-		docs:    map[Kind]map[string]Document{Branch: {"/": {Kind: Branch, Name: "/"}}},
-		models:  map[modelKey]Model{},
-		callers: map[string]Document{},
-	}
+	t := &Tree{docs: map[Kind]shards[string, Document]{}, callers: map[string]Document{}}
+	t.put(Document{Kind: Branch, Name: "/"})
 	t.inherit()
 	return t
 }
@@ -43,13 +40,12 @@
 
 // Doc returns the document with the given kind and name.
 func (t *Tree) Doc(kind Kind, name string) (Document, bool) {
-	d, ok := t.docs[kind][name]
-	return d, ok
+	return t.docs[kind].get(name)
 }
 
 // Docs returns the documents of one kind, sorted by name.
 func (t *Tree) Docs(kind Kind) []Document {
-	docs := slices.Collect(maps.Values(t.docs[kind]))
+	docs := slices.Collect(t.docs[kind].values())
 	slices.SortFunc(docs, func(a, b Document) int { return strings.Compare(a.Name, b.Name) })
 	return docs
 }
@@ -110,19 +106,19 @@
 		if d.Name == "/" {
 			return Document{}, invalid(op, d.ID(), "", "the root branch cannot be deleted")
 		}
-		for _, o := range t.docs[Branch] {
+		for o := range t.docs[Branch].values() {
 			if Parent(o.Name) == d.Name {
 				return Document{}, invalid(op, d.ID(), "", "branch %s would be left without a parent", o.Name)
 			}
 		}
-		for _, o := range t.docs[Caller] {
+		for o := range t.docs[Caller].values() {
 			if o.Fields["branch"] == d.Name {
 				return Document{}, invalid(op, d.ID(), "", "caller %s is attached to it", o.Name)
 			}
 		}
 	}
 	if d.Kind == Adapter {
-		for _, o := range t.docs[Branch] {
+		for o := range t.docs[Branch].values() {
 			if o.Fields["adapter"] == d.Name {
 				return Document{}, invalid(op, d.ID(), "", "branch %s uses it", o.Name)
 			}
@@ -189,9 +185,6 @@
 		if c.Rev != next.rev+1 {
 			return nil, &Error{Op: "apply", Kind: Gap, Doc: c.Doc.ID(), Reason: "a revision is missing before this change"}
 		}
-		if touched[c.Doc.Kind] == nil {
-			next.docs[c.Doc.Kind] = maps.Clone(t.docs[c.Doc.Kind])
-		}
 		next.put(c.Doc)
 		next.rev = c.Rev
 		touched[c.Doc.Kind] = append(touched[c.Doc.Kind], c.Doc)
@@ -217,20 +210,17 @@
 func (t *Tree) All() []Document {
 	var all []Document
 	for _, docs := range t.docs {
-		all = slices.AppendSeq(all, maps.Values(docs))
+		all = slices.AppendSeq(all, docs.values())
 	}
 	return all
 }
 
 func (t *Tree) put(d Document) {
-	if t.docs[d.Kind] == nil {
-		t.docs[d.Kind] = map[string]Document{}
-	}
 	if d.Deleted {
-		delete(t.docs[d.Kind], d.Name)
+		t.docs[d.Kind] = t.docs[d.Kind].del(d.Name)
 		return
 	}
-	t.docs[d.Kind][d.Name] = d
+	t.docs[d.Kind] = t.docs[d.Kind].put(d.Name, d)
 }
 
 // index brings the derived maps up to date with the documents that changed
@@ -240,14 +230,13 @@
 		t.inherit()
 	}
 	if touched[Adapter] != nil {
-		t.models = maps.Clone(old.models)
 		for _, d := range touched[Adapter] {
 			t.indexModels(old, d)
 		}
 	}
 	if touched[Caller] != nil {
-		t.callers = make(map[string]Document, len(t.docs[Caller]))
-		for _, d := range t.docs[Caller] {
+		t.callers = make(map[string]Document, t.docs[Caller].len())
+		for d := range t.docs[Caller].values() {
 			t.callers[d.Fields["key-hash"]] = d
 		}
 	}
@@ -269,18 +258,18 @@
 func (t *Tree) indexModels(old *Tree, d Document) {
 	if o, ok := old.Doc(Adapter, d.Name); ok {
 		for v := range strings.SplitSeq(o.Fields["versions"], ",") {
-			delete(t.models, modelKey{d.Name, v})
+			t.models = t.models.del(modelKey{d.Name, v})
 		}
-		delete(t.models, modelKey{d.Name, current})
+		t.models = t.models.del(modelKey{d.Name, current})
 	}
 	if d.Deleted {
 		return
 	}
 	for v := range strings.SplitSeq(d.Fields["versions"], ",") {
 		m := Model{Name: d.Name + "@" + v, Adapter: d.Name, Base: d.Fields["base-model"]}
-		t.models[modelKey{d.Name, v}] = m
+		t.models = t.models.put(modelKey{d.Name, v}, m)
 		if v == d.Fields[current] {
-			t.models[modelKey{d.Name, current}] = m
+			t.models = t.models.put(modelKey{d.Name, current}, m)
 		}
 	}
 }
@@ -312,7 +301,7 @@
 	if version == "" {
 		version = current
 	}
-	if m, ok := t.models[modelKey{adapter, version}]; ok {
+	if m, ok := t.models.get(modelKey{adapter, version}); ok {
 		return m, nil
 	}
 	if adapter == "" {
