Measure the policy on a model of both deployments

Change: package experiment plays seeded workloads through the scheduler, router and budget that nodes run, beside a plain baseline and an oracle. The router works its median out ten times a second instead of with every token.

--- a/demo/traffic.go
+++ b/demo/traffic.go
@@ -233,7 +233,9 @@
 		} `json:"error"`
 	}
 	_ = json.NewDecoder(resp.Body).Decode(&e) // an empty type shows in the summary
-	t.count(func(r *Result) { r.Refused[resp.Header.Get(caller.HeaderOutcome)+", "+e.Error.Type+": "+e.Error.Message]++ })
+	t.count(func(r *Result) {
+		r.Refused[resp.Header.Get(caller.HeaderOutcome)+", "+e.Error.Type+": "+e.Error.Message]++
+	})
 }
 
 // readAnswer returns the text, the model that answered, and whether the answer
--- a/engine/router.go
+++ b/engine/router.go
@@ -37,6 +37,11 @@
 	return c
 }
 
+const (
+	medianEvery = 100 * time.Millisecond
+	minCompared = 3 // fewer engines are not compared
+)
+
 // hedgeBurst is how many hedges may be saved up.
 const hedgeBurst = 20
 
@@ -47,7 +52,10 @@
 	cfg     RouterConfig
 	engines map[string]*engineView
 	median  time.Duration // median time between tokens over the engines
-	hedges  Allowance
+	// medianAt is when the median was worked out, over compared engines.
+	medianAt time.Time
+	compared int
+	hedges   Allowance
 }
 
 // engineView is what an entry node knows of one engine.
@@ -143,20 +151,28 @@
 	r.judge(now, v)
 }
 
+// judge compares an engine with the median, which is worked out anew only
+// now and then: a node sees tens of thousands of tokens a second.
 func (r *Router) judge(now time.Time, v *engineView) {
-	var tokens []time.Duration
+	if now.Sub(r.medianAt) >= medianEvery {
+		r.updateMedian(now)
+	}
+	v.slow = r.compared >= minCompared && float64(v.token) > r.cfg.SlowFactor*float64(r.median)
+}
+
+func (r *Router) updateMedian(now time.Time) {
+	r.medianAt = now
+	tokens := make([]time.Duration, 0, len(r.engines))
 	for _, o := range r.engines {
 		if o.token > 0 && now.Sub(o.seen) < r.cfg.Memory {
 			tokens = append(tokens, o.token)
 		}
 	}
-	slices.Sort(tokens)
-	r.median = tokens[len(tokens)/2]
-	if len(tokens) < 3 {
-		v.slow = false
+	if len(tokens) == 0 {
 		return
 	}
-	v.slow = float64(v.token) > r.cfg.SlowFactor*float64(r.median)
+	slices.Sort(tokens)
+	r.median, r.compared = tokens[len(tokens)/2], len(tokens)
 }
 
 // Slow reports whether the engine is being passed over.
--- /dev/null
+++ b/experiment/table.go
@@ -0,0 +1,82 @@
+package experiment
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+)
+
+// columns are the figures of a result by their names.
+var columns = []struct {
+	name  string
+	value func(r Result) float64
+	digit int
+}{
+	{"offered", func(r Result) float64 { return float64(r.Offered) }, 0},
+	{"in-time-%", func(r Result) float64 { return 100 * float64(r.InTime) / float64(max(1, r.Offered)) }, 1},
+	{"goodput-tok/s", func(r Result) float64 { return r.Goodput }, 0},
+	{"refused", func(r Result) float64 { return float64(r.Refused) }, 0},
+	{"short-first-p50-ms", func(r Result) float64 { return r.Short.FirstP50 }, 0},
+	{"short-first-p99-ms", func(r Result) float64 { return r.Short.FirstP99 }, 0},
+	{"short-p50-ms", func(r Result) float64 { return r.Short.WholeP50 }, 0},
+	{"short-p99-ms", func(r Result) float64 { return r.Short.WholeP99 }, 0},
+	{"long-p50-ms", func(r Result) float64 { return r.Long.WholeP50 }, 0},
+	{"long-p99-ms", func(r Result) float64 { return r.Long.WholeP99 }, 0},
+	{"long-p99.9-ms", func(r Result) float64 { return r.Long.WholeP999 }, 0},
+	{"stalled-%", func(r Result) float64 { return 100 * r.StallShare }, 2},
+	{"stall-s", func(r Result) float64 { return r.StallSeconds }, 2},
+	{"batch", func(r Result) float64 { return r.Batch }, 1},
+	{"distinct", func(r Result) float64 { return r.Distinct }, 1},
+	{"efficiency", func(r Result) float64 { return r.Efficiency }, 2},
+	{"loads", func(r Result) float64 { return float64(r.Loads) }, 0},
+	{"evictions", func(r Result) float64 { return float64(r.Evictions) }, 0},
+	{"peak-loads/s", func(r Result) float64 { return float64(r.PeakLoads) }, 0},
+	{"hedges", func(r Result) float64 { return float64(r.Hedges) }, 0},
+	{"moves", func(r Result) float64 { return float64(r.Moves) }, 0},
+	{"wasted-%", func(r Result) float64 { return 100 * r.Wasted }, 2},
+	{"recovery-s", func(r Result) float64 { return r.Recovery }, 1},
+}
+
+// Table writes the results of one workload, a figure a row and a policy a
+// column.
+func Table(w io.Writer, results []Result) error {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(tw, results[0].Workload, "\t")
+	for _, r := range results {
+		fmt.Fprint(tw, r.Policy, "\t")
+	}
+	fmt.Fprintln(tw)
+	for _, c := range columns {
+		fmt.Fprint(tw, c.name, "\t")
+		for _, r := range results {
+			fmt.Fprint(tw, strconv.FormatFloat(c.value(r), 'f', c.digit, 64), "\t")
+		}
+		fmt.Fprintln(tw)
+	}
+	return tw.Flush()
+}
+
+// CSV writes one row a result.
+func CSV(w io.Writer, seeds []uint64, results []Result) error {
+	cw := csv.NewWriter(w)
+	header := []string{"workload", "policy", "seed"}
+	for _, c := range columns {
+		header = append(header, c.name)
+	}
+	if err := cw.Write(header); err != nil {
+		return err
+	}
+	for i, r := range results {
+		row := []string{r.Workload, r.Policy, strconv.FormatUint(seeds[i], 10)}
+		for _, c := range columns {
+			row = append(row, strconv.FormatFloat(c.value(r), 'f', 4, 64))
+		}
+		if err := cw.Write(row); err != nil {
+			return err
+		}
+	}
+	cw.Flush()
+	return cw.Error()
+}
