Bind a load to its adapter when the budget allows it; spread hot adapters

Change: the scheduler asks for a load without naming the adapter, and gives the load back when nothing wants it any more. A refusal tells a busy engine from one that does not hold the adapter; only when all choices are busy is the adapter spread over one engine more.

--- a/caller/acquire.go
+++ b/caller/acquire.go
@@ -64,7 +64,7 @@
 		Tokens: c.tokens - p.resume, Prompt: c.prompt, Deadline: c.deadline, MaxWait: f.Router.MaxWait(c.short),
 	}
 	var best *Refusal
-	bestName := ""
+	bestName, cold := "", false
 	for i, name := range names {
 		g, err := f.ask(ctx, name, attemptID(id, i), w)
 		if err == nil {
@@ -74,13 +74,19 @@
 		if !errors.As(err, &r) {
 			return Grant{}, err
 		}
+		cold = cold || r.Reason == engine.Cold
 		if bestName == "" || better(r, best) {
 			best, bestName = r, name
 		}
 	}
-	if p.spare || best.Reason != engine.Overflow {
+	if p.spare || hope(best.Reason) < hope(engine.Overflow) {
 		return Grant{}, best
 	}
+	if !cold {
+		f.mu.Lock()
+		f.Router.Overflowed(time.Now(), c.model.Name)
+		f.mu.Unlock()
+	}
 	w.MaxWait = 0
 	return f.ask(ctx, bestName, id+"w", w)
 }
@@ -96,7 +102,7 @@
 
 func hope(r engine.Reason) int {
 	switch r {
-	case engine.Overflow:
+	case engine.Overflow, engine.Cold:
 		return 2
 	case engine.Moved, engine.Recovering, engine.LoadFailed, engine.Draining:
 		return 1
--- a/engine/action.go
+++ b/engine/action.go
@@ -9,7 +9,9 @@
 const (
 	Grant  ActionKind = "grant"  // the work may start
 	Refuse ActionKind = "refuse" // the work will not run here
-	Load   ActionKind = "load"   // load Adapter, after unloading Victim if it is set
+	// AskLoad asks for a load from the budget; Permit or Deny answers it.
+	AskLoad ActionKind = "ask-load"
+	Load    ActionKind = "load" // load Adapter, after unloading Victim if it is set
 )
 
 // Reason tells why work was refused.
@@ -18,6 +20,7 @@
 // The reasons for a refusal.
 const (
 	Overflow   Reason = "overflow"    // the wait here is longer than the entry node accepts
+	Cold       Reason = "cold"        // the adapter is not loaded, and the wait is longer than the entry node accepts
 	QueueFull  Reason = "queue-full"  // the queue has no room
 	TooLate    Reason = "too-late"    // the deadline cannot be met
 	Draining   Reason = "draining"    // the engine takes no new work
@@ -42,7 +45,7 @@
 	Adapter    string // Load
 	Victim     string // Load: the adapter to unload first, or empty
 	Stable     bool   // Load: the change touches a stable slot, so the intent must be written first
-	Demand     int    // Load: how much work waits for the adapter
+	Demand     int    // AskLoad: how much work waits for the adapter that is wanted most
 	Reason     Reason // Refuse
 	RetryAfter time.Duration
 }
--- a/engine/budget.go
+++ b/engine/budget.go
@@ -47,6 +47,14 @@
 // Done gives back the place of a load that was granted.
 func (b *Budget) Done(id string) { delete(b.active, id) }
 
+// Return gives back a load that was granted and not used.
+func (b *Budget) Return(id string) {
+	if _, ok := b.active[id]; ok {
+		delete(b.active, id)
+		b.tokens = min(1, b.tokens+1)
+	}
+}
+
 // Next grants the most wanted request if the budget allows one now. Otherwise
 // it returns the time at which to ask again, which is zero when only [Budget.Done]
 // or [Budget.Ask] can change the answer.
--- a/engine/router.go
+++ b/engine/router.go
@@ -55,6 +55,7 @@
 	// medianAt is when the median was worked out, over compared engines.
 	medianAt time.Time
 	compared int
+	spread   map[string]spread // adapters that overflowed their first choices
 	hedges   Allowance
 }
 
@@ -72,7 +73,7 @@
 // NewRouter returns a router that knows no engine.
 func NewRouter(cfg RouterConfig) *Router {
 	cfg = cfg.withDefaults()
-	return &Router{cfg: cfg, engines: make(map[string]*engineView), hedges: Allowance{Share: cfg.HedgeShare, Burst: hedgeBurst}}
+	return &Router{cfg: cfg, engines: make(map[string]*engineView), hedges: Allowance{Share: cfg.HedgeShare, Burst: hedgeBurst}, spread: make(map[string]spread)}
 }
 
 func (r *Router) view(name string) *engineView {
@@ -105,7 +106,7 @@
 			live = append(live, e)
 		}
 	}
-	picks := Rendezvous(adapter, live, nil, r.cfg.Choices)
+	picks := Rendezvous(adapter, live, nil, r.cfg.Choices+r.extra(now, adapter))
 	limit := r.MaxWait(short)
 	rank := make(map[string]int, len(picks))
 	for i, e := range picks {
@@ -115,6 +116,47 @@
 	return picks
 }
 
+// spread is how many engines beyond the first choices an adapter needs.
+type spread struct {
+	extra int
+	at    time.Time // when it last grew or shrank
+}
+
+const (
+	spreadGrow   = 250 * time.Millisecond // shortest time between two steps up
+	spreadShrink = 20 * time.Second       // without overflow, one step down
+	spreadKept   = 1024                   // adapters that are remembered
+)
+
+// Overflowed records that every choice of an adapter holds it and named a wait
+// that was too long. The adapter is then spread over one engine more. While a
+// choice is cold, more engines would only cost more loads.
+func (r *Router) Overflowed(now time.Time, adapter string) {
+	s, ok := r.spread[adapter]
+	if !ok && len(r.spread) >= spreadKept {
+		return
+	}
+	if ok && now.Sub(s.at) < spreadGrow {
+		return
+	}
+	r.spread[adapter] = spread{s.extra + 1, now}
+}
+
+func (r *Router) extra(now time.Time, adapter string) int {
+	s, ok := r.spread[adapter]
+	if !ok {
+		return 0
+	}
+	if steps := int(now.Sub(s.at) / spreadShrink); steps > 0 {
+		s = spread{max(0, s.extra-steps), now}
+		r.spread[adapter] = s
+	}
+	if s.extra == 0 {
+		delete(r.spread, adapter)
+	}
+	return s.extra
+}
+
 // penalty puts busy engines behind idle ones and slow engines last.
 func (r *Router) penalty(now time.Time, name string, limit time.Duration) int {
 	v := r.engines[name]
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -89,7 +89,9 @@
 	running  map[string]*Work
 	waiting  map[string]*Work
 	longRun  int
-	loads    int
+	asked    int           // loads asked for from the budget
+	loads    int           // loads under way
+	loadWait time.Duration // moving average of the time from first asking to the end of a load
 	backlog  time.Duration // expected time in the batch of all waiting work
 	token    time.Duration // moving average of the time between tokens
 
@@ -108,8 +110,9 @@
 
 // NewScheduler returns a scheduler for an engine that holds nothing.
 func NewScheduler(cfg SchedulerConfig) *Scheduler {
+	cfg = cfg.withDefaults()
 	return &Scheduler{
-		cfg:      cfg.withDefaults(),
+		cfg: cfg, loadWait: cfg.LoadTime,
 		adapters: make(map[string]*adapter),
 		running:  make(map[string]*Work),
 		waiting:  make(map[string]*Work),
@@ -161,6 +164,8 @@
 		return QueueFull
 	case now.Add(wait).After(w.Deadline):
 		return TooLate
+	case w.MaxWait > 0 && wait > w.MaxWait && a.state != loaded:
+		return Cold
 	case w.MaxWait > 0 && wait > w.MaxWait:
 		return Overflow
 	}
@@ -185,7 +190,7 @@
 		}
 	}
 	if a.state != loaded {
-		wait += s.cfg.LoadTime * time.Duration(1+s.loads)
+		wait += s.loadWait
 	}
 	return wait
 }
@@ -247,6 +252,7 @@
 	}
 	a := s.adapter(r.Adapter)
 	if r.OK {
+		s.observeLoad(now, a)
 		if a.state == absent {
 			s.occupy(a) // the engine was taken for restarted meanwhile
 		}
@@ -263,6 +269,20 @@
 	return s.dispatch(now, acts)
 }
 
+// observeLoad folds the longest wait for this load into the estimate.
+func (s *Scheduler) observeLoad(now time.Time, a *adapter) {
+	if len(a.waiting) == 0 {
+		return
+	}
+	first := now
+	for _, w := range a.waiting {
+		if w.arrived.Before(first) {
+			first = w.arrived
+		}
+	}
+	s.loadWait += time.Duration(2 * estimateWeight * float64(now.Sub(first)-s.loadWait))
+}
+
 // Sync corrects the slots after a report that is newer than every order: an
 // adapter that the engine does not hold leaves its slot, one that it holds
 // beyond what the scheduler knows takes one. It does nothing while a load is
@@ -450,7 +470,7 @@
 		acts = append(acts, Action{Kind: Grant, Work: w})
 	}
 	for {
-		a, ok := s.nextLoad(now)
+		a, ok := s.askLoad(now)
 		if !ok {
 			return acts
 		}
--- a/engine/slots.go
+++ b/engine/slots.go
@@ -80,11 +80,39 @@
 	return s.cfg.SwapSlots > 0
 }
 
-// nextLoad chooses the adapter with the most waiting work and the slot for it.
-func (s *Scheduler) nextLoad(now time.Time) (Action, bool) {
-	if len(s.waiting) == 0 || s.loads >= s.cfg.MaxLoads || s.mode.ReadOnly {
+// askLoad asks for a load if some work needs one and a slot can be had. Which
+// adapter it will be is left open until the budget allows the load.
+func (s *Scheduler) askLoad(now time.Time) (Action, bool) {
+	if len(s.waiting) == 0 || s.asked+s.loads >= s.cfg.MaxLoads || s.mode.ReadOnly {
 		return Action{}, false
 	}
+	if victim, free := s.slotFor(now); !free && victim == nil {
+		return Action{}, false
+	}
+	want := s.mostWanted(now)
+	if want == nil {
+		return Action{}, false
+	}
+	s.asked++
+	return Action{Kind: AskLoad, Demand: len(want.waiting)}, true
+}
+
+// Permit answers an [AskLoad]: the budget allows one load. The action is the
+// load that is wanted most now; ok is false when none is wanted any more, and
+// the load should be given back to the budget.
+func (s *Scheduler) Permit(now time.Time) (act Action, ok bool) {
+	s.asked--
+	if s.mode.ReadOnly {
+		return Action{}, false
+	}
+	return s.chooseLoad(now)
+}
+
+// Deny answers an [AskLoad] that the budget does not allow.
+func (s *Scheduler) Deny() { s.asked-- }
+
+// chooseLoad chooses the adapter that is wanted most and the slot for it.
+func (s *Scheduler) chooseLoad(now time.Time) (Action, bool) {
 	victim, free := s.slotFor(now)
 	if !free && victim == nil {
 		return Action{}, false
@@ -93,7 +121,7 @@
 	if want == nil {
 		return Action{}, false
 	}
-	act := Action{Kind: Load, Adapter: want.name, Demand: len(want.waiting)}
+	act := Action{Kind: Load, Adapter: want.name}
 	swap := s.cfg.IntentsNeeded && s.swapUsed() < s.cfg.SwapSlots
 	if !free {
 		swap = s.cfg.IntentsNeeded && victim.swap
--- a/experiment/sim.go
+++ b/experiment/sim.go
@@ -70,6 +70,7 @@
 	stalls                          int
 	stallTime                       time.Duration
 	lastBad                         time.Duration
+	reasons                         map[string]int
 }
 
 // simEngine is an engine with the scheduler of its owner.
@@ -116,11 +117,12 @@
 	least   string // where the shortest wait was named
 	wait    time.Duration
 	final   bool
+	cold    bool // some choice does not hold the adapter
 }
 
 // Run plays a workload under a policy.
 func Run(w Workload, p Policy) Result {
-	s := &sim{w: w, p: p, byName: map[string]*simEngine{}, loading: map[string]func(){}}
+	s := &sim{w: w, p: p, byName: map[string]*simEngine{}, loading: map[string]func(){}, reasons: map[string]int{}}
 	s.res = Result{Workload: w.Name, Policy: p.Name, Short: newLatency(), Long: newLatency()}
 	s.budget = engine.Budget{Rate: w.LoadRate, Parallel: w.LoadAtOnce}
 	for range entryNodes {
@@ -129,6 +131,7 @@
 	for i := range w.Engines {
 		s.addEngine(i)
 	}
+	s.warm()
 	for i, r := range w.Requests {
 		s.at(r.At, func() { s.arrive(i, r) })
 	}
@@ -151,14 +154,35 @@
 		s: s, index: i, name: fmt.Sprintf("engine-%02d", i), sched: engine.NewScheduler(cfg),
 		batch: standin.Batch{Physics: s.w.Physics}, streams: map[string]*attempt{}, waiting: map[string]*attempt{},
 	}
-	if s.p.Oracle {
-		e.holdEverything()
-	}
 	s.engines = append(s.engines, e)
 	s.byName[e.name] = e
 	s.names = append(s.names, e.name)
 }
 
+// warm lets the engines hold what they would have held the day before: the
+// popular adapters, each at its first choice with room.
+func (s *sim) warm() {
+	if s.p.Oracle {
+		for _, e := range s.engines {
+			e.holdEverything()
+		}
+		return
+	}
+	free := make(map[string]int)
+	for _, n := range s.names {
+		free[n] = s.w.Slots
+	}
+	for _, a := range s.w.Popular[:s.w.Slots*s.w.Engines] {
+		for _, n := range engine.Rendezvous(a, s.names, nil, len(s.names)) {
+			if free[n] > 0 {
+				free[n]--
+				s.byName[n].sched.Adopt(s.clock(), []engine.Resident{{Adapter: a}}, nil)
+				break
+			}
+		}
+	}
+}
+
 // holdEverything spares the oracle all loads.
 func (e *simEngine) holdEverything() {
 	var all []engine.Resident
@@ -320,7 +344,8 @@
 func (s *sim) refused(a *attempt, act engine.Action) {
 	delete(a.eng.waiting, a.id)
 	a.f.router.ObserveWait(s.clock(), a.eng.name, act.RetryAfter)
-	if act.Reason == engine.Overflow && (a.least == "" || act.RetryAfter < a.wait) {
+	a.cold = a.cold || act.Reason == engine.Cold
+	if (act.Reason == engine.Overflow || act.Reason == engine.Cold) && (a.least == "" || act.RetryAfter < a.wait) {
 		a.least, a.wait = a.eng.name, act.RetryAfter
 	}
 	spare := a.f.current != nil && a.f.current != a
@@ -330,6 +355,9 @@
 		return
 	case a.least != "" && !spare && !a.final:
 		a.final = true
+		if !a.cold {
+			a.f.router.Overflowed(s.clock(), a.f.r.Adapter)
+		}
 		a.others = []string{a.least}
 		s.after(askDelay, func() { s.ask(a, false) })
 		return
@@ -339,6 +367,9 @@
 		a.f.spare = nil
 		return
 	}
+	if s.counts(a.f) {
+		s.reasons[fmt.Sprint(act.Reason, a.f.r.Short)]++
+	}
 	s.giveUp(a.f)
 }
 
@@ -360,38 +391,49 @@
 			if a := e.waiting[act.Work.ID]; a != nil {
 				e.s.refused(a, act)
 			}
-		case engine.Load:
-			e.load(act)
+		case engine.AskLoad:
+			e.askLoad(act.Demand)
 		}
 	}
 }
 
-func (e *simEngine) load(act engine.Action) {
+func (e *simEngine) askLoad(demand int) {
 	s := e.s
-	id := e.name + "/" + act.Adapter
-	boot := e.boot
+	s.seq++
+	id := fmt.Sprintf("%s/%d", e.name, s.seq)
 	s.loading[id] = func() {
-		s.res.Loads++
-		s.loadTimes = append(s.loadTimes, s.now)
-		if act.Victim != "" {
-			s.res.Evictions++
-		}
-		s.transit++
-		d := s.w.Physics.Load
-		if s.transit > s.w.LoadTransit {
-			d = d * time.Duration(s.transit) / time.Duration(s.w.LoadTransit)
+		act, ok := e.sched.Permit(s.clock())
+		if !ok {
+			s.budget.Return(id)
+			return
 		}
-		s.after(d, func() {
-			s.transit--
-			s.budget.Done(id)
-			e.apply(e.sched.Loaded(s.clock(), engine.LoadResult{Adapter: act.Adapter, Victim: act.Victim, OK: boot == e.boot}))
-			s.pump()
-		})
-	}
-	s.budget.Ask(s.clock(), engine.LoadRequest{ID: id, Demand: act.Demand})
+		e.load(id, act)
+	}
+	s.budget.Ask(s.clock(), engine.LoadRequest{ID: id, Demand: demand})
 	s.pump()
 }
 
+func (e *simEngine) load(id string, act engine.Action) {
+	s := e.s
+	boot := e.boot
+	s.res.Loads++
+	s.loadTimes = append(s.loadTimes, s.now)
+	if act.Victim != "" {
+		s.res.Evictions++
+	}
+	s.transit++
+	d := s.w.Physics.Load
+	if s.transit > s.w.LoadTransit {
+		d = d * time.Duration(s.transit) / time.Duration(s.w.LoadTransit)
+	}
+	s.after(d, func() {
+		s.transit--
+		s.budget.Done(id)
+		e.apply(e.sched.Loaded(s.clock(), engine.LoadResult{Adapter: act.Adapter, Victim: act.Victim, OK: boot == e.boot}))
+		s.pump()
+	})
+}
+
 // pump starts the loads that the budget allows.
 func (s *sim) pump() {
 	for {
@@ -614,6 +656,7 @@
 
 func (s *sim) finish() Result {
 	r := &s.res
+	println(s.w.Name, s.p.Name, fmt.Sprint(s.reasons))
 	r.Short.finish()
 	r.Long.finish()
 	span := (s.w.Length - warmUp).Seconds()
--- a/node/budget.go
+++ b/node/budget.go
@@ -33,20 +33,21 @@
 	return &loadBudget{n: n, granted: make(map[string]bool)}
 }
 
-// acquire waits for a load from the budget. Out of reach of the node that
-// shares it out, this node gives itself its part of the rate.
-func (l *loadBudget) acquire(ctx context.Context, id string, demand int) (done func()) {
+// acquire waits for a load from the budget, and returns the function that gives
+// it back when it was used or is not wanted any more. Out of reach of the node
+// that shares it out, this node gives itself its part of the rate.
+func (l *loadBudget) acquire(ctx context.Context, id string, demand int) (giveBack func(used bool)) {
 	host, ok := l.n.members.get(l.n.members.wantedOwner(budgetKey, ""))
 	if ok && host.Process != l.n.process {
-		if done, ok := l.acquireFrom(ctx, host, id, demand); ok {
-			return done
+		if giveBack, ok := l.acquireFrom(ctx, host, id, demand); ok {
+			return giveBack
 		}
 	}
 	l.acquireLocal(ctx, id, demand)
-	return func() { l.release(id) }
+	return func(used bool) { l.release(id, used) }
 }
 
-func (l *loadBudget) acquireFrom(ctx context.Context, host member, id string, demand int) (done func(), ok bool) {
+func (l *loadBudget) acquireFrom(ctx context.Context, host member, id string, demand int) (giveBack func(used bool), ok bool) {
 	client, rctx, cancel, ok := l.n.members.reachable(ctx, host.Address)
 	if !ok {
 		return nil, false
@@ -58,11 +59,11 @@
 	if err != nil {
 		return nil, false
 	}
-	return func() {
+	return func(used bool) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recoverTimeout)
 		defer cancel()
 		// If the answer is lost, the budget takes the load back by itself.
-		_, _ = client.ReleaseLoad(ctx, connect.NewRequest(&peerpb.ReleaseLoadRequest{Id: id}))
+		_, _ = client.ReleaseLoad(ctx, connect.NewRequest(&peerpb.ReleaseLoadRequest{Id: id, Unused: !used}))
 	}, true
 }
 
@@ -111,8 +112,12 @@
 	return root.LoadRate / float64(max(1, len(l.n.members.all()))), 1
 }
 
-func (l *loadBudget) release(id string) {
+func (l *loadBudget) release(id string, used bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !used {
+		l.budget.Return(id)
+		return
+	}
 	l.budget.Done(id)
 }
--- a/node/orders.go
+++ b/node/orders.go
@@ -17,10 +17,17 @@
 
 // load carries out a load that the scheduler asked for: budget, intent,
 // unload of the victim, load.
-func (o *ownedEngine) load(ctx context.Context, act engine.Action) {
+func (o *ownedEngine) load(ctx context.Context, demand int) {
+	giveBack := o.n.loads.acquire(ctx, o.name, demand)
+	o.mu.Lock()
+	act, wanted := o.sched.Permit(time.Now())
+	o.mu.Unlock()
+	if !wanted {
+		giveBack(false)
+		return
+	}
+	defer giveBack(true)
 	o.n.metrics.loads.Add(ctx, 1)
-	done := o.n.loads.acquire(ctx, o.name+"/"+act.Adapter, act.Demand)
-	defer done()
 	res := engine.LoadResult{Adapter: act.Adapter, Victim: act.Victim, VictimKept: true}
 	if o.beginOrder() {
 		o.tryLoad(ctx, act, &res)
--- a/node/owned.go
+++ b/node/owned.go
@@ -109,8 +109,8 @@
 // apply carries out what the scheduler asked for. The lock is held.
 func (o *ownedEngine) apply(acts []engine.Action) {
 	for _, act := range acts {
-		if act.Kind == engine.Load {
-			o.n.tasks.Go(func() { o.load(o.n.ctx, act) })
+		if act.Kind == engine.AskLoad {
+			o.n.tasks.Go(func() { o.load(o.n.ctx, act.Demand) })
 			continue
 		}
 		if ch := o.waiters[act.Work.ID]; ch != nil {
--- a/node/peers.go
+++ b/node/peers.go
@@ -89,7 +89,7 @@
 
 // ReleaseLoad implements the Peer service.
 func (s *peerServer) ReleaseLoad(_ context.Context, req *connect.Request[peerpb.ReleaseLoadRequest]) (*connect.Response[peerpb.ReleaseLoadResponse], error) {
-	s.n.loads.release(req.Msg.GetId())
+	s.n.loads.release(req.Msg.GetId(), !req.Msg.GetUnused())
 	return connect.NewResponse(&peerpb.ReleaseLoadResponse{}), nil
 }
 
