Name the true wait of a cold adapter in refusals

Cause: refused popular adapters waited seconds for a load at their second or third choice while their first held them. A refusal named the wait of short work on a loaded adapter, whatever it refused, and the entry node went where the least was named.

Ruled out: more choices, and more weight on demand in the budget; the refusals at cold engines stayed.

Change: a refusal names the wait for the work itself; for a cold adapter that is the turns before it times the time a load takes, with a running one counted at once. The adapters that wait for a load are kept in a set of their own.

--- a/engine/action.go
+++ b/engine/action.go
@@ -41,11 +41,12 @@
 // Action is what a scheduler asks its caller to do.
 type Action struct {
 	Kind       ActionKind
-	Work       *Work  // Grant and Refuse
-	Adapter    string // Load
-	Victim     string // Load: the adapter to unload first, or empty
-	Stable     bool   // Load: the change touches a stable slot, so the intent must be written first
-	Demand     int    // AskLoad: how much work waits for the adapter that is wanted most
-	Reason     Reason // Refuse
-	RetryAfter time.Duration
+	Work       *Work         // Grant and Refuse
+	Adapter    string        // Load
+	Victim     string        // Load: the adapter to unload first, or empty
+	Stable     bool          // Load: the change touches a stable slot, so the intent must be written first
+	Demand     int           // AskLoad: how much work waits for the adapter that is wanted most
+	Reason     Reason        // Refuse
+	RetryAfter time.Duration // Refuse: when to come back
+	Wait       time.Duration // Refuse: expected wait for this work here
 }
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -72,8 +72,11 @@
 	return v
 }
 
-// minRetryAfter is the shortest time to come back that a refusal names.
-const minRetryAfter = 100 * time.Millisecond
+// The shortest and the longest time to come back that a refusal names.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+)
 
 // estimateWeight is the weight of a new sample in moving averages.
 const estimateWeight = 0.1
@@ -85,13 +88,15 @@
 	cfg      SchedulerConfig
 	epoch    time.Time // queue keys are counted from here
 	adapters map[string]*adapter
-	resident []*adapter // adapters in a slot, whatever their state
+	cold     map[*adapter]bool // adapters that work waits for and that are in no slot
+	resident []*adapter        // adapters in a slot, whatever their state
 	running  map[string]*Work
 	waiting  map[string]*Work
 	longRun  int
 	asked    int           // loads asked for from the budget
 	loads    int           // loads under way
-	loadWait time.Duration // moving average of the time from first asking to the end of a load
+	askedAt  time.Time     // when the oldest load that is asked for or under way was asked for
+	loadTime time.Duration // moving average of the time from asking for a load to its end
 	backlog  time.Duration // expected time in the batch of all waiting work
 	token    time.Duration // moving average of the time between tokens
 
@@ -112,7 +117,7 @@
 func NewScheduler(cfg SchedulerConfig) *Scheduler {
 	cfg = cfg.withDefaults()
 	return &Scheduler{
-		cfg: cfg, loadWait: cfg.LoadTime,
+		cfg: cfg, loadTime: cfg.LoadTime, cold: make(map[*adapter]bool),
 		adapters: make(map[string]*adapter),
 		running:  make(map[string]*Work),
 		waiting:  make(map[string]*Work),
@@ -142,59 +147,85 @@
 	}
 	a := s.adapter(w.Adapter)
 	a.touch(now, s.cfg.HalfLife)
-	if reason := s.refusal(now, a, &w); reason != "" {
-		return []Action{s.refuse(&w, reason)}
+	if reason, wait := s.refusal(now, a, &w); reason != "" {
+		return []Action{s.refuse(&w, reason, wait)}
 	}
 	heap.Push(&a.waiting, &w)
+	s.refile(a)
 	s.waiting[w.ID] = &w
 	s.backlog += w.service
 	return s.dispatch(now, nil)
 }
 
-func (s *Scheduler) refusal(now time.Time, a *adapter, w *Work) Reason {
-	wait := s.wait(a, w)
+// refusal returns why the work cannot be taken, or "", and the expected wait.
+func (s *Scheduler) refusal(now time.Time, a *adapter, w *Work) (Reason, time.Duration) {
+	wait := s.wait(now, a, w.Short)
 	switch {
 	case s.mode.Draining:
-		return Draining
+		return Draining, wait
 	case s.mode.Recovering:
-		return Recovering
+		return Recovering, wait
 	case a.state == held, a.state == absent && !s.loadable():
-		return NotLoaded
+		return NotLoaded, wait
 	case len(s.waiting) >= s.cfg.MaxQueue:
-		return QueueFull
-	case now.Add(wait).After(w.Deadline):
-		return TooLate
+		return QueueFull, wait
 	case w.MaxWait > 0 && wait > w.MaxWait && a.state != loaded:
-		return Cold
+		return Cold, wait
 	case w.MaxWait > 0 && wait > w.MaxWait:
-		return Overflow
+		return Overflow, wait
+	case now.Add(wait).After(w.Deadline):
+		return TooLate, wait
 	}
-	return ""
+	return "", wait
 }
 
 // Wait returns the expected time until work on the adapter would start.
-func (s *Scheduler) Wait(adapterName string, short bool) time.Duration {
+func (s *Scheduler) Wait(now time.Time, adapterName string, short bool) time.Duration {
 	a := s.adapters[adapterName]
 	if a == nil {
 		a = &adapter{}
 	}
-	return s.wait(a, &Work{Short: short})
+	return s.wait(now, a, short)
 }
 
-func (s *Scheduler) wait(a *adapter, w *Work) time.Duration {
+func (s *Scheduler) wait(now time.Time, a *adapter, short bool) time.Duration {
 	var wait time.Duration
-	if !s.placeFree(w.Short) || s.backlog > 0 {
+	if !s.placeFree(short) || s.backlog > 0 {
 		wait = s.backlog / time.Duration(s.cfg.Places)
-		if !s.placeFree(w.Short) {
+		if !s.placeFree(short) {
 			wait += s.token * 4
 		}
 	}
 	if a.state != loaded {
-		wait += s.loadWait
+		wait += s.coldWait(now, a)
 	}
 	return wait
 }
 
+// coldWait returns the expected time until an adapter that is not loaded could
+// be: the loads before it take their turn. A load that takes longer than usual
+// counts at once, not only when it ends.
+func (s *Scheduler) coldWait(now time.Time, a *adapter) time.Duration {
+	each := s.loadTime
+	if s.asked+s.loads > 0 {
+		each = max(each, now.Sub(s.askedAt))
+	}
+	turns := len(s.cold)
+	if a.state == absent && !s.cold[a] {
+		turns++
+	}
+	return each * time.Duration(max(1, turns))
+}
+
+// refile keeps the set of cold adapters up to date after a change to a.
+func (s *Scheduler) refile(a *adapter) {
+	if a.state == absent && len(a.waiting) > 0 {
+		s.cold[a] = true
+		return
+	}
+	delete(s.cold, a)
+}
+
 // Cancel withdraws waiting work. It has no effect on work that was granted.
 func (s *Scheduler) Cancel(now time.Time, id string) []Action {
 	w, ok := s.waiting[id]
@@ -206,7 +237,9 @@
 }
 
 func (s *Scheduler) withdraw(w *Work) {
-	heap.Remove(&s.adapters[w.Adapter].waiting, w.index)
+	a := s.adapters[w.Adapter]
+	heap.Remove(&a.waiting, w.index)
+	s.refile(a)
 	delete(s.waiting, w.ID)
 	s.backlog -= w.service
 }
@@ -243,6 +276,7 @@
 // failed, the work that waits for the adapter is refused.
 func (s *Scheduler) Loaded(now time.Time, r LoadResult) []Action {
 	s.loads--
+	s.observeLoad(now)
 	if v := s.adapters[r.Victim]; v != nil && v.state == leaving {
 		if r.VictimKept {
 			v.state = loaded
@@ -252,7 +286,6 @@
 	}
 	a := s.adapter(r.Adapter)
 	if r.OK {
-		s.observeLoad(now, a)
 		if a.state == absent {
 			s.occupy(a) // the engine was taken for restarted meanwhile
 		}
@@ -264,23 +297,15 @@
 	for len(a.waiting) > 0 {
 		w := a.waiting[0]
 		s.withdraw(w)
-		acts = append(acts, s.refuse(w, LoadFailed))
+		acts = append(acts, s.refuse(w, LoadFailed, s.loadTime))
 	}
 	return s.dispatch(now, acts)
 }
 
-// observeLoad folds the longest wait for this load into the estimate.
-func (s *Scheduler) observeLoad(now time.Time, a *adapter) {
-	if len(a.waiting) == 0 {
-		return
-	}
-	first := now
-	for _, w := range a.waiting {
-		if w.arrived.Before(first) {
-			first = w.arrived
-		}
-	}
-	s.loadWait += time.Duration(2 * estimateWeight * float64(now.Sub(first)-s.loadWait))
+// observeLoad folds the time of a load that has ended into the estimate.
+func (s *Scheduler) observeLoad(now time.Time) {
+	s.loadTime += time.Duration(2 * estimateWeight * float64(now.Sub(s.askedAt)-s.loadTime))
+	s.askedAt = now // the next one, if there is one, counts from here
 }
 
 // Sync corrects the slots after a report that is newer than every order: an
@@ -297,6 +322,7 @@
 		if a := s.adapter(name); a.state == absent {
 			s.occupy(a)
 			a.state, a.swap, a.used, a.loadedAt = loaded, s.cfg.IntentsNeeded, now, now
+			s.refile(a)
 		}
 	}
 	for i := len(s.resident) - 1; i >= 0; i-- {
@@ -308,11 +334,11 @@
 }
 
 // RefuseAll refuses all waiting work.
-func (s *Scheduler) RefuseAll(reason Reason) []Action {
+func (s *Scheduler) RefuseAll(now time.Time, reason Reason) []Action {
 	var acts []Action
 	for _, w := range s.waiting {
 		s.withdraw(w)
-		acts = append(acts, s.refuse(w, reason))
+		acts = append(acts, s.refuse(w, reason, s.wait(now, s.adapters[w.Adapter], w.Short)))
 	}
 	return acts
 }
@@ -334,7 +360,7 @@
 	for _, w := range s.waiting {
 		if reason := s.overdue(now, w); reason != "" {
 			s.withdraw(w)
-			acts = append(acts, s.refuse(w, reason))
+			acts = append(acts, s.refuse(w, reason, s.wait(now, s.adapters[w.Adapter], w.Short)))
 		}
 	}
 	for name, a := range s.adapters {
@@ -373,6 +399,7 @@
 		if r.Held {
 			a.state = held
 		}
+		s.refile(a)
 	}
 	for i := range streams {
 		s.pin(now, &streams[i])
@@ -417,8 +444,8 @@
 
 // Load returns the numbers of running and waiting requests and the expected
 // wait of short work on a loaded adapter.
-func (s *Scheduler) Load() (running, waiting int, wait time.Duration) {
-	return len(s.running), len(s.waiting), s.wait(&adapter{state: loaded}, &Work{Short: true})
+func (s *Scheduler) Load(now time.Time) (running, waiting int, wait time.Duration) {
+	return len(s.running), len(s.waiting), s.wait(now, &adapter{state: loaded}, true)
 }
 
 // DistinctRunning returns how many adapters share the batch.
@@ -439,9 +466,8 @@
 	return time.Duration(w.Tokens)*s.token + time.Duration(w.Prompt)*s.token/64
 }
 
-func (s *Scheduler) refuse(w *Work, reason Reason) Action {
-	_, _, wait := s.Load()
-	return Action{Kind: Refuse, Work: w, Reason: reason, RetryAfter: max(wait, minRetryAfter)}
+func (s *Scheduler) refuse(w *Work, reason Reason, wait time.Duration) Action {
+	return Action{Kind: Refuse, Work: w, Reason: reason, Wait: wait, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
 }
 
 func (s *Scheduler) pin(now time.Time, w *Work) {
--- a/engine/slots.go
+++ b/engine/slots.go
@@ -59,11 +59,12 @@
 		return
 	}
 	a.state, a.swap = absent, false
+	defer s.refile(a)
 	for i, r := range s.resident {
 		if r == a {
 			s.resident[i] = s.resident[len(s.resident)-1]
 			s.resident = s.resident[:len(s.resident)-1]
-			return
+			break
 		}
 	}
 }
@@ -93,6 +94,9 @@
 	if want == nil {
 		return Action{}, false
 	}
+	if s.asked+s.loads == 0 {
+		s.askedAt = now
+	}
 	s.asked++
 	return Action{Kind: AskLoad, Demand: len(want.waiting)}, true
 }
@@ -130,6 +134,7 @@
 	}
 	act.Stable = s.cfg.IntentsNeeded && !swap
 	want.state, want.swap = loading, swap
+	s.refile(want)
 	s.occupy(want)
 	s.loads++
 	return act, true
@@ -138,10 +143,7 @@
 func (s *Scheduler) mostWanted(now time.Time) *adapter {
 	var best *adapter
 	var bestScore float64
-	for _, a := range s.adapters {
-		if a.state != absent || len(a.waiting) == 0 {
-			continue
-		}
+	for a := range s.cold {
 		score := now.Sub(a.waiting[0].arrived).Seconds() + 0.1*float64(len(a.waiting))
 		if best == nil || score > bestScore || score == bestScore && a.name < best.name {
 			best, bestScore = a, score
--- a/experiment/sim.go
+++ b/experiment/sim.go
@@ -343,10 +343,11 @@
 // refused moves an attempt to its next candidate, or ends it.
 func (s *sim) refused(a *attempt, act engine.Action) {
 	delete(a.eng.waiting, a.id)
-	a.f.router.ObserveWait(s.clock(), a.eng.name, act.RetryAfter)
+	a.f.stalled = false
+	a.f.router.ObserveWait(s.clock(), a.eng.name, act.Wait)
 	a.cold = a.cold || act.Reason == engine.Cold
-	if (act.Reason == engine.Overflow || act.Reason == engine.Cold) && (a.least == "" || act.RetryAfter < a.wait) {
-		a.least, a.wait = a.eng.name, act.RetryAfter
+	if (act.Reason == engine.Overflow || act.Reason == engine.Cold) && (a.least == "" || act.Wait < a.wait) {
+		a.least, a.wait = a.eng.name, act.Wait
 	}
 	spare := a.f.current != nil && a.f.current != a
 	switch {
@@ -368,7 +369,13 @@
 		return
 	}
 	if s.counts(a.f) {
-		s.reasons[fmt.Sprint(act.Reason, a.f.r.Short)]++
+		rank := 0
+		for i, n := range s.w.Popular {
+			if n == a.f.r.Adapter {
+				rank = i
+			}
+		}
+		s.reasons[fmt.Sprintf("rank<%d holds=%v final=%v t=%d", []int{1, 3, 10, 32, 100, 320, 1000, 3000}[bucket(rank)], a.eng.holds(a.f.r.Adapter), a.final, int(s.now.Seconds())/10*10)]++
 	}
 	s.giveUp(a.f)
 }
@@ -693,3 +700,12 @@
 	}
 	return most
 }
+
+func bucket(r int) int {
+	for i, b := range []int{1, 3, 10, 32, 100, 320, 1000, 3000} {
+		if r < b {
+			return i
+		}
+	}
+	return 0
+}
--- a/node/admission.go
+++ b/node/admission.go
@@ -117,7 +117,7 @@
 	n.metrics.refused(act.Reason)
 	return &peerpb.AdmitResponse{
 		Verdict: peerpb.AdmitResponse_VERDICT_REFUSED, Reason: string(act.Reason),
-		RetryAfterMs: act.RetryAfter.Milliseconds(), WaitMs: act.RetryAfter.Milliseconds(),
+		RetryAfterMs: act.RetryAfter.Milliseconds(), WaitMs: act.Wait.Milliseconds(),
 	}
 }
 
--- a/node/operators.go
+++ b/node/operators.go
@@ -62,7 +62,7 @@
 func (o *ownedEngine) status(st *operatorpb.EngineStatus) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	running, waiting, _ := o.sched.Load()
+	running, waiting, _ := o.sched.Load(time.Now())
 	st.Owner, st.Token = o.n.cfg.Name, o.token
 	st.Running, st.Waiting, st.Resident = int32(running), int32(waiting), int32(len(o.sched.Resident()))
 	m := o.sched.Mode()
@@ -102,7 +102,7 @@
 	})
 	n.metrics.gauge("queue-length", "requests waiting at the engines that this node owns", func() float64 {
 		return n.sumOwned(func(o *ownedEngine) int {
-			_, waiting, _ := o.sched.Load()
+			_, waiting, _ := o.sched.Load(time.Now())
 			return waiting
 		})
 	})
--- a/node/owned.go
+++ b/node/owned.go
@@ -120,10 +120,10 @@
 	}
 }
 
-func (o *ownedEngine) refuseAll(reason engine.Reason) {
+func (o *ownedEngine) refuseAll(now time.Time, reason engine.Reason) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.apply(o.sched.RefuseAll(reason))
+	o.apply(o.sched.RefuseAll(now, reason))
 }
 
 // mode derives the scheduler's mode from what is known. The lock is held.
@@ -228,7 +228,7 @@
 		return false
 	}
 	o.handing = true
-	o.apply(o.sched.RefuseAll(engine.Moved))
+	o.apply(o.sched.RefuseAll(time.Now(), engine.Moved))
 	return true
 }
 
@@ -278,7 +278,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.stopped = true
-	o.apply(o.sched.RefuseAll(engine.Moved))
+	o.apply(o.sched.RefuseAll(time.Now(), engine.Moved))
 }
 
 // quiet reports whether no order can leave or be on the way.
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -210,7 +210,7 @@
 	valid := n.session.valid(now)
 	for _, o := range n.ownedEngines() {
 		if !valid {
-			o.refuseAll(engine.Moved)
+			o.refuseAll(now, engine.Moved)
 			continue
 		}
 		o.tick(ctx, now)
