Count second attempts in tokens; refuse what cannot end in time

Cause: moves away from slowed engines were held to 3% of requests, though one costs a dozen tokens; under three times the capacity work was started that could not end by its deadline.

Change: the allowance for second attempts is 3% of tokens. A scheduler refuses work whose expected end lies after the deadline; a stream that runs is never cut for it.

--- a/caller/flow.go
+++ b/caller/flow.go
@@ -43,6 +43,7 @@
 
 func (fl *flow) run(ctx context.Context) error {
 	fl.lastToken = fl.start
+	fl.front.admit(fl.c.tokens)
 	fl.now = fl.next(ctx, plan{})
 	defer fl.stop()
 	check := time.NewTimer(fl.checkPeriod())
@@ -169,10 +170,18 @@
 	}
 }
 
+// admit counts a request towards the budgets for retries and hedges.
+func (f *Front) admit(tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retries.Earn(1)
+	f.Router.Admit(tokens)
+}
+
 func (f *Front) spendRetry() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.retries.Spend()
+	return f.retries.Spend(1)
 }
 
 // deliver passes a chunk on unless the caller has its tokens already.
--- a/caller/front.go
+++ b/caller/front.go
@@ -93,9 +93,7 @@
 func (f *Front) init() {
 	f.once.Do(func() {
 		f.retries = engine.Allowance{Share: retryShare, Burst: retryBurst}
-		for range retryBurst * 10 {
-			f.retries.Earn()
-		}
+		f.retries.Earn(retryBurst / retryShare)
 		if f.Router == nil {
 			f.Router = engine.NewRouter(engine.RouterConfig{})
 		}
--- a/engine/allowance.go
+++ b/engine/allowance.go
@@ -1,22 +1,23 @@
 package engine
 
 // Allowance bounds extra work, such as retries and hedges, to a share of the
-// ordinary work. The zero value allows nothing.
+// ordinary work. The unit is the user's: requests or tokens. The zero value
+// allows nothing.
 type Allowance struct {
-	Share float64 // extra requests for each ordinary one
-	Burst float64 // extra requests that may be saved up
+	Share float64 // extra work for each unit of ordinary work
+	Burst float64 // extra work that may be saved up
 
 	saved float64
 }
 
-// Earn counts one ordinary request.
-func (a *Allowance) Earn() { a.saved = min(a.Burst, a.saved+a.Share) }
+// Earn counts ordinary work.
+func (a *Allowance) Earn(work float64) { a.saved = min(a.Burst, a.saved+a.Share*work) }
 
-// Spend takes one extra request, or reports that none is left.
-func (a *Allowance) Spend() bool {
-	if a.saved < 1 {
+// Spend takes extra work, or reports that too little is left.
+func (a *Allowance) Spend(work float64) bool {
+	if a.saved < work {
 		return false
 	}
-	a.saved--
+	a.saved -= work
 	return true
 }
--- a/engine/router.go
+++ b/engine/router.go
@@ -19,8 +19,8 @@
 	// ProbeEvery is how often a slow engine gets a request all the same;
 	// default 1 s.
 	ProbeEvery time.Duration
-	// HedgeShare is the largest share of requests that are sent twice, and of
-	// streams that are moved; default 0.03.
+	// HedgeShare is the largest share of tokens that may be spent on second
+	// attempts, whether hedges or moves; default 0.03.
 	HedgeShare float64
 	// Memory is how long an observation counts; default 3 s.
 	Memory time.Duration
@@ -42,8 +42,13 @@
 	minCompared = 3 // fewer engines are not compared
 )
 
-// hedgeBurst is how many hedges may be saved up.
-const hedgeBurst = 20
+const (
+	// hedgeTokens is what a second attempt is taken to cost: its prompt, and the
+	// tokens until one of the two is cancelled.
+	hedgeTokens = 12
+	// hedgeBurst is how many tokens may be saved up for second attempts.
+	hedgeBurst = 50 * hedgeTokens
+)
 
 // Router decides at an entry node which engines to ask for an adapter. It
 // judges engines by the times that this node measured itself, since load
@@ -96,10 +101,12 @@
 	return r.cfg.LongWait
 }
 
-// Candidates returns the engines to ask for an adapter, best first. It counts
-// the request towards the hedge budget.
+// Admit counts a request with the given expected tokens towards the budget for
+// second attempts.
+func (r *Router) Admit(tokens int) { r.hedges.Earn(float64(tokens)) }
+
+// Candidates returns the engines to ask for an adapter, best first.
 func (r *Router) Candidates(now time.Time, adapter string, engines []string, short bool) []string {
-	r.hedges.Earn()
 	live := make([]string, 0, len(engines))
 	for _, e := range engines {
 		if v := r.engines[e]; v == nil || !v.drained {
@@ -226,8 +233,9 @@
 // Median returns the median time between tokens over the engines.
 func (r *Router) Median() time.Duration { return r.median }
 
-// SpendHedge takes one hedge from the budget, or reports that none is left.
-func (r *Router) SpendHedge() bool { return r.hedges.Spend() }
+// SpendHedge takes a second attempt from the budget, or reports that too little
+// is left.
+func (r *Router) SpendHedge() bool { return r.hedges.Spend(hedgeTokens) }
 
 // ShouldMove reports whether a stream with remaining tokens to come should go
 // on at another engine: the engine is slow, and the rest of the answer would
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -78,6 +78,9 @@
 	maxRetryAfter = 10 * time.Second
 )
 
+// sampleKept is how long the last time between tokens is believed.
+const sampleKept = 500 * time.Millisecond
+
 // estimateWeight is the weight of a new sample in moving averages.
 const estimateWeight = 0.1
 
@@ -99,6 +102,7 @@
 	loadTime time.Duration // moving average of the time from asking for a load to its end
 	backlog  time.Duration // expected time in the batch of all waiting work
 	token    time.Duration // moving average of the time between tokens
+	sampled  time.Time     // when a time between tokens was last measured
 
 	mode Mode
 }
@@ -173,7 +177,7 @@
 		return Cold, wait
 	case w.MaxWait > 0 && wait > w.MaxWait:
 		return Overflow, wait
-	case now.Add(wait).After(w.Deadline):
+	case now.Add(wait + w.service).After(w.Deadline):
 		return TooLate, wait
 	}
 	return "", wait
@@ -264,8 +268,18 @@
 	return s.dispatch(now, nil)
 }
 
+// forgetSlowness lets the estimate of the time between tokens fall back while
+// no new sample comes. Otherwise an engine that was slow for a moment would be
+// refused all work for being slow, and never get the work that shows it is not.
+func (s *Scheduler) forgetSlowness(now time.Time) {
+	if now.Sub(s.sampled) > sampleKept && s.token > s.cfg.TokenTime {
+		s.token -= (s.token - s.cfg.TokenTime) / 8
+	}
+}
+
 // ObserveTokenTime folds a measured time between tokens into the estimate.
-func (s *Scheduler) ObserveTokenTime(d time.Duration) {
+func (s *Scheduler) ObserveTokenTime(now time.Time, d time.Duration) {
+	s.sampled = now
 	if s.token == 0 {
 		s.token = d
 	}
@@ -357,6 +371,7 @@
 // mode rules out, and forgets adapters that are neither resident nor popular.
 func (s *Scheduler) Tick(now time.Time) []Action {
 	var acts []Action
+	s.forgetSlowness(now)
 	for _, w := range s.waiting {
 		if reason := s.overdue(now, w); reason != "" {
 			s.withdraw(w)
@@ -380,7 +395,7 @@
 		return Recovering
 	case a.state == absent && !s.loadable():
 		return NotLoaded
-	case !now.Before(w.Deadline):
+	case now.Add(w.service).After(w.Deadline):
 		return TooLate
 	}
 	return ""
--- a/experiment/sim.go
+++ b/experiment/sim.go
@@ -234,6 +234,7 @@
 		s.res.Offered++
 		s.class(f).count++
 	}
+	f.router.Admit(r.Expected)
 	f.current = s.try(f, "", false)
 	s.watch(f)
 }
@@ -551,7 +552,7 @@
 	delete(a.eng.streams, a.id)
 	a.eng.batch.Remove(a.id)
 	if n := a.job.Done - a.start; n > 1 {
-		a.eng.sched.ObserveTokenTime(a.eng.batch.StepTime())
+		a.eng.sched.ObserveTokenTime(s.clock(), a.eng.batch.StepTime())
 	}
 	a.eng.apply(a.eng.sched.Release(s.clock(), a.id, false))
 }
--- a/node/owned.go
+++ b/node/owned.go
@@ -101,7 +101,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if tokenTime > 0 {
-		o.sched.ObserveTokenTime(tokenTime)
+		o.sched.ObserveTokenTime(time.Now(), tokenTime)
 	}
 	o.apply(o.sched.Release(time.Now(), id, missing))
 }
