Move a stream only on its own evidence, and let a move wait for a load

Streams on engines that were only remembered as slow were moved; for adapters held by one engine no other would take the stream.

Ruled out: a larger budget for moves (the count was already at it).

Change: a move needs a gap of the stream's own, may wait in the new engine's queue for half of what it saves, is tried every 300 ms and paid back when no engine takes it.

--- a/caller/acquire.go
+++ b/caller/acquire.go
@@ -63,6 +63,9 @@
 		Adapter: c.model.Name, Entry: f.Node, Short: c.short,
 		Tokens: c.tokens - p.resume, Prompt: c.prompt, Deadline: c.deadline, MaxWait: f.Router.MaxWait(c.short),
 	}
+	if p.maxWait > 0 {
+		w.MaxWait = p.maxWait
+	}
 	var best *Refusal
 	bestName, cold := "", false
 	for i, name := range names {
--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -36,9 +36,10 @@
 
 // plan says how an attempt goes about its work.
 type plan struct {
-	resume  int    // tokens that the caller has already
-	exclude string // an engine not to ask
-	spare   bool   // a second attempt beside another: never waits in a queue
+	resume  int           // tokens that the caller has already
+	exclude string        // an engine not to ask
+	spare   bool          // a second attempt beside another
+	maxWait time.Duration // spare: the longest queue wait that is worth it; zero means the usual
 }
 
 func (f *Front) launch(ctx context.Context, c completion, id string, p plan) *attempt {
--- a/caller/flow.go
+++ b/caller/flow.go
@@ -20,6 +20,7 @@
 	stallTimeout   = 10 * time.Second // without a token, an attempt is given up
 	startSlack     = time.Second      // after the deadline, for the owner's own refusal
 	minCheckPeriod = 20 * time.Millisecond
+	sparePause     = 300 * time.Millisecond // between second attempts of one request
 )
 
 // flow carries one completion from its first attempt to its answer. It runs
@@ -35,10 +36,12 @@
 	spare      *attempt
 	tokens     int // tokens delivered
 	lastToken  time.Time
+	gap        time.Duration // moving average of the time between tokens
 	firstToken time.Duration
 	attempts   int
 	hedged     bool
-	sent       bool // some attempt may have reached an engine
+	nextSpare  time.Time // no second attempt before
+	sent       bool      // some attempt may have reached an engine
 }
 
 func (fl *flow) run(ctx context.Context) error {
@@ -128,7 +131,7 @@
 
 func (fl *flow) promote() {
 	fl.now.stop()
-	fl.now, fl.spare = fl.spare, nil
+	fl.now, fl.spare, fl.gap = fl.spare, nil, 0
 }
 
 // mayRetry returns nil when another attempt is allowed, and otherwise the
@@ -178,6 +181,12 @@
 	f.Router.Admit(tokens)
 }
 
+func (f *Front) refundHedge() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Router.RefundHedge()
+}
+
 func (f *Front) spendRetry() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -193,6 +202,9 @@
 	if fl.tokens == 0 {
 		fl.firstToken = now.Sub(fl.start)
 	}
+	if fl.tokens > 0 {
+		fl.gap = (fl.gap + now.Sub(fl.lastToken)) / 2
+	}
 	fl.tokens, fl.lastToken = max(fl.tokens, ev.tokens), now
 	if err := fl.out.chunk(ev.chunk); err != nil {
 		return &Error{Op: "complete", Kind: Incomplete, Outcome: Unknown, Reason: "the caller went away", Err: err}
@@ -206,6 +218,9 @@
 		fl.sent = fl.sent || ev.sent
 		fl.spare.stop()
 		fl.spare = nil
+		if !ev.sent {
+			fl.front.refundHedge()
+		}
 		return nil
 	}
 	if ev.tokens <= fl.tokens {
@@ -238,27 +253,35 @@
 		_, err := fl.handle(ctx, event{err: silent, sent: true})
 		return err
 	}
-	if fl.spare != nil || !fl.c.hedge || !fl.worthSpare(now) {
+	if fl.spare != nil || !fl.c.hedge || now.Before(fl.nextSpare) {
+		return nil
+	}
+	maxWait, ok := fl.worthSpare(now)
+	if !ok {
 		return nil
 	}
 	fl.hedged = true
-	fl.spare = fl.next(ctx, plan{resume: fl.tokens, exclude: fl.now.engineName(), spare: true})
+	fl.nextSpare = now.Add(sparePause)
+	fl.spare = fl.next(ctx, plan{resume: fl.tokens, exclude: fl.now.engineName(), spare: true, maxWait: maxWait})
 	return nil
 }
 
-func (fl *flow) worthSpare(now time.Time) bool {
+// worthSpare decides on a second attempt and pays for it.
+func (fl *flow) worthSpare(now time.Time) (maxWait time.Duration, ok bool) {
 	f := fl.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	name := fl.now.engineName()
 	if name == "" {
-		return false // still waiting for a grant
+		return 0, false // still waiting for a grant
 	}
 	if fl.tokens == 0 {
-		return f.Router.SpendHedge()
+		return 0, f.Router.SpendHedge()
 	}
-	if gap := now.Sub(fl.lastToken); f.Router.Median() > 0 && gap > stallSteps*f.Router.Median() {
+	gap := now.Sub(fl.lastToken)
+	if f.Router.Median() > 0 && gap > stallSteps*f.Router.Median() {
 		f.Router.ObserveToken(now, name, gap)
 	}
-	return f.Router.ShouldMove(name, fl.c.tokens-fl.tokens, restartSteps*f.Router.Median()) && f.Router.SpendHedge()
+	saved := f.Router.ShouldMove(name, max(gap, fl.gap), fl.c.tokens-fl.tokens, restartSteps*f.Router.Median())
+	return saved / 2, saved > 0 && f.Router.SpendHedge()
 }
--- a/engine/router.go
+++ b/engine/router.go
@@ -237,15 +237,21 @@
 // is left.
 func (r *Router) SpendHedge() bool { return r.hedges.Spend(hedgeTokens) }
 
-// ShouldMove reports whether a stream with remaining tokens to come should go
-// on at another engine: the engine is slow, and the rest of the answer would
-// take longer there than a restart elsewhere costs.
-func (r *Router) ShouldMove(name string, remaining int, restart time.Duration) bool {
+// ShouldMove looks at whether a stream with remaining tokens to come should go
+// on at another engine. It should when the engine is slow, the stream itself
+// was last served with a gap that shows it, and the rest of the answer would
+// take longer there than a restart elsewhere costs. The stream's own gap
+// matters, since what is known of an engine that gets no work is old.
+//
+// The result is the time that a move would save, of which the new engine's
+// queue may take a part; zero or less means stay.
+func (r *Router) ShouldMove(name string, gap time.Duration, remaining int, restart time.Duration) time.Duration {
 	v := r.engines[name]
-	if v == nil || !v.slow || r.median == 0 {
-		return false
+	if v == nil || !v.slow || r.median == 0 || float64(gap) < r.cfg.SlowFactor*float64(r.median) {
+		return 0
 	}
-	stay := v.token * time.Duration(remaining)
-	move := r.median*time.Duration(remaining) + restart
-	return stay > move
+	return (gap-r.median)*time.Duration(remaining) - restart
 }
+
+// RefundHedge gives a second attempt back that found no engine.
+func (r *Router) RefundHedge() { r.hedges.Earn(hedgeTokens / r.cfg.HedgeShare) }
--- a/experiment/sim.go
+++ b/experiment/sim.go
@@ -19,6 +19,7 @@
 	hedgeSteps  = 8
 	stallSteps  = 5
 	restartCost = 12 // in median times between tokens
+	sparePause  = 300 * time.Millisecond
 )
 
 // event is something that happens at a time.
@@ -96,6 +97,8 @@
 	tokens   int // tokens that the caller has
 	first    time.Duration
 	lastAt   time.Duration
+	gap      time.Duration // moving average of the time between tokens
+	next     time.Duration // no second attempt before
 	current  *attempt
 	spare    *attempt
 	done     bool
@@ -118,6 +121,7 @@
 	wait    time.Duration
 	final   bool
 	cold    bool // some choice does not hold the adapter
+	maxWait time.Duration
 }
 
 // Run plays a workload under a policy.
@@ -235,7 +239,7 @@
 		s.class(f).count++
 	}
 	f.router.Admit(r.Expected)
-	f.current = s.try(f, "", false)
+	f.current = s.try(f, "", false, 0)
 	s.watch(f)
 }
 
@@ -249,9 +253,9 @@
 }
 
 // try starts an attempt: it asks the candidates in turn.
-func (s *sim) try(f *flow, exclude string, spare bool) *attempt {
+func (s *sim) try(f *flow, exclude string, spare bool, maxWait time.Duration) *attempt {
 	f.attempts++
-	a := &attempt{f: f, id: f.id + "." + strconv.Itoa(f.attempts), start: f.tokens}
+	a := &attempt{f: f, id: f.id + "." + strconv.Itoa(f.attempts), start: f.tokens, maxWait: maxWait}
 	a.others = s.candidates(f, exclude)
 	if len(a.others) == 0 {
 		a.ended = true
@@ -333,6 +337,9 @@
 	} else if !s.p.LeastLoaded && !s.p.Oracle && !a.final {
 		w.MaxWait = a.f.router.MaxWait(a.f.r.Short)
 	}
+	if a.maxWait > 0 {
+		w.MaxWait = a.maxWait
+	}
 	e.waiting[a.id] = a
 	if !e.holds(a.f.r.Adapter) && !a.f.stalled {
 		a.f.stalled = true
@@ -367,6 +374,12 @@
 	a.ended = true
 	if spare {
 		a.f.spare = nil
+		a.f.router.RefundHedge()
+		if a.maxWait > 0 {
+			s.res.Moves--
+		} else {
+			s.res.Hedges--
+		}
 		return
 	}
 	if s.counts(a.f) {
@@ -529,7 +542,7 @@
 	}
 	if a == f.spare && j.Done > f.tokens {
 		s.cancel(f.current)
-		f.current, f.spare = a, nil
+		f.current, f.spare, f.gap = a, nil, 0
 	}
 	if a != f.current || f.done || j.Done <= f.tokens {
 		s.wasted++
@@ -538,6 +551,9 @@
 	if f.tokens == 0 {
 		f.first = s.now - f.r.At
 	}
+	if f.tokens > 0 {
+		f.gap = (f.gap + s.now - f.lastAt) / 2
+	}
 	f.tokens, f.lastAt = j.Done, s.now
 	if f.tokens >= f.r.Tokens {
 		s.served(f)
@@ -610,29 +626,32 @@
 }
 
 func (s *sim) look(f *flow) {
-	if f.spare != nil || f.current == nil || !f.current.granted || f.current.ended {
+	if f.spare != nil || s.now < f.next || f.current == nil || !f.current.granted || f.current.ended {
 		return
 	}
 	name := f.current.eng.name
 	if f.tokens == 0 {
 		if s.p.Hedge && s.now-f.current.lastAt > hedgeSteps*f.router.Median() && f.router.SpendHedge() {
 			s.res.Hedges++
-			f.spare = s.tryspare(f, name)
+			f.spare = s.tryspare(f, name, 0)
 		}
 		return
 	}
-	if gap := s.now - f.lastAt; f.router.Median() > 0 && gap > stallSteps*f.router.Median() {
+	gap := s.now - f.lastAt
+	if f.router.Median() > 0 && gap > stallSteps*f.router.Median() {
 		f.router.ObserveToken(s.clock(), name, gap)
 	}
 	remaining := max(1, f.r.Expected-f.tokens)
-	if s.p.Move && f.router.ShouldMove(name, remaining, restartCost*f.router.Median()) && f.router.SpendHedge() {
+	saved := f.router.ShouldMove(name, max(gap, f.gap), remaining, restartCost*f.router.Median())
+	if s.p.Move && saved > 0 && f.router.SpendHedge() {
 		s.res.Moves++
-		f.spare = s.tryspare(f, name)
+		f.spare = s.tryspare(f, name, saved/2)
 	}
 }
 
-func (s *sim) tryspare(f *flow, exclude string) *attempt {
-	a := s.try(f, exclude, true)
+func (s *sim) tryspare(f *flow, exclude string, maxWait time.Duration) *attempt {
+	f.next = s.now + sparePause
+	a := s.try(f, exclude, true, maxWait)
 	if a.ended {
 		return nil
 	}
@@ -655,7 +674,7 @@
 	for _, a := range streams {
 		a.ended = true
 		if f := a.f; !f.done && a == f.current {
-			f.current = e.s.try(f, "", false)
+			f.current = e.s.try(f, "", false, 0)
 		} else if a == f.spare {
 			f.spare = nil
 		}
