--- /dev/null
+++ b/caller/request_test.go
@@ -0,0 +1,173 @@
+package caller
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/peer"
+	"github.com/vanilladrift/vanilladrift/settings"
+)
+
+func testTree() *settings.Tree {
+	return settings.FromSnapshot(1, []settings.Document{
+		{Kind: settings.Adapter, Name: "tides", Fields: map[string]string{"base-model": "base", "versions": "v1,v2", "current": "v2"}},
+		{Kind: settings.Branch, Name: "/till", Fields: map[string]string{"adapter": "tides", "max-tokens": "100", "max-body-bytes": "2000", "concurrency": "2"}},
+		{Kind: settings.Caller, Name: "till", Fields: map[string]string{"branch": "/till", "key-hash": HashKey("secret")}},
+	})
+}
+
+// newTestFront returns a front whose engines would run anything; started tells
+// how many grants were asked for.
+func newTestFront() (f *Front, started *int) {
+	started = new(int)
+	return &Front{
+		Tree: testTree, Ready: func() *Error { return nil }, Registry: &peer.Registry{}, NewID: func() string { return "id1" },
+		Engines: func(string) []string { *started++; return nil },
+	}, started
+}
+
+func send(f *Front, method, path, key, body string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, req)
+	return w
+}
+
+// Bad input is refused with a typed error, and nothing is started.
+func TestBadInput(t *testing.T) {
+	const completions = "/v1/completions"
+	for _, tt := range []struct {
+		name, method, path, key, body string
+		status                        int
+		kind                          ErrorKind
+	}{
+		{"no key", "POST", completions, "", `{"prompt":"x"}`, 401, BadKey},
+		{"wrong key", "POST", completions, "guess", `{"prompt":"x"}`, 401, BadKey},
+		{"unknown path", "POST", "/v2/x", "secret", ``, 404, NoSuchPath},
+		{"peer endpoint", "POST", "/vanilladrift.peer.v1.Peer/Bar", "secret", `{}`, 404, NoSuchPath},
+		{"operator endpoint", "POST", "/vanilladrift.operator.v1.Operator/Edit", "secret", `{}`, 404, NoSuchPath},
+		{"GET", "GET", completions, "secret", ``, 400, BadRequest},
+		{"empty body", "POST", completions, "secret", ``, 400, BadRequest},
+		{"truncated", "POST", completions, "secret", `{"prompt":"x`, 400, BadRequest},
+		{"a list", "POST", completions, "secret", `[1]`, 400, BadRequest},
+		{"bytes after the object", "POST", completions, "secret", `{"prompt":"x"} {}`, 400, BadRequest},
+		{"invalid UTF-8", "POST", completions, "secret", "{\"prompt\":\"\xff\"}", 400, BadRequest},
+		{"duplicated key", "POST", completions, "secret", `{"prompt":"x","model":"tides","model":"other"}`, 400, BadRequest},
+		{"wrong type", "POST", completions, "secret", `{"prompt":"x","max_tokens":"ten"}`, 400, BadRequest},
+		{"negative size", "POST", completions, "secret", `{"prompt":"x","max_tokens":-4}`, 400, BadRequest},
+		{"fractional size", "POST", completions, "secret", `{"prompt":"x","max_tokens":1.5}`, 400, BadRequest},
+		{"no prompt", "POST", completions, "secret", `{}`, 400, BadRequest},
+		{"null prompt", "POST", completions, "secret", `{"prompt":null}`, 400, BadRequest},
+		{"several prompts", "POST", completions, "secret", `{"prompt":["a","b"]}`, 400, BadRequest},
+		{"messages are text", "POST", "/v1/chat/completions", "secret", `{"messages":"hi"}`, 400, BadRequest},
+		{"several answers", "POST", completions, "secret", `{"prompt":"x","n":3}`, 400, BadRequest},
+		{"unknown adapter", "POST", completions, "secret", `{"prompt":"x","model":"ghost"}`, 404, NoSuchModel},
+		{"unknown version", "POST", completions, "secret", `{"prompt":"x","model":"tides@v9"}`, 404, NoSuchModel},
+		{"too long", "POST", completions, "secret", `{"prompt":"` + strings.Repeat("x", 3000) + `"}`, 413, TooLarge},
+		{"unknown service", "POST", "/v1/services/ghost/pay", "secret", `x`, 404, NoService},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f, started := newTestFront()
+			w := send(f, tt.method, tt.path, tt.key, tt.body)
+			is.Equal(w.Code, tt.status)
+			is.True(strings.Contains(w.Body.String(), `"type":"`+string(tt.kind)+`"`))
+			is.Equal(w.Header().Get(HeaderOutcome), string(NotRun))
+			is.Equal(w.Header().Get(engine.HeaderRequestID), "id1")
+			is.Equal(*started, 0)
+		})
+	}
+}
+
+// A body that the network cut short is refused, not passed on.
+func TestCutBody(t *testing.T) {
+	is := is.New(t)
+	f, started := newTestFront()
+	req := httptest.NewRequest(http.MethodPost, "/v1/completions", &cutReader{strings.NewReader(`{"prompt":"x"}`)})
+	req.Header.Set("Authorization", "Bearer secret")
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, req)
+	is.Equal(w.Code, 400)
+	is.Equal(*started, 0)
+}
+
+type cutReader struct{ *strings.Reader }
+
+// Read implements io.Reader.
+func (c *cutReader) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	if err != nil {
+		return n, errors.New("connection reset")
+	}
+	return n, nil
+}
+
+func TestRefusalNamesWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	f, _ := newTestFront() // no engine at all
+	start := time.Now()
+	w := send(f, "POST", "/v1/completions", "secret", `{"prompt":"x"}`)
+	is.Equal(w.Code, 503)
+	is.Equal(w.Header().Get("Retry-After"), "1")
+	is.True(time.Since(start) < 5*time.Second) // at once, not at the deadline of 30 s
+}
+
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	var l Limiter
+	tree := testTree()
+	e, _ := tree.Branch("/till")
+	now := time.Now()
+	leave, err := l.Enter(now, e)
+	is.NoErr(err)
+	_, err = l.Enter(now, e)
+	is.NoErr(err)
+	_, err = l.Enter(now, e)
+	var ce *Error
+	is.True(errors.As(err, &ce) && ce.Kind == Concurrency && ce.RetryAfter > 0)
+	leave()
+	_, err = l.Enter(now, e)
+	is.NoErr(err)
+
+	limited := *e
+	limited.Rate, limited.RateScope, limited.Concurrency = 2, "/slow", 100
+	for range 2 {
+		_, err = l.Enter(now, &limited)
+		is.NoErr(err)
+	}
+	_, err = l.Enter(now, &limited)
+	is.True(errors.As(err, &ce) && ce.Kind == RateLimit && ce.RetryAfter <= time.Second)
+	_, err = l.Enter(now.Add(time.Second), &limited)
+	is.NoErr(err)
+}
+
+func FuzzParseCompletion(f *testing.F) {
+	f.Add([]byte(`{"prompt":"x","max_tokens":5,"stream":true}`))
+	f.Add([]byte(`{"prompt":"x","prompt":"y"}`))
+	f.Add([]byte(`{"model":"tides@v1","messages":[{"role":"user","content":"hi"}]}`))
+	tree := testTree()
+	e, _ := tree.Branch("/till")
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c, err := parseCompletion(body, engine.PathCompletions, tree, e)
+		if err != nil {
+			var ce *Error
+			if !errors.As(err, &ce) || ce.Outcome != NotRun {
+				t.Errorf("untyped error %v", err)
+			}
+			return
+		}
+		if c.tokens < 1 || c.tokens > e.MaxTokens || c.model.Name == "" {
+			t.Errorf("accepted %+v", c)
+		}
+	})
+}
--- a/cmd/vanilladriftd/check.go
+++ b/cmd/vanilladriftd/check.go
@@ -4,12 +4,12 @@
 
 // checkCommand checks the configuration without starting.
 type checkCommand struct {
-	options *options
+	Options options `group:"Node"`
 }
 
 // Execute implements flags.Commander.
 func (c *checkCommand) Execute([]string) error {
-	if _, _, err := c.options.config(); err != nil {
+	if _, _, err := c.Options.config(); err != nil {
 		return err
 	}
 	fmt.Println("the configuration is sound")
--- a/cmd/vanilladriftd/main.go
+++ b/cmd/vanilladriftd/main.go
@@ -19,23 +19,19 @@
 )
 
 func main() {
-	var opts options
 	p := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = "Serving node between callers and model engines."
-	run, err := p.AddCommand("run", "run the node", "Runs the node until SIGTERM.", &runCommand{options: &opts})
-	if err == nil {
-		_, err = run.AddGroup("Node", "", &opts)
-	}
-	if err == nil {
-		var c *flags.Command
-		c, err = p.AddCommand("check", "check the flags and the environment", "Checks the configuration without starting.", &checkCommand{options: &opts})
-		if err == nil {
-			_, err = c.AddGroup("Node", "", &opts)
+	for _, c := range []struct {
+		name, help string
+		command    flags.Commander
+	}{
+		{"run", "run the node until SIGTERM", &runCommand{}},
+		{"check", "check the flags and the environment without starting", &checkCommand{}},
+	} {
+		if _, err := p.AddCommand(c.name, c.help, c.help, c.command); err != nil {
+			panic(err) // the commands are constants
 		}
 	}
-	if err != nil {
-		panic(err) // the commands are constants
-	}
 	if _, err := p.Parse(); err != nil {
 		var fe *flags.Error
 		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
--- a/cmd/vanilladriftd/run.go
+++ b/cmd/vanilladriftd/run.go
@@ -26,12 +26,12 @@
 
 // runCommand runs the node until it is told to stop.
 type runCommand struct {
-	options *options
+	Options options `group:"Node"`
 }
 
 // Execute implements flags.Commander.
 func (c *runCommand) Execute([]string) error {
-	cfg, tc, err := c.options.config()
+	cfg, tc, err := c.Options.config()
 	if err != nil {
 		return err
 	}
@@ -41,7 +41,7 @@
 		return err
 	}
 	n.Start()
-	cfg.Log.Info("serving", "callers", c.options.CallerAddress, "peers", c.options.PeerAddress, "operators", c.options.OperatorAddress)
+	cfg.Log.Info("serving", "callers", c.Options.CallerAddress, "peers", c.Options.PeerAddress, "operators", c.Options.OperatorAddress)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
@@ -55,9 +55,9 @@
 		srv     *http.Server
 		tls     *tls.Config
 	}{
-		{c.options.PeerAddress, peer.NewHTTPServer(n.Peers(), tc), tc},
-		{c.options.CallerAddress, &http.Server{Handler: n.Callers()}, nil},
-		{c.options.OperatorAddress, &http.Server{Handler: n.Operators()}, nil},
+		{c.Options.PeerAddress, peer.NewHTTPServer(n.Peers(), tc), tc},
+		{c.Options.CallerAddress, &http.Server{Handler: n.Callers()}, nil},
+		{c.Options.OperatorAddress, &http.Server{Handler: n.Operators()}, nil},
 	} {
 		ln, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -76,8 +76,8 @@
 // drain closes the node and then the listeners. Further signals first report
 // what would be cut and then cut it.
 func (c *runCommand) drain(n *node.Node, servers []*http.Server, signals chan os.Signal, l *log.Logger) error {
-	l.Info("draining", "timeout", c.options.DrainTimeout)
-	ctx, cancel := context.WithTimeout(context.Background(), c.options.DrainTimeout)
+	l.Info("draining", "timeout", c.Options.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), c.Options.DrainTimeout)
 	defer cancel()
 	done := make(chan error, 1)
 	go func() { done <- n.Close(ctx) }()
--- /dev/null
+++ b/engine/scheduler_test.go
@@ -0,0 +1,245 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func shortWork(id, adapter string) Work {
+	return Work{ID: id, Adapter: adapter, Short: true, Tokens: 10, Deadline: t0.Add(time.Hour)}
+}
+
+func longWork(id, adapter string) Work {
+	w := shortWork(id, adapter)
+	w.Short, w.Tokens = false, 1000
+	return w
+}
+
+// describe renders actions for comparison.
+func describe(acts []Action) []string {
+	out := []string{}
+	for _, a := range acts {
+		switch a.Kind {
+		case Grant:
+			out = append(out, "grant "+a.Work.ID)
+		case Refuse:
+			out = append(out, fmt.Sprintf("refuse %s %s", a.Work.ID, a.Reason))
+		case AskLoad:
+			out = append(out, "ask-load")
+		}
+	}
+	return out
+}
+
+func holding(cfg SchedulerConfig, adapters ...string) *Scheduler {
+	s := NewScheduler(cfg)
+	for _, a := range adapters {
+		s.Adopt(t0, []Resident{{Adapter: a}}, nil)
+	}
+	return s
+}
+
+func TestSubmit(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		mode Mode
+		work Work
+		want []string
+	}{
+		{"loaded", Mode{}, shortWork("r", "a"), []string{"grant r"}},
+		{"cold", Mode{}, shortWork("r", "x"), []string{"ask-load"}},
+		{"cold and impatient", Mode{}, func() Work { w := shortWork("r", "x"); w.MaxWait = time.Millisecond; return w }(), []string{"refuse r cold"}},
+		{"past its deadline", Mode{}, func() Work { w := shortWork("r", "a"); w.Deadline = t0; return w }(), []string{"refuse r too-late"}},
+		{"draining", Mode{Draining: true}, shortWork("r", "a"), []string{"refuse r draining"}},
+		{"recovering", Mode{Recovering: true}, shortWork("r", "a"), []string{"refuse r recovering"}},
+		{"read-only, loaded", Mode{ReadOnly: true}, shortWork("r", "a"), []string{"grant r"}},
+		{"read-only, cold", Mode{ReadOnly: true}, shortWork("r", "x"), []string{"refuse r not-loaded"}},
+		{"no evict, full", Mode{NoEvict: true}, shortWork("r", "x"), []string{}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := holding(SchedulerConfig{Slots: 2, Places: 4}, "a", "b")
+			s.SetMode(t0, tt.mode)
+			is.New(t).Equal(describe(s.Submit(t0, tt.work)), tt.want)
+		})
+	}
+}
+
+func TestLongWorkLeavesPlacesForShort(t *testing.T) {
+	is := is.New(t)
+	s := holding(SchedulerConfig{Slots: 2, Places: 4, LongShare: 0.5}, "a")
+	for i := range 4 {
+		s.Submit(t0, longWork(fmt.Sprint("long", i), "a"))
+	}
+	is.Equal(len(s.Running()), 2)
+	is.Equal(describe(s.Submit(t0, shortWork("s1", "a"))), []string{"grant s1"})
+	is.Equal(describe(s.Submit(t0, shortWork("s2", "a"))), []string{"grant s2"})
+	is.Equal(describe(s.Release(t0, "s1", false)), []string{}) // long work still may not
+	is.Equal(describe(s.Release(t0, "long0", false)), []string{"grant long2"})
+}
+
+func TestLongWorkAgesPastShort(t *testing.T) {
+	is := is.New(t)
+	s := holding(SchedulerConfig{Slots: 1, Places: 1, LongShare: 1}, "a")
+	s.Submit(t0, shortWork("first", "a"))
+	s.Submit(t0, longWork("long", "a"))
+	now := t0.Add(90 * time.Second)
+	s.Submit(now, shortWork("late", "a"))
+	is.Equal(describe(s.Release(now, "first", false)), []string{"grant long"})
+}
+
+func TestEvictsTheLeastPopular(t *testing.T) {
+	is := is.New(t)
+	s := holding(SchedulerConfig{Slots: 2, Places: 8}, "a", "b")
+	for i := range 5 {
+		s.Submit(t0, shortWork(fmt.Sprint("a", i), "a"))
+		s.Release(t0, fmt.Sprint("a", i), false)
+	}
+	s.Submit(t0, shortWork("b0", "b"))
+	s.Release(t0, "b0", false)
+	is.Equal(describe(s.Submit(t0, shortWork("x0", "x"))), []string{"ask-load"})
+	act, ok := s.Permit(t0)
+	is.True(ok)
+	is.Equal(act.Victim, "b")
+	is.Equal(describe(s.Loaded(t0, LoadResult{Adapter: "x", Victim: "b", OK: true})), []string{"grant x0"})
+}
+
+func TestPermitIsReturnedWhenNothingWaits(t *testing.T) {
+	is := is.New(t)
+	s := holding(SchedulerConfig{Slots: 2, Places: 8}, "a")
+	s.Submit(t0, shortWork("x0", "x"))
+	s.Cancel(t0, "x0")
+	_, ok := s.Permit(t0)
+	is.True(!ok)
+}
+
+func TestSwapOnlyTouchesSwapSlots(t *testing.T) {
+	is := is.New(t)
+	s := NewScheduler(SchedulerConfig{Slots: 2, SwapSlots: 1, Places: 4, IntentsNeeded: true})
+	s.Adopt(t0, []Resident{{Adapter: "stable"}, {Adapter: "swap", Swap: true}}, nil)
+	s.SetMode(t0, Mode{SwapOnly: true})
+	for i := range 3 {
+		s.Submit(t0, shortWork(fmt.Sprint("s", i), "swap")) // more popular than the stable one
+		s.Release(t0, fmt.Sprint("s", i), false)
+	}
+	s.Submit(t0, shortWork("x", "x"))
+	act, ok := s.Permit(t0)
+	is.True(ok)
+	is.Equal(act.Victim, "swap")
+	is.True(!act.Stable)
+}
+
+func TestHeldAdaptersAreNeitherGrantedNorEvicted(t *testing.T) {
+	is := is.New(t)
+	s := NewScheduler(SchedulerConfig{Slots: 1, Places: 4})
+	s.Adopt(t0, []Resident{{Adapter: "a", Held: true}}, nil)
+	is.Equal(describe(s.Submit(t0, shortWork("r", "a"))), []string{"refuse r not-loaded"})
+	is.Equal(describe(s.Submit(t0, shortWork("x", "x"))), []string{})
+	is.Equal(describe(s.Unhold(t0)), []string{"ask-load"})
+}
+
+// Whatever happens in whatever order, a victim is never pinned, places and
+// slots are never exceeded, and every request ends in one verdict at most.
+func TestSchedulerInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := SchedulerConfig{Slots: 3, SwapSlots: 1, Places: 4, IntentsNeeded: rapid.Bool().Draw(t, "intents")}
+		s := NewScheduler(cfg)
+		now := t0
+		running := map[string]string{}
+		verdicts := map[string]int{}
+		asked := 0
+		var loads []Action
+		apply := func(acts []Action) {
+			for _, a := range acts {
+				switch a.Kind {
+				case Grant:
+					running[a.Work.ID] = a.Work.Adapter
+					verdicts[a.Work.ID]++
+				case Refuse:
+					verdicts[a.Work.ID]++
+				case AskLoad:
+					asked++
+				}
+			}
+		}
+		pick := func() string { return fmt.Sprint("a", rapid.IntRange(0, 7).Draw(t, "adapter")) }
+		n := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				n++
+				w := shortWork(fmt.Sprint("r", n), pick())
+				w.Short = rapid.Bool().Draw(t, "short")
+				w.Deadline = now.Add(time.Duration(rapid.IntRange(0, 10_000).Draw(t, "ms")) * time.Millisecond)
+				apply(s.Submit(now, w))
+			},
+			"release": func(t *rapid.T) {
+				for id := range running {
+					delete(running, id)
+					apply(s.Release(now, id, rapid.IntRange(0, 9).Draw(t, "missing") == 0))
+					return
+				}
+			},
+			"permit": func(t *rapid.T) {
+				if asked == 0 {
+					return
+				}
+				asked--
+				act, ok := s.Permit(now)
+				if !ok {
+					return
+				}
+				for _, a := range running {
+					if a == act.Victim {
+						t.Fatalf("victim %s is in use", a)
+					}
+				}
+				loads = append(loads, act)
+			},
+			"loaded": func(t *rapid.T) {
+				if len(loads) == 0 {
+					return
+				}
+				act := loads[0]
+				loads = loads[1:]
+				apply(s.Loaded(now, LoadResult{Adapter: act.Adapter, Victim: act.Victim, OK: rapid.Bool().Draw(t, "ok")}))
+			},
+			"tick":  func(*rapid.T) { now = now.Add(500 * time.Millisecond); apply(s.Tick(now)) },
+			"reset": func(*rapid.T) { apply(s.Reset(now)) },
+			"": func(t *rapid.T) {
+				if len(running) > cfg.Places {
+					t.Fatalf("%d requests run in %d places", len(running), cfg.Places)
+				}
+				if got := len(s.Resident()); got > cfg.Slots {
+					t.Fatalf("%d adapters in %d slots", got, cfg.Slots)
+				}
+				for id, v := range verdicts {
+					if v > 1 {
+						t.Fatalf("%s got %d verdicts", id, v)
+					}
+				}
+			},
+		})
+	})
+}
+
+func BenchmarkSubmitWith1000Queued(b *testing.B) {
+	s := holding(SchedulerConfig{Slots: 16, Places: 32, MaxQueue: 1 << 20}, "a0", "a1", "a2", "a3", "a4", "a5", "a6", "a7")
+	for i := range 1000 {
+		w := longWork(fmt.Sprint("q", i), fmt.Sprint("a", i%200))
+		w.Deadline = t0.Add(1e6 * time.Hour)
+		s.Submit(t0, w)
+	}
+	w := shortWork("r", "a3")
+	w.Deadline = t0.Add(1e6 * time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Submit(t0, w)
+		s.Cancel(t0, "r")
+		s.Release(t0, "r", false)
+	}
+}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -22,7 +22,7 @@
 
 const (
 	testSlots    = 4
-	testAdapters = 8
+	testAdapters = 12
 	platform     = "platform"
 	outside      = "outside"
 	tableURL     = "http://10.9.0.1:1"
--- a/node/node.go
+++ b/node/node.go
@@ -49,8 +49,8 @@
 
 	tableUp     atomic.Bool
 	tokensKnown atomic.Bool // the registry knows every engine's fencing token
-	leaving  atomic.Bool // no new requests
-	requests atomic.Int64
+	leaving     atomic.Bool // no new requests
+	requests    atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
 	"github.com/vanilladrift/vanilladrift/table"
@@ -71,7 +73,7 @@
 func (c *cluster) churn(d time.Duration, entries ...int) {
 	end := time.Now().Add(d)
 	for i := 0; time.Now().Before(end); i++ {
-		c.spawn(func() { c.request(entries[i%len(entries)], "depot", i%testAdapters, "", 10+i%40, i%2 == 0) })
+		c.spawn(func() { c.request(entries[i%len(entries)]%len(c.nodes), "depot", i%testAdapters, "", 5+i%20, i%2 == 0) })
 		time.Sleep(60 * time.Millisecond)
 	}
 }
@@ -86,26 +88,51 @@
 	return owner
 }
 
+// modes describes how each owner of an engine sees it.
+func (c *cluster) modes(index int) (out []string) {
+	for _, tn := range c.nodes {
+		if o := tn.node.ownedEngine(engineProcess(index)); o != nil {
+			o.mu.Lock()
+			out = append(out, fmt.Sprintf("%s: %+v, %v, %d streams, orders %d, row %+v", tn.process(), o.sched.Mode(), o.sched.Resident(), len(o.sched.Running()), o.orders, o.row))
+			o.mu.Unlock()
+		}
+	}
+	return out
+}
+
+// freezeInEviction freezes the owner of an engine after it decided to unload an
+// adapter and before the order leaves.
+func (c *cluster) freezeInEviction(index int) (owner int, process string) {
+	for range 200 {
+		if owner = c.ownerOf(index); owner >= 0 {
+			process = c.nodes[owner].process()
+			c.net.FreezeOnCall(process, engine.PathUnload)
+			time.Sleep(50 * time.Millisecond)
+			if c.net.Frozen(process) {
+				return owner, process
+			}
+			c.net.FreezeOnCall(process, "")
+		}
+	}
+	return -1, ""
+}
+
 // An owner that is paused at any point, orders on the way included, must not
 // make an adapter vanish under a stream that its successor granted.
 func TestFrozenOwner(t *testing.T) {
-	for engine, name := range []string{"checks fencing tokens", "ignores fencing tokens"} {
+	for index, name := range []string{"checks fencing tokens", "ignores fencing tokens"} {
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, 4, 2, func(t *testing.T, c *cluster) {
 				for round := range 4 {
-					owner := c.ownerOf(engine)
-					var entries []int
-					for i := range 4 {
-						if i != owner {
-							entries = append(entries, i)
-						}
+					c.spawn(func() { c.churn(24*time.Second, round, round+1, round+2) })
+					time.Sleep(time.Second)
+					owner, process := c.freezeInEviction(index)
+					if owner < 0 {
+						t.Errorf("round %d: no owner evicted anything: %v", round, c.modes(index))
+						break
 					}
-					c.spawn(func() { c.churn(24*time.Second, entries...) })
-					time.Sleep(3*time.Second + time.Duration(round)*137*time.Millisecond)
-					process := c.nodes[owner].process()
-					c.net.Freeze(process)
 					time.Sleep(15 * time.Second)
-					if now := c.ownerOf(engine); now == owner || now < 0 {
+					if now := c.ownerOf(index); now == owner || now < 0 {
 						t.Errorf("round %d: nobody took the engine of the frozen node", round)
 					}
 					c.net.Thaw(process)
--- a/standin/network.go
+++ b/standin/network.go
@@ -21,6 +21,7 @@
 	cut    map[[2]string]bool
 	frozen map[string]chan struct{} // closed when the process is thawed
 	calls  map[*netCall]bool
+	traps  map[string]string // process to the path whose next call freezes it
 }
 
 type host struct {
@@ -37,7 +38,7 @@
 func NewNetwork() *Network {
 	return &Network{
 		hosts: map[string]host{}, cut: map[[2]string]bool{},
-		frozen: map[string]chan struct{}{}, calls: map[*netCall]bool{},
+		frozen: map[string]chan struct{}{}, calls: map[*netCall]bool{}, traps: map[string]string{},
 	}
 }
 
@@ -93,6 +94,33 @@
 	}
 }
 
+// FreezeOnCall freezes a process at its next call of a path, after it decided
+// on the call and before the call leaves.
+func (n *Network) FreezeOnCall(process, path string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.traps[process] = path
+}
+
+func (n *Network) spring(process, path string) {
+	n.mu.Lock()
+	hit := n.traps[process] == path
+	if hit {
+		delete(n.traps, process)
+	}
+	n.mu.Unlock()
+	if hit {
+		n.Freeze(process)
+	}
+}
+
+// Frozen reports whether a process is frozen.
+func (n *Network) Frozen(process string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.frozen[process] != nil
+}
+
 // Thaw ends a freeze.
 func (n *Network) Thaw(process string) {
 	n.mu.Lock()
@@ -120,6 +148,7 @@
 		cancel()
 		return nil, err
 	}
+	t.n.spring(t.from, req.URL.Path)
 	if err := t.n.pass(ctx, t.from, "", req.URL.Host); err != nil {
 		return stop(err)
 	}
