--- /dev/null
+++ b/node/bench_test.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/standin"
+)
+
+// serveLoopback serves a handler on a free loopback port until the benchmark ends.
+func serveLoopback(b *testing.B, h http.Handler) string {
+	b.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(ln) }() // ends with Close
+	b.Cleanup(func() { srv.Close() })
+	return ln.Addr().String()
+}
+
+// benchNode returns the addresses of an engine that takes no time and of a node
+// before it.
+func benchNode(b *testing.B) (engineAt, nodeAt string) {
+	b.Helper()
+	eng := &standin.Engine{Slots: 4, Places: 2048}
+	engineAt = serveLoopback(b, eng)
+	n := New(Config{
+		Name: "n", Address: "127.0.0.1:1", TableURL: "http://" + serveLoopback(b, &standin.Table{}),
+		ObjectURL: "http://" + serveLoopback(b, &standin.Object{}), VMListURL: "http://" + serveLoopback(b, &standin.VMList{}),
+	})
+	nodeAt = serveLoopback(b, n.Callers())
+	n.Start()
+	b.Cleanup(n.Kill)
+	for i, e := range []settings.Edit{
+		{Kind: settings.Backend, Name: "e", Set: map[string]string{
+			"address": engineAt, "base-model": "base", "slots": "4", "places": "2048", "checks-fencing": "on", "refuses-when-full": "on",
+		}},
+		{Kind: settings.Adapter, Name: "a", Set: map[string]string{"base-model": "base", "versions": "v1", "current": "v1"}},
+		{Kind: settings.Caller, Name: "c", Set: map[string]string{"branch": "/", "key-hash": caller.HashKey("k")}},
+	} {
+		e.ID, e.Base = fmt.Sprint("bench", i), settings.AnyBase
+		if _, err := n.store.Apply(b.Context(), e, time.Now()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	client := &http.Client{}
+	for limit := time.Now().Add(20 * time.Second); ask(client, nodeAt, "warm") != nil; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(limit) {
+			b.Fatal("the node does not serve")
+		}
+	}
+	return engineAt, nodeAt
+}
+
+// ask sends one request for a streamed answer of four tokens.
+func ask(client *http.Client, address, id string) error {
+	body := []byte(`{"model":"a@v1","prompt":"hello","max_tokens":4,"stream":true}`)
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+engine.PathCompletions, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer k")
+	req.Header.Set(engine.HeaderRequestID, id)
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if !bytes.HasSuffix(raw, []byte("data: [DONE]\n\n")) {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, raw)
+	}
+	return nil
+}
+
+// BenchmarkNode compares a request through a node with one straight to the
+// engine, at several numbers of callers at once.
+func BenchmarkNode(b *testing.B) {
+	for _, callers := range []int{1, 64, 512} {
+		for _, way := range []string{"direct", "through-node"} {
+			b.Run(fmt.Sprintf("%s/callers=%d", way, callers), func(b *testing.B) {
+				engineAt, nodeAt := benchNode(b)
+				address := engineAt
+				if way == "through-node" {
+					address = nodeAt
+				}
+				client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+				var mu sync.Mutex
+				h := hdrhistogram.New(1, 60_000_000, 3)
+				next := make(chan int)
+				var wg sync.WaitGroup
+				b.ResetTimer()
+				for range callers {
+					wg.Go(func() {
+						for i := range next {
+							start := time.Now()
+							if err := ask(client, address, fmt.Sprint(way, callers, "-", i)); err != nil {
+								b.Error(err)
+							}
+							mu.Lock()
+							_ = h.RecordValue(time.Since(start).Microseconds()) // under a minute
+							mu.Unlock()
+						}
+					})
+				}
+				for i := range b.N {
+					next <- i
+				}
+				close(next)
+				wg.Wait()
+				b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-µs")
+				b.ReportMetric(float64(h.ValueAtQuantile(99)), "p99-µs")
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+			})
+		}
+	}
+}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -81,7 +82,10 @@
 	}
 	old, exists := t.Doc(e.Kind, e.Name)
 	if e.Base != AnyBase && e.Base != old.Rev {
-		return Document{}, &Error{Op: op, Kind: Conflict, Doc: old.ID(), Reason: "changed since it was read"}
+		return Document{}, &Error{
+			Op: op, Kind: Conflict, Doc: string(e.Kind) + " " + e.Name,
+			Reason: fmt.Sprintf("it is at revision %d now, with %v", old.Rev, old.Fields),
+		}
 	}
 	if e.Delete {
 		if !exists {
