--- a/experiment/sim.go
+++ b/experiment/sim.go
@@ -101,8 +101,8 @@
 	current  *attempt
 	spare    *attempt
 	done     bool
-	stalled  bool
-	asked    time.Duration
+	stalled  bool          // it has waited for a load
+	coldAt   time.Duration // since when it waits for a load, or -1
 }
 
 // attempt is one try of a request at one engine.
@@ -232,7 +232,7 @@
 }
 
 func (s *sim) arrive(i int, r Request) {
-	f := &flow{r: r, id: strconv.Itoa(i), router: s.routers[i%entryNodes], lastAt: s.now, asked: s.now}
+	f := &flow{r: r, id: strconv.Itoa(i), router: s.routers[i%entryNodes], lastAt: s.now, coldAt: -1}
 	if s.counts(f) {
 		s.res.Offered++
 		s.class(f).count++
@@ -340,17 +340,16 @@
 		w.MaxWait = a.maxWait
 	}
 	e.waiting[a.id] = a
-	if !e.holds(a.f.r.Adapter) && !a.f.stalled {
-		a.f.stalled = true
-		a.f.asked = s.now
-	}
+	cold := !e.holds(a.f.r.Adapter)
 	e.apply(e.sched.Submit(s.clock(), w))
+	if e.waiting[a.id] == a && cold {
+		s.stall(a.f)
+	}
 }
 
 // refused moves an attempt to its next candidate, or ends it.
 func (s *sim) refused(a *attempt, act engine.Action) {
 	delete(a.eng.waiting, a.id)
-	a.f.stalled = false
 	a.f.router.ObserveWait(s.clock(), a.eng.name, act.Wait)
 	a.cold = a.cold || act.Reason == engine.Cold
 	if (act.Reason == engine.Overflow || act.Reason == engine.Cold) && (a.least == "" || act.Wait < a.wait) {
@@ -384,8 +383,27 @@
 	s.giveUp(a.f)
 }
 
+// stall counts a request that waits for a load, whatever becomes of it.
+func (s *sim) stall(f *flow) {
+	if !s.counts(f) || f.tokens > 0 || f.coldAt >= 0 {
+		return
+	}
+	if !f.stalled {
+		s.stalls++
+	}
+	f.stalled, f.coldAt = true, s.now
+}
+
+func (s *sim) unstall(f *flow) {
+	if f.coldAt >= 0 {
+		s.stallTime += s.now - f.coldAt
+		f.coldAt = -1
+	}
+}
+
 func (s *sim) giveUp(f *flow) {
 	f.done = true
+	s.unstall(f)
 	if s.counts(f) {
 		s.res.Refused++
 		s.lastBad = s.now
@@ -471,11 +489,7 @@
 		e.apply(e.sched.Release(e.s.clock(), id, false))
 		return
 	}
-	if f := a.f; f.stalled && f.first == 0 && e.s.counts(f) && f.asked >= 0 {
-		e.s.stalls++
-		e.s.stallTime += e.s.now - f.asked
-		f.asked = -1
-	}
+	e.s.unstall(a.f)
 	a.granted, a.lastAt = true, e.s.now
 	a.job = &standin.Job{ID: id, Adapter: a.f.r.Adapter, Prompt: a.f.r.Prompt, Tokens: a.f.r.Tokens, Done: a.start}
 	e.streams[id] = a
--- /dev/null
+++ b/node/history_test.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/standin"
+	"github.com/vanilladrift/vanilladrift/table"
+)
+
+// history collects operations for porcupine. An operation of which the outcome
+// is unknown may take effect until the end of time.
+type history struct {
+	mu  sync.Mutex
+	ops []porcupine.Operation
+}
+
+func (h *history) add(client int, in, out any, start time.Time, open bool) {
+	end := time.Now().UnixNano()
+	if open {
+		end = start.Add(time.Hour).UnixNano()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: start.UnixNano(), Return: end})
+}
+
+// editInput is a conditional edit of one document; editOutput its outcome.
+type editInput struct {
+	base  int64
+	value string
+}
+
+type editOutput struct {
+	rev      int64
+	conflict bool
+	unknown  bool
+}
+
+// anyRev is the revision of a document after an edit whose outcome is unknown.
+const anyRev = -1
+
+// editModel is a register with a revision: an edit takes effect exactly when
+// its base is the present revision.
+var editModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{int64(0)} },
+	Step: func(state, input, output any) []any {
+		rev, in, out := state.(int64), input.(editInput), output.(editOutput)
+		fits := rev == in.base || rev == anyRev
+		switch {
+		case out.unknown && fits:
+			return []any{rev, int64(anyRev)}
+		case out.unknown:
+			return []any{rev}
+		case out.conflict && (rev != in.base):
+			return []any{rev}
+		case !out.conflict && fits && out.rev > rev:
+			return []any{out.rev}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// Operators race with conditional edits through all nodes while the table
+// loses answers: of two edits on one base, one wins and the other is told.
+func TestEditsAreLinearizable(t *testing.T) {
+	inCluster(t, 3, 2, func(t *testing.T, c *cluster) {
+		n := 0
+		c.table.SetFault(standin.TableFault{Slow: 20 * time.Millisecond, LoseAnswer: func(table.Tx) bool { n++; return n%3 == 0 }})
+		var h history
+		var wins, conflicts int
+		for client := range 6 {
+			c.spawn(func() {
+				for i := range 12 {
+					tree := c.nodes[client%3].node.Store().Tree()
+					doc, _ := tree.Doc(settings.Branch, "/race")
+					in := editInput{base: doc.Rev, value: fmt.Sprint(client*100 + i + 1)}
+					start := time.Now()
+					change, err := c.edit(client%3, settings.Edit{
+						Kind: settings.Branch, Name: "/race", Base: in.base, Set: map[string]string{"max-tokens": in.value},
+					})
+					out := editOutput{rev: change.Rev}
+					var se *settings.Error
+					if errors.As(err, &se) {
+						out = editOutput{conflict: se.Kind == settings.Conflict, unknown: se.Kind == settings.Unknown}
+					}
+					h.add(client, in, out, start, out.unknown)
+					h.mu.Lock()
+					if err == nil {
+						wins++
+					}
+					if out.conflict {
+						conflicts++
+					}
+					h.mu.Unlock()
+					time.Sleep(time.Duration(client*7+i*13) * time.Millisecond)
+				}
+			})
+		}
+		c.wg.Wait()
+		is := is.New(t)
+		is.True(wins > 5 && conflicts > 5)
+		model := editModel.ToModel()
+		is.True(porcupine.CheckOperations(model, h.ops))
+	})
+}
+
+// callModel is one keyed call: it runs for one attempt, and the others see that
+// it ran.
+var callModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{false} },
+	Step: func(state, _, output any) []any {
+		ran, out := state.(bool), output.(callOutput)
+		switch {
+		case out.outcome == caller.Unknown:
+			return []any{ran, true}
+		case out.outcome == caller.NotRun:
+			return []any{ran}
+		case out.repeated && ran, !out.repeated && !ran:
+			return []any{true}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+type callOutput struct {
+	outcome  caller.Outcome
+	repeated bool
+}
+
+func TestKeyedCallsAreLinearizable(t *testing.T) {
+	inCluster(t, 3, 2, func(t *testing.T, c *cluster) {
+		n := 0
+		c.table.SetFault(standin.TableFault{Slow: 30 * time.Millisecond, LoseAnswer: func(table.Tx) bool { n++; return n%4 == 0 }})
+		c.services[0].SetFault(standin.ServiceFault{Slow: 100 * time.Millisecond, LoseAnswer: 4})
+		histories := make([]history, 12)
+		for key := range histories {
+			for client := range 5 {
+				c.spawn(func() {
+					time.Sleep(time.Duration(client*key) * 50 * time.Millisecond)
+					start, body := time.Now(), fmt.Sprint("call ", key)
+					resp, err := c.post(client%3, "/v1/services/s0/place", "counter", body, body)
+					out := callOutput{outcome: caller.Unknown}
+					if err == nil {
+						out = callOutput{caller.Outcome(resp.Header.Get(caller.HeaderOutcome)), resp.Header.Get(caller.HeaderRepeated) != ""}
+					}
+					histories[key].add(client, nil, out, start, out.outcome == caller.Unknown)
+				})
+			}
+		}
+		c.wg.Wait()
+		for key := range histories {
+			if model := callModel.ToModel(); !porcupine.CheckOperations(model, histories[key].ops) {
+				t.Errorf("call %d is not linearizable: %+v", key, histories[key].ops)
+			}
+		}
+	})
+}
