--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
+	"github.com/vanilladrift/vanilladrift/table"
 	"github.com/vanilladrift/vanilladrift/vmlist"
 )
 
@@ -498,3 +500,9 @@
 		c.fault("after recovery only %d of %d requests were served: %v", got, testAdapters, c.answers)
 	}
 }
+
+// loseEvery drops the answer of every n-th transaction.
+func loseEvery(n int64) func(table.Tx) bool {
+	var count atomic.Int64
+	return func(table.Tx) bool { return count.Add(1)%n == 0 }
+}
--- a/node/fuzz_test.go
+++ b/node/fuzz_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
-	"github.com/vanilladrift/vanilladrift/table"
 )
 
 // step is one action of a plan, drawn before the bubble starts.
@@ -147,13 +146,7 @@
 	case "table-slow":
 		c.during(s.span, func() { c.table.SetFault(standin.TableFault{Slow: 700 * time.Millisecond}) }, func() { c.table.SetFault(standin.TableFault{}) })
 	case "lose-answers":
-		n := 0
-		c.during(s.span, func() {
-			c.table.SetFault(standin.TableFault{LoseAnswer: func(table.Tx) bool {
-				n++
-				return n%3 == 0
-			}})
-		}, func() { c.table.SetFault(standin.TableFault{}) })
+		c.during(s.span, func() { c.table.SetFault(standin.TableFault{LoseAnswer: loseEvery(3)}) }, func() { c.table.SetFault(standin.TableFault{}) })
 	case "object-down":
 		c.during(s.span, func() { c.object.SetDown(true) }, func() { c.object.SetDown(false) })
 	case "engine-restart":
--- a/node/history_test.go
+++ b/node/history_test.go
@@ -13,7 +13,6 @@
 	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
-	"github.com/vanilladrift/vanilladrift/table"
 )
 
 // history collects operations for porcupine. An operation of which the outcome
@@ -74,8 +73,7 @@
 // loses answers: of two edits on one base, one wins and the other is told.
 func TestEditsAreLinearizable(t *testing.T) {
 	inCluster(t, 3, 2, func(t *testing.T, c *cluster) {
-		n := 0
-		c.table.SetFault(standin.TableFault{Slow: 20 * time.Millisecond, LoseAnswer: func(table.Tx) bool { n++; return n%3 == 0 }})
+		c.table.SetFault(standin.TableFault{Slow: 20 * time.Millisecond, LoseAnswer: loseEvery(3)})
 		var h history
 		var wins, conflicts int
 		for client := range 6 {
@@ -140,8 +138,7 @@
 
 func TestKeyedCallsAreLinearizable(t *testing.T) {
 	inCluster(t, 3, 2, func(t *testing.T, c *cluster) {
-		n := 0
-		c.table.SetFault(standin.TableFault{Slow: 30 * time.Millisecond, LoseAnswer: func(table.Tx) bool { n++; return n%4 == 0 }})
+		c.table.SetFault(standin.TableFault{Slow: 30 * time.Millisecond, LoseAnswer: loseEvery(4)})
 		c.services[0].SetFault(standin.ServiceFault{Slow: 100 * time.Millisecond, LoseAnswer: 4})
 		histories := make([]history, 12)
 		for key := range histories {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -12,7 +12,6 @@
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
-	"github.com/vanilladrift/vanilladrift/table"
 	"github.com/vanilladrift/vanilladrift/vmlist"
 )
 
@@ -285,8 +284,7 @@
 		}},
 		{"service answers 503", func(c *cluster) { c.services[0].SetFault(standin.ServiceFault{Down: true}) }},
 		{"table loses every second answer", func(c *cluster) {
-			n := 0
-			c.table.SetFault(standin.TableFault{LoseAnswer: func(table.Tx) bool { n++; return n%2 == 0 }})
+			c.table.SetFault(standin.TableFault{LoseAnswer: loseEvery(2)})
 		}},
 		{"table is down", func(c *cluster) { c.table.SetFault(standin.TableFault{Down: true}) }},
 	} {
