--- /dev/null
+++ b/engine/adopt.go
@@ -0,0 +1,87 @@
+package engine
+
+import (
+	"time"
+)
+
+// Sync corrects the slots after a report that is newer than every order: an
+// adapter that the engine does not hold leaves its slot, one that it holds
+// beyond what the scheduler knows takes one. It does nothing while a load is
+// under way.
+func (s *Scheduler) Sync(now time.Time, holds []string) []Action {
+	if s.loads > 0 {
+		return nil
+	}
+	inEngine := make(map[string]bool, len(holds))
+	for _, name := range holds {
+		inEngine[name] = true
+		if a := s.adapter(name); a.state == absent {
+			s.occupy(a)
+			a.state, a.swap, a.used, a.loadedAt = loaded, s.cfg.IntentsNeeded, now, now
+			s.refile(a)
+		}
+	}
+	for i := len(s.resident) - 1; i >= 0; i-- {
+		if a := s.resident[i]; a.state == loaded && !inEngine[a.name] {
+			s.vacate(a)
+		}
+	}
+	return s.dispatch(now, nil)
+}
+
+// Reset records that the engine restarted cold: it holds nothing.
+func (s *Scheduler) Reset(now time.Time) []Action {
+	for i := len(s.resident) - 1; i >= 0; i-- {
+		if a := s.resident[i]; a.state == loaded {
+			s.vacate(a)
+		}
+	}
+	return s.dispatch(now, nil)
+}
+
+// Adopt records what a new owner found at the engine: adapters that may be
+// granted, adapters that sit in a slot but must not be granted yet, and
+// streams that run under grants of an earlier owner.
+func (s *Scheduler) Adopt(now time.Time, resident []Resident, streams []Work) []Action {
+	for _, r := range resident {
+		a := s.adapter(r.Adapter)
+		if a.state == absent {
+			s.occupy(a)
+		}
+		a.state, a.swap, a.used = loaded, r.Swap, now
+		if r.Held {
+			a.state = held
+		}
+		s.refile(a)
+	}
+	for i := range streams {
+		s.pin(now, &streams[i])
+	}
+	return s.dispatch(now, nil)
+}
+
+// Unhold lets held adapters be granted and evicted.
+func (s *Scheduler) Unhold(now time.Time) []Action {
+	for _, a := range s.resident {
+		if a.state == held {
+			a.state = loaded
+		}
+	}
+	return s.dispatch(now, nil)
+}
+
+// Resident is an adapter in a slot of the engine.
+type Resident struct {
+	Adapter string
+	Swap    bool // it sits in a swap slot
+	Held    bool // it must not be granted or evicted yet
+}
+
+// Resident lists the adapters in slots, in no order.
+func (s *Scheduler) Resident() []Resident {
+	list := make([]Resident, 0, len(s.resident))
+	for _, a := range s.resident {
+		list = append(list, Resident{Adapter: a.name, Swap: a.swap, Held: a.state != loaded})
+	}
+	return list
+}
--- /dev/null
+++ b/engine/estimate.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"time"
+)
+
+// sampleKept is how long the last time between tokens is believed.
+const sampleKept = 500 * time.Millisecond
+
+// estimateWeight is the weight of a new sample in moving averages.
+const estimateWeight = 0.1
+
+// Wait returns the expected time until work on the adapter would start.
+func (s *Scheduler) Wait(now time.Time, adapterName string, short bool) time.Duration {
+	a := s.adapters[adapterName]
+	if a == nil {
+		a = &adapter{}
+	}
+	return s.wait(now, a, short)
+}
+
+func (s *Scheduler) wait(now time.Time, a *adapter, short bool) time.Duration {
+	var wait time.Duration
+	if !s.placeFree(short) || s.backlog > 0 {
+		wait = s.backlog / time.Duration(s.cfg.Places)
+		if !s.placeFree(short) {
+			wait += s.token * 4
+		}
+	}
+	if a.state != loaded {
+		wait += s.coldWait(now, a)
+	}
+	return wait
+}
+
+// coldWait returns the expected time until an adapter that is not loaded could
+// be: the loads before it take their turn. A load that takes longer than usual
+// counts at once, not only when it ends.
+func (s *Scheduler) coldWait(now time.Time, a *adapter) time.Duration {
+	each := s.loadTime
+	if s.asked+s.loads > 0 {
+		each = max(each, now.Sub(s.askedAt))
+	}
+	turns := len(s.cold)
+	if a.state == absent && !s.cold[a] {
+		turns++
+	}
+	return each * time.Duration(max(1, turns))
+}
+
+// forgetSlowness lets the estimate of the time between tokens fall back while
+// no new sample comes. Otherwise an engine that was slow for a moment would be
+// refused all work for being slow, and never get the work that shows it is not.
+func (s *Scheduler) forgetSlowness(now time.Time) {
+	if now.Sub(s.sampled) > sampleKept && s.token > s.cfg.TokenTime {
+		s.token -= (s.token - s.cfg.TokenTime) / 8
+	}
+}
+
+// ObserveTokenTime folds a measured time between tokens into the estimate.
+func (s *Scheduler) ObserveTokenTime(now time.Time, d time.Duration) {
+	s.sampled = now
+	if s.token == 0 {
+		s.token = d
+	}
+	s.token += time.Duration(estimateWeight * float64(d-s.token))
+}
+
+// observeLoad folds the time of a load that has ended into the estimate.
+func (s *Scheduler) observeLoad(now time.Time) {
+	s.loadTime += time.Duration(2 * estimateWeight * float64(now.Sub(s.askedAt)-s.loadTime))
+	s.askedAt = now // the next one, if there is one, counts from here
+}
+
+func (s *Scheduler) serviceTime(w *Work) time.Duration {
+	if s.token == 0 {
+		s.token = s.cfg.TokenTime
+	}
+	return time.Duration(w.Tokens)*s.token + time.Duration(w.Prompt)*s.token/64
+}
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -6,84 +6,12 @@
 	"time"
 )
 
-// SchedulerConfig sizes a scheduler. Zero fields take defaults.
-type SchedulerConfig struct {
-	Slots     int // adapters that the engine holds
-	SwapSlots int // of those, slots that may change without an intent
-	Places    int // places in the batch
-	MaxQueue  int // waiting requests; default 1024
-	// LongShare is the largest share of the places that long work may hold;
-	// default 0.5.
-	LongShare float64
-	// Ageing is how many seconds of expected work one second of waiting
-	// outweighs; default 0.5. A large value makes the queue first-in first-out.
-	Ageing float64
-	// LongPenalty is added to the queue key of long work, in seconds; default 1.
-	LongPenalty float64
-	// BatchBonus is taken from the queue key of work whose adapter is already
-	// in the batch, in seconds, which bounds how long it may overtake; default 0.02.
-	BatchBonus float64
-	// MaxLoads is how many loads the engine does at once; default 1.
-	MaxLoads int
-	// HalfLife is the half-life of an adapter's popularity; default 2 minutes.
-	HalfLife time.Duration
-	// LRU evicts the least recently used adapter instead of the least popular.
-	LRU bool
-	// IntentsNeeded is set for engines that ignore fencing tokens.
-	IntentsNeeded bool
-	// TokenTime and LoadTime are the first estimates; defaults 25 ms and 300 ms.
-	TokenTime time.Duration
-	LoadTime  time.Duration
-}
-
-func (c SchedulerConfig) withDefaults() SchedulerConfig {
-	c.Slots = orInt(c.Slots, 8)
-	c.Places = orInt(c.Places, 16)
-	c.MaxQueue = orInt(c.MaxQueue, 1024)
-	c.MaxLoads = orInt(c.MaxLoads, 1)
-	c.LongShare = orFloat(c.LongShare, 0.5)
-	c.Ageing = orFloat(c.Ageing, 0.5)
-	c.LongPenalty = orFloat(c.LongPenalty, 1)
-	c.BatchBonus = orFloat(c.BatchBonus, 0.02)
-	c.HalfLife = orDuration(c.HalfLife, 2*time.Minute)
-	c.TokenTime = orDuration(c.TokenTime, 25*time.Millisecond)
-	c.LoadTime = orDuration(c.LoadTime, 300*time.Millisecond)
-	return c
-}
-
-func orInt(v, def int) int {
-	if v == 0 {
-		return def
-	}
-	return v
-}
-
-func orFloat(v, def float64) float64 {
-	if v == 0 {
-		return def
-	}
-	return v
-}
-
-func orDuration(v, def time.Duration) time.Duration {
-	if v == 0 {
-		return def
-	}
-	return v
-}
-
 // The shortest and the longest time to come back that a refusal names.
 const (
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
 )
 
-// sampleKept is how long the last time between tokens is believed.
-const sampleKept = 500 * time.Millisecond
-
-// estimateWeight is the weight of a new sample in moving averages.
-const estimateWeight = 0.1
-
 // Scheduler decides for one engine: who starts, who waits, who is refused,
 // which adapter is loaded and which is evicted. An adapter with a pin is never
 // evicted; every grant is a pin until it is released.
@@ -183,44 +111,6 @@
 	return "", wait
 }
 
-// Wait returns the expected time until work on the adapter would start.
-func (s *Scheduler) Wait(now time.Time, adapterName string, short bool) time.Duration {
-	a := s.adapters[adapterName]
-	if a == nil {
-		a = &adapter{}
-	}
-	return s.wait(now, a, short)
-}
-
-func (s *Scheduler) wait(now time.Time, a *adapter, short bool) time.Duration {
-	var wait time.Duration
-	if !s.placeFree(short) || s.backlog > 0 {
-		wait = s.backlog / time.Duration(s.cfg.Places)
-		if !s.placeFree(short) {
-			wait += s.token * 4
-		}
-	}
-	if a.state != loaded {
-		wait += s.coldWait(now, a)
-	}
-	return wait
-}
-
-// coldWait returns the expected time until an adapter that is not loaded could
-// be: the loads before it take their turn. A load that takes longer than usual
-// counts at once, not only when it ends.
-func (s *Scheduler) coldWait(now time.Time, a *adapter) time.Duration {
-	each := s.loadTime
-	if s.asked+s.loads > 0 {
-		each = max(each, now.Sub(s.askedAt))
-	}
-	turns := len(s.cold)
-	if a.state == absent && !s.cold[a] {
-		turns++
-	}
-	return each * time.Duration(max(1, turns))
-}
-
 // refile keeps the set of cold adapters up to date after a change to a.
 func (s *Scheduler) refile(a *adapter) {
 	if a.state == absent && len(a.waiting) > 0 {
@@ -268,24 +158,6 @@
 	return s.dispatch(now, nil)
 }
 
-// forgetSlowness lets the estimate of the time between tokens fall back while
-// no new sample comes. Otherwise an engine that was slow for a moment would be
-// refused all work for being slow, and never get the work that shows it is not.
-func (s *Scheduler) forgetSlowness(now time.Time) {
-	if now.Sub(s.sampled) > sampleKept && s.token > s.cfg.TokenTime {
-		s.token -= (s.token - s.cfg.TokenTime) / 8
-	}
-}
-
-// ObserveTokenTime folds a measured time between tokens into the estimate.
-func (s *Scheduler) ObserveTokenTime(now time.Time, d time.Duration) {
-	s.sampled = now
-	if s.token == 0 {
-		s.token = d
-	}
-	s.token += time.Duration(estimateWeight * float64(d-s.token))
-}
-
 // Loaded reports the end of a load that the scheduler asked for. When it
 // failed, the work that waits for the adapter is refused.
 func (s *Scheduler) Loaded(now time.Time, r LoadResult) []Action {
@@ -316,37 +188,6 @@
 	return s.dispatch(now, acts)
 }
 
-// observeLoad folds the time of a load that has ended into the estimate.
-func (s *Scheduler) observeLoad(now time.Time) {
-	s.loadTime += time.Duration(2 * estimateWeight * float64(now.Sub(s.askedAt)-s.loadTime))
-	s.askedAt = now // the next one, if there is one, counts from here
-}
-
-// Sync corrects the slots after a report that is newer than every order: an
-// adapter that the engine does not hold leaves its slot, one that it holds
-// beyond what the scheduler knows takes one. It does nothing while a load is
-// under way.
-func (s *Scheduler) Sync(now time.Time, holds []string) []Action {
-	if s.loads > 0 {
-		return nil
-	}
-	inEngine := make(map[string]bool, len(holds))
-	for _, name := range holds {
-		inEngine[name] = true
-		if a := s.adapter(name); a.state == absent {
-			s.occupy(a)
-			a.state, a.swap, a.used, a.loadedAt = loaded, s.cfg.IntentsNeeded, now, now
-			s.refile(a)
-		}
-	}
-	for i := len(s.resident) - 1; i >= 0; i-- {
-		if a := s.resident[i]; a.state == loaded && !inEngine[a.name] {
-			s.vacate(a)
-		}
-	}
-	return s.dispatch(now, nil)
-}
-
 // RefuseAll refuses all waiting work.
 func (s *Scheduler) RefuseAll(now time.Time, reason Reason) []Action {
 	var acts []Action
@@ -357,16 +198,6 @@
 	return acts
 }
 
-// Reset records that the engine restarted cold: it holds nothing.
-func (s *Scheduler) Reset(now time.Time) []Action {
-	for i := len(s.resident) - 1; i >= 0; i-- {
-		if a := s.resident[i]; a.state == loaded {
-			s.vacate(a)
-		}
-	}
-	return s.dispatch(now, nil)
-}
-
 // Tick refuses waiting work that can no longer meet its deadline or that the
 // mode rules out, and forgets adapters that are neither resident nor popular.
 func (s *Scheduler) Tick(now time.Time) []Action {
@@ -401,53 +232,6 @@
 	return ""
 }
 
-// Adopt records what a new owner found at the engine: adapters that may be
-// granted, adapters that sit in a slot but must not be granted yet, and
-// streams that run under grants of an earlier owner.
-func (s *Scheduler) Adopt(now time.Time, resident []Resident, streams []Work) []Action {
-	for _, r := range resident {
-		a := s.adapter(r.Adapter)
-		if a.state == absent {
-			s.occupy(a)
-		}
-		a.state, a.swap, a.used = loaded, r.Swap, now
-		if r.Held {
-			a.state = held
-		}
-		s.refile(a)
-	}
-	for i := range streams {
-		s.pin(now, &streams[i])
-	}
-	return s.dispatch(now, nil)
-}
-
-// Unhold lets held adapters be granted and evicted.
-func (s *Scheduler) Unhold(now time.Time) []Action {
-	for _, a := range s.resident {
-		if a.state == held {
-			a.state = loaded
-		}
-	}
-	return s.dispatch(now, nil)
-}
-
-// Resident is an adapter in a slot of the engine.
-type Resident struct {
-	Adapter string
-	Swap    bool // it sits in a swap slot
-	Held    bool // it must not be granted or evicted yet
-}
-
-// Resident lists the adapters in slots, in no order.
-func (s *Scheduler) Resident() []Resident {
-	list := make([]Resident, 0, len(s.resident))
-	for _, a := range s.resident {
-		list = append(list, Resident{Adapter: a.name, Swap: a.swap, Held: a.state != loaded})
-	}
-	return list
-}
-
 // Running returns the work under grants, in no order.
 func (s *Scheduler) Running() []Work {
 	list := make([]Work, 0, len(s.running))
@@ -474,13 +258,6 @@
 	return n
 }
 
-func (s *Scheduler) serviceTime(w *Work) time.Duration {
-	if s.token == 0 {
-		s.token = s.cfg.TokenTime
-	}
-	return time.Duration(w.Tokens)*s.token + time.Duration(w.Prompt)*s.token/64
-}
-
 func (s *Scheduler) refuse(w *Work, reason Reason, wait time.Duration) Action {
 	return Action{Kind: Refuse, Work: w, Reason: reason, Wait: wait, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
 }
