Make the failure tests quick under the race detector

Cause: go test -race ./node took 302 s, most of it system time of processors that waited for each other, and once ended in SIGSEGV inside the race detector.

--- a/node/fuzz_test.go
+++ b/node/fuzz_test.go
@@ -173,6 +173,7 @@
 // runPlan runs a plan in a bubble of its own and returns the broken promises.
 func runPlan(t *testing.T, plan []step) []string {
 	var faults []string
+	defer fewProcessors()()
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(fuzzNodes, 4)
 		time.Sleep(10 * time.Second)
