--- a/caller/front.go
+++ b/caller/front.go
@@ -36,7 +36,7 @@
 func (r *Refusal) Error() string { return "refused: " + string(r.Reason) }
 
 // Front serves callers. Set the fields before the first use; Observe and
-// Registry may be left alone.
+// Router may be left alone.
 type Front struct {
 	// Tree returns the settings in force.
 	Tree func() *settings.Tree
@@ -61,7 +61,7 @@
 	NewID func() string
 	// Observe, if set, is told how each request ended.
 	Observe func(Event)
-	// MaxBody bounds bodies before the caller's branch is known, in bytes.
+	// Router chooses engines; nil means one with the default policy.
 	Router *engine.Router
 
 	mu      sync.Mutex // guards Router and retries
--- a/engine/estimate.go
+++ b/engine/estimate.go
@@ -10,15 +10,7 @@
 // estimateWeight is the weight of a new sample in moving averages.
 const estimateWeight = 0.1
 
-// Wait returns the expected time until work on the adapter would start.
-func (s *Scheduler) Wait(now time.Time, adapterName string, short bool) time.Duration {
-	a := s.adapters[adapterName]
-	if a == nil {
-		a = &adapter{}
-	}
-	return s.wait(now, a, short)
-}
-
+// wait returns the expected time until work on the adapter would start.
 func (s *Scheduler) wait(now time.Time, a *adapter, short bool) time.Duration {
 	var wait time.Duration
 	if !s.placeFree(short) || s.backlog > 0 {
