--- /dev/null
+++ b/caller/acquirer.go
@@ -0,0 +1,193 @@
+package caller
+
+import (
+	"cmp"
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/vanilladrift/vanilladrift/engine"
+)
+
+// Acquirer finds an engine that will run a request, by asking the engines'
+// owners. Set the fields before the first use.
+type Acquirer struct {
+	// Router orders the engines to ask; Mu guards it.
+	Router *engine.Router
+	Mu     sync.Locker
+	// Ask asks one engine's owner. It blocks while the request waits there, and
+	// fails with a [Refusal].
+	Ask func(ctx context.Context, engineName string, w engine.Work) (Grant, error)
+	// SpendRetry takes a retry from the budget, or reports that none is left.
+	SpendRetry func() bool
+	// Holds, if set, reports whether an engine is believed to hold an adapter.
+	// The engines that do are asked first, and an adapter that none of the
+	// choices holds is loaded by the first at once.
+	Holds func(engineName, adapter string) bool
+	// Direct, if set with Holds, lets a request go to an engine that holds its
+	// adapter without a grant while the engine's owner does not answer. The
+	// engine itself must refuse what it does not hold.
+	Direct bool
+}
+
+// Search says what is looked for.
+type Search struct {
+	Work  engine.Work // its ID is the prefix of the ids that owners see
+	Names []string    // the engines that may be asked
+	// Key places the request among the engines; empty means the adapter.
+	Key string
+	// Spare is set for a second attempt beside another, which is not worth
+	// waiting for.
+	Spare bool
+	// MaxWait is the longest queue wait at the first choices; zero means the
+	// router's.
+	MaxWait time.Duration
+}
+
+// Acquire finds an engine. While the engines that could run the request are
+// changing their owners it tries again, up to the deadline.
+func (a *Acquirer) Acquire(ctx context.Context, s Search) (Grant, error) {
+	id := s.Work.ID
+	for round := 0; ; round++ {
+		s.Work.ID = id + "r" + strconv.Itoa(round)
+		g, err := a.try(ctx, s)
+		var r *Refusal
+		if s.Spare || !errors.As(err, &r) || !a.passing(r.Reason) {
+			return g, err
+		}
+		if time.Now().Add(movedPause).After(s.Work.Deadline) {
+			return Grant{}, r
+		}
+		select {
+		case <-time.After(movedPause):
+		case <-ctx.Done():
+			return Grant{}, r
+		}
+	}
+}
+
+// passing reports whether the cause of a refusal is likely to pass soon, so
+// that the request should be tried again. A load that failed, or an engine that
+// this node did not know to be draining, costs a retry.
+func (a *Acquirer) passing(r engine.Reason) bool {
+	switch r {
+	case engine.Moved, engine.Recovering:
+		return true
+	case engine.LoadFailed, engine.Draining:
+		return a.SpendRetry()
+	}
+	return false
+}
+
+// try asks the adapter's choices in turn whether they can start soon; when
+// none can, the request waits at the one that names the shortest wait.
+func (a *Acquirer) try(ctx context.Context, s Search) (Grant, error) {
+	w := s.Work
+	id := w.ID
+	a.Mu.Lock()
+	key := cmp.Or(s.Key, w.Adapter)
+	names := a.Router.Candidates(time.Now(), key, s.Names, w.Short)
+	w.MaxWait = a.Router.MaxWait(w.Short)
+	a.Mu.Unlock()
+	if len(names) == 0 {
+		return Grant{}, &Refusal{Reason: engine.NotLoaded, RetryAfter: noEngineRetry}
+	}
+	if s.MaxWait > 0 {
+		w.MaxWait = s.MaxWait
+	}
+	names, holders := a.holdersFirst(names, w.Adapter)
+	var best *Refusal
+	bestName, cold := "", false
+	for i, name := range names {
+		w.ID = attemptID(id, i)
+		ask := w
+		if a.Holds != nil && holders == 0 {
+			ask.MaxWait = 0 // no choice holds it: the first one loads it
+		}
+		g, err := a.ask(ctx, name, ask)
+		if err == nil {
+			return g, nil
+		}
+		var r *Refusal
+		if !errors.As(err, &r) {
+			return Grant{}, err
+		}
+		if a.Direct && i < holders && ownerless(r.Reason) {
+			return Grant{Engine: name}, nil
+		}
+		cold = cold || r.Reason == engine.Cold
+		if bestName == "" || better(r, best) {
+			best, bestName = r, name
+		}
+	}
+	if s.Spare || hope(best.Reason) < hope(engine.Overflow) {
+		return Grant{}, best
+	}
+	if !cold {
+		a.Mu.Lock()
+		a.Router.Overflowed(time.Now(), key)
+		a.Mu.Unlock()
+	}
+	w.MaxWait, w.ID = 0, id+"w"
+	return a.ask(ctx, bestName, w)
+}
+
+// holdersFirst puts the engines that hold the adapter in front, and returns how
+// many there are.
+func (a *Acquirer) holdersFirst(names []string, adapter string) (sorted []string, holders int) {
+	if a.Holds == nil {
+		return names, 0
+	}
+	var rest []string
+	for _, name := range names {
+		if a.Holds(name, adapter) {
+			sorted = append(sorted, name)
+		} else {
+			rest = append(rest, name)
+		}
+	}
+	return append(sorted, rest...), len(sorted)
+}
+
+// ask asks one owner and notes the wait that it names. The owner refuses what
+// it cannot start in time; an answer that does not come shortly after the
+// deadline never will.
+func (a *Acquirer) ask(ctx context.Context, name string, w engine.Work) (Grant, error) {
+	ctx, cancel := context.WithDeadline(ctx, w.Deadline.Add(askSlack))
+	defer cancel()
+	g, err := a.Ask(ctx, name, w)
+	var r *Refusal
+	if errors.As(err, &r) {
+		a.Mu.Lock()
+		a.Router.ObserveWait(time.Now(), name, r.Wait)
+		a.Mu.Unlock()
+	}
+	return g, err
+}
+
+// ownerless reports whether a refusal says that nobody can grant at present.
+func ownerless(r engine.Reason) bool { return r == engine.Moved || r == engine.Recovering }
+
+// better prefers engines that could run the request soon, then those that may
+// after a change of owner, then short waits.
+func better(a, b *Refusal) bool {
+	if ra, rb := hope(a.Reason), hope(b.Reason); ra != rb {
+		return ra > rb
+	}
+	return a.Wait < b.Wait
+}
+
+func hope(r engine.Reason) int {
+	switch r {
+	case engine.Overflow, engine.Cold:
+		return 2
+	case engine.Moved, engine.Recovering, engine.LoadFailed, engine.Draining:
+		return 1
+	}
+	return 0
+}
+
+func attemptID(id string, i int) string { return id + string(rune('a'+i)) }
--- a/cmd/vanilladriftd/main.go
+++ b/cmd/vanilladriftd/main.go
@@ -26,6 +26,7 @@
 		command    flags.Commander
 	}{
 		{"run", "run the node until SIGTERM", &runCommand{}},
+		{"platform", "run the node of an entry VM on the users' platform until SIGTERM", &platformCommand{}},
 		{"check", "check the flags and the environment without starting", &checkCommand{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.help, c.help, c.command); err != nil {
--- a/engine/adopt.go
+++ b/engine/adopt.go
@@ -77,10 +77,19 @@
 	Held    bool // it must not be granted or evicted yet
 }
 
+// Wants reports whether an adapter is in a slot or work waits for it.
+func (s *Scheduler) Wants(name string) bool {
+	a := s.adapters[name]
+	return a != nil && (a.state != absent || len(a.waiting) > 0)
+}
+
 // Resident lists the adapters in slots, in no order.
 func (s *Scheduler) Resident() []Resident {
 	list := make([]Resident, 0, len(s.resident))
 	for _, a := range s.resident {
+		if a == s.base {
+			continue
+		}
 		list = append(list, Resident{Adapter: a.name, Swap: a.swap, Held: a.state != loaded})
 	}
 	return list
--- a/engine/config.go
+++ b/engine/config.go
@@ -29,6 +29,9 @@
 	LRU bool
 	// IntentsNeeded is set for engines that ignore fencing tokens.
 	IntentsNeeded bool
+	// BaseServes is set for engines that also serve their base model itself, as
+	// the adapter without a name. It takes no slot.
+	BaseServes bool
 	// TokenTime and LoadTime are the first estimates; defaults 25 ms and 300 ms.
 	TokenTime time.Duration
 	LoadTime  time.Duration
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -20,7 +20,8 @@
 	epoch    time.Time // queue keys are counted from here
 	adapters map[string]*adapter
 	cold     map[*adapter]bool // adapters that work waits for and that are in no slot
-	resident []*adapter        // adapters in a slot, whatever their state
+	resident []*adapter        // adapters in a slot, whatever their state, and base
+	base     *adapter          // the base model itself, or nil
 	running  map[string]*Work
 	waiting  map[string]*Work
 	longRun  int
@@ -48,12 +49,18 @@
 // NewScheduler returns a scheduler for an engine that holds nothing.
 func NewScheduler(cfg SchedulerConfig) *Scheduler {
 	cfg = cfg.withDefaults()
-	return &Scheduler{
+	s := &Scheduler{
 		cfg: cfg, loadTime: cfg.LoadTime, cold: make(map[*adapter]bool),
 		adapters: make(map[string]*adapter),
 		running:  make(map[string]*Work),
 		waiting:  make(map[string]*Work),
 	}
+	if cfg.BaseServes {
+		s.base = s.adapter("")
+		s.base.state = loaded
+		s.resident = append(s.resident, s.base)
+	}
+	return s
 }
 
 // Mode returns the present mode.
@@ -210,7 +217,7 @@
 		}
 	}
 	for name, a := range s.adapters {
-		if a.state == absent && len(a.waiting) == 0 && a.pins == 0 && a.popularity(now, s.cfg.HalfLife) < 0.05 {
+		if a != s.base && a.state == absent && len(a.waiting) == 0 && a.pins == 0 && a.popularity(now, s.cfg.HalfLife) < 0.05 {
 			delete(s.adapters, name)
 		}
 	}
--- /dev/null
+++ b/engine/sequencer.go
@@ -0,0 +1,408 @@
+package engine
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/semaphore"
+)
+
+// State is what an engine that numbers its orders reports of itself. It may be
+// older than the last orders.
+type State struct {
+	Boot     string // differs for every start of the engine
+	Sequence int64  // orders accepted since the start
+	Busy     bool   // a base model is being loaded or unloaded
+	Models   []string
+	Loaded   map[string]int64 // versions of adapters by "model/adapter"
+	Coming   map[string]int64 // adapters on their way, likewise
+	Running  int
+	Waiting  int
+}
+
+// Command is one order to an engine that numbers its orders.
+type Command struct {
+	Load     bool   // load, else unload
+	Model    string // base model
+	Adapter  string // empty for the model itself
+	Version  int64  // 0 means the newest
+	Expected int64  // the engine's sequence; the order has no effect at another one
+	Token    int64  // fencing token
+}
+
+// Reply is an engine's answer to a command.
+type Reply string
+
+// The answers to a command.
+const (
+	Accepted  Reply = "accepted"  // the engine carries it out
+	Already   Reply = "already"   // it holds, or has been carried out at once
+	Deferred  Reply = "conflict"  // another sequence or another order under way; nothing was done
+	StaleCall Reply = "fenced"    // the engine has seen a higher token
+	Elsewhere Reply = "elsewhere" // another incarnation answered; nothing was done
+)
+
+const (
+	// stateLag bounds how old a report may be.
+	stateLag = 400 * time.Millisecond
+	// settlePause is the time between two looks at an engine's state.
+	settlePause = 100 * time.Millisecond
+	// settleTries bounds how often an order is tried after a conflict.
+	settleTries = 4
+	// probePause is the time between two questions whether a load has ended.
+	probePause = 20 * time.Millisecond
+	// loadPatience is how long a load is waited for before it counts as lost.
+	loadPatience = 5 * time.Second
+)
+
+// Sequencer gives orders to one engine that numbers them. It sends one order at
+// a time, each with the sequence that it expects, so that an order that is
+// carried out late does nothing; after an order without an answer it reads the
+// engine's state before the next. It never orders more adapters than the
+// engine has slots for, since that would crash it.
+type Sequencer struct {
+	Slots int
+	Model string // the base model that the engine must hold
+	Send  func(ctx context.Context, c Command) (Reply, error)
+	Fetch func(ctx context.Context) (State, error)
+	// Wanted reports whether an adapter is in use or wanted, so that it must
+	// not be unloaded to make room.
+	Wanted func(name string) bool
+
+	once    sync.Once
+	sending *semaphore.Weighted // held while an order is on its way
+
+	mu       sync.Mutex // guards the fields below
+	known    bool       // they show the engine's present state
+	notUntil time.Time  // a state fetched before may be older than our last order
+	boot     string
+	sequence int64
+	hasModel bool
+	held     map[string]int64 // adapters in slots, those on their way included
+	warm     map[string]bool  // adapters that the engine has held before: they load faster
+	coldTime time.Duration
+	warmTime time.Duration
+}
+
+func (s *Sequencer) init() {
+	s.once.Do(func() {
+		s.sending = semaphore.NewWeighted(1)
+		s.held, s.warm = make(map[string]int64), make(map[string]bool)
+		s.coldTime, s.warmTime = 250*time.Millisecond, 25*time.Millisecond
+	})
+}
+
+// Report returns the engine's state in the form of [Report]. It also brings
+// the sequencer up to date.
+func (s *Sequencer) Report(ctx context.Context) (Report, error) {
+	s.init()
+	if err := s.sending.Acquire(ctx, 1); err != nil {
+		return Report{}, err
+	}
+	defer s.sending.Release(1)
+	asked := time.Now()
+	st, err := s.Fetch(ctx)
+	if err != nil {
+		return Report{}, err
+	}
+	s.merge(asked, st)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := Report{Boot: s.boot, Running: st.Running}
+	for name := range s.held {
+		if _, coming := st.Coming[name]; !coming {
+			r.Loaded = append(r.Loaded, name)
+		}
+	}
+	return r, nil
+}
+
+// Ready reports whether the engine holds its base model.
+func (s *Sequencer) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known && s.hasModel
+}
+
+// merge takes over a state unless it may be older than what is known.
+func (s *Sequencer) merge(asked time.Time, st State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.boot != "" && st.Boot != s.boot {
+		clear(s.held) // it restarted, and holds nothing of before
+		s.known, s.notUntil = false, time.Time{}
+	}
+	if s.known && st.Boot == s.boot && st.Sequence <= s.sequence {
+		s.hasModel = s.hasModel || slices.Contains(st.Models, s.Model)
+		return // nothing that this sequencer did not order itself
+	}
+	if asked.Before(s.notUntil) && st.Boot == s.boot {
+		return
+	}
+	s.boot, s.sequence, s.hasModel, s.known = st.Boot, st.Sequence, slices.Contains(st.Models, s.Model), !st.Busy
+	clear(s.held)
+	maps.Copy(s.held, st.Loaded)
+	maps.Copy(s.held, st.Coming)
+	for name := range s.held {
+		s.warm[name] = true
+	}
+}
+
+// settle makes the known state current. The sending semaphore is held.
+func (s *Sequencer) settle(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		known, wait := s.known, time.Until(s.notUntil)
+		s.mu.Unlock()
+		if known {
+			return nil
+		}
+		if err := pause(ctx, wait); err != nil {
+			return err
+		}
+		asked := time.Now()
+		st, err := s.Fetch(ctx)
+		if err != nil {
+			return err
+		}
+		s.merge(asked, st)
+		s.mu.Lock()
+		known = s.known
+		s.mu.Unlock()
+		if known {
+			return nil
+		}
+		if err := pause(ctx, settlePause); err != nil {
+			return err
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// doubt records that the engine's state is not known until a report that is
+// younger than the last order.
+func (s *Sequencer) doubt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known, s.notUntil = false, time.Now().Add(stateLag)
+}
+
+// order sends one command at the known sequence.
+func (s *Sequencer) order(ctx context.Context, c Command) (Reply, error) {
+	for range settleTries {
+		if err := s.settle(ctx); err != nil {
+			return "", err
+		}
+		s.mu.Lock()
+		c.Expected = s.sequence
+		s.mu.Unlock()
+		reply, err := s.Send(ctx, c)
+		switch {
+		case err != nil:
+			s.doubt()
+			return "", err
+		case reply == Accepted, reply == Already:
+			return reply, nil
+		case reply == StaleCall:
+			return reply, &Error{Op: "order", Kind: Fenced}
+		case reply == Elsewhere:
+			return reply, &Error{Op: "order", Kind: Refused, Err: errors.New("another incarnation answered")}
+		}
+		s.doubt()
+	}
+	return Deferred, &Error{Op: "order", Kind: Refused, Err: errors.New("the engine does not take orders")}
+}
+
+// advance counts an order that the engine accepted.
+func (s *Sequencer) advance(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	f()
+}
+
+// Unload makes the engine drop an adapter that no request uses.
+func (s *Sequencer) Unload(ctx context.Context, name string, token int64) (string, error) {
+	s.init()
+	if err := s.sending.Acquire(ctx, 1); err != nil {
+		return "", err
+	}
+	defer s.sending.Release(1)
+	return s.boot, s.unload(ctx, name, token)
+}
+
+func (s *Sequencer) unload(ctx context.Context, name string, token int64) error {
+	model, adapter := SplitName(name)
+	reply, err := s.order(ctx, Command{Model: model, Adapter: adapter, Token: token})
+	if err != nil {
+		return err
+	}
+	if reply == Accepted {
+		// It waits for the runs of the adapter: the slot is not free yet.
+		s.advance(func() {})
+		s.doubt()
+		return nil
+	}
+	s.advance(func() { delete(s.held, name) })
+	return nil
+}
+
+// Load makes the engine load an adapter, and returns when it can be used.
+func (s *Sequencer) Load(ctx context.Context, name string, token int64) (string, error) {
+	s.init()
+	ctx, cancel := context.WithTimeout(ctx, loadPatience)
+	defer cancel()
+	model, adapter := SplitName(name)
+	c := Command{Load: true, Model: model, Adapter: adapter, Token: token}
+	if err := s.sending.Acquire(ctx, 1); err != nil {
+		return "", err
+	}
+	reply, err := s.begin(ctx, name, c)
+	s.sending.Release(1)
+	if err != nil || reply == Already {
+		return s.boot, err
+	}
+	return s.boot, s.await(ctx, name, c)
+}
+
+// begin sends the order to load once the engine has a slot for it.
+func (s *Sequencer) begin(ctx context.Context, name string, c Command) (Reply, error) {
+	if err := s.settle(ctx); err != nil {
+		return "", err
+	}
+	if err := s.makeRoom(ctx, name, c.Token); err != nil {
+		return "", err
+	}
+	reply, err := s.order(ctx, c)
+	if err != nil {
+		return reply, err
+	}
+	if reply == Accepted {
+		s.advance(func() { s.held[name] = c.Version })
+	} else {
+		s.mu.Lock()
+		s.held[name] = c.Version
+		s.mu.Unlock()
+	}
+	return reply, nil
+}
+
+// makeRoom unloads adapters that nothing wants until a slot is free.
+func (s *Sequencer) makeRoom(ctx context.Context, name string, token int64) error {
+	for {
+		s.mu.Lock()
+		_, present := s.held[name]
+		full := !present && len(s.held) >= s.Slots
+		others := slices.Collect(maps.Keys(s.held))
+		s.mu.Unlock()
+		if !full {
+			return nil
+		}
+		i := slices.IndexFunc(others, func(other string) bool { return s.Wanted == nil || !s.Wanted(other) })
+		if i < 0 {
+			return &Error{Op: "load", Kind: Full}
+		}
+		victim := others[i]
+		if err := s.unload(ctx, victim, token); err != nil {
+			return err
+		}
+		if err := s.settle(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// await waits until a load that was accepted has ended. The engine says so
+// when the same order is given again.
+func (s *Sequencer) await(ctx context.Context, name string, c Command) error {
+	s.mu.Lock()
+	usual := s.coldTime
+	if s.warm[name] {
+		usual = s.warmTime
+	}
+	s.mu.Unlock()
+	start := time.Now()
+	wait := usual
+	for {
+		if err := pause(ctx, wait); err != nil {
+			return err
+		}
+		wait = probePause
+		if err := s.sending.Acquire(ctx, 1); err != nil {
+			return err
+		}
+		reply, err := s.order(ctx, c)
+		s.sending.Release(1)
+		if err != nil {
+			return err
+		}
+		if reply == Already {
+			s.learn(name, time.Since(start))
+			return nil
+		}
+		s.advance(func() {})
+	}
+}
+
+// learn folds the time of a load into what is expected of the next.
+func (s *Sequencer) learn(name string, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	usual := &s.coldTime
+	if s.warm[name] {
+		usual = &s.warmTime
+	}
+	*usual += time.Duration(estimateWeight * float64(took-*usual))
+	s.warm[name] = true
+}
+
+// LoadModel makes the engine load its base model, and returns when it can be
+// used. An engine that restarted holds none.
+func (s *Sequencer) LoadModel(ctx context.Context, token int64) error {
+	s.init()
+	if err := s.sending.Acquire(ctx, 1); err != nil {
+		return err
+	}
+	defer s.sending.Release(1)
+	if err := s.settle(ctx); err != nil {
+		return err
+	}
+	if s.Ready() {
+		return nil
+	}
+	reply, err := s.order(ctx, Command{Load: true, Model: s.Model, Token: token})
+	if err != nil {
+		return err
+	}
+	if reply == Accepted {
+		s.advance(func() { s.known, s.notUntil = false, time.Now().Add(stateLag) })
+	}
+	return s.settle(ctx)
+}
+
+// SplitName splits "model/adapter".
+func SplitName(name string) (model, adapter string) {
+	for i := range len(name) {
+		if name[i] == '/' {
+			return name[:i], name[i+1:]
+		}
+	}
+	return name, ""
+}
--- a/engine/slots.go
+++ b/engine/slots.go
@@ -55,7 +55,7 @@
 
 // vacate takes the adapter out of its slot.
 func (s *Scheduler) vacate(a *adapter) {
-	if a.state == absent {
+	if a.state == absent || a == s.base {
 		return
 	}
 	a.state, a.swap = absent, false
@@ -152,6 +152,13 @@
 	return best
 }
 
+func (s *Scheduler) slotsUsed() int {
+	if s.base != nil {
+		return len(s.resident) - 1
+	}
+	return len(s.resident)
+}
+
 func (s *Scheduler) swapUsed() int {
 	n := 0
 	for _, a := range s.resident {
@@ -165,14 +172,14 @@
 // slotFor returns the adapter to evict, or free if a slot is empty.
 func (s *Scheduler) slotFor(now time.Time) (victim *adapter, free bool) {
 	swapOnly := s.mode.SwapOnly && s.cfg.IntentsNeeded
-	if len(s.resident) < s.cfg.Slots && (!swapOnly || s.swapUsed() < s.cfg.SwapSlots) {
+	if s.slotsUsed() < s.cfg.Slots && (!swapOnly || s.swapUsed() < s.cfg.SwapSlots) {
 		return nil, true
 	}
 	if s.mode.NoEvict {
 		return nil, false
 	}
 	for _, a := range s.resident {
-		if a.state != loaded || a.pins > 0 || len(a.waiting) > 0 {
+		if a == s.base || a.state != loaded || a.pins > 0 || len(a.waiting) > 0 {
 			continue
 		}
 		if swapOnly && !a.swap {
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/feed"
+	"github.com/vanilladrift/vanilladrift/node"
+	"github.com/vanilladrift/vanilladrift/peer"
+	"github.com/vanilladrift/vanilladrift/platform"
+	"github.com/vanilladrift/vanilladrift/relay"
+	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/table"
+)
+
+const (
+	// storeTimeout bounds a call of the store, many times its usual answer.
+	storeTimeout = time.Second
+	// operatorWait is how long the store holds a question for configuration
+	// open; a connection that went silent is noticed after it.
+	operatorWait = 2500 * time.Millisecond
+	// serversPace is the time between two questions for servers: well under the
+	// time in which a leaving server must get no new request.
+	serversPace = 700 * time.Millisecond
+	// orderTimeout and reportTimeout bound calls of replicas' own interface.
+	orderTimeout  = 600 * time.Millisecond
+	reportTimeout = 500 * time.Millisecond
+
+	leaseMargin = 300 * time.Millisecond
+	renewEvery  = time.Second
+	// listenerOpen is how long after SIGTERM idle connections stay open, so
+	// that the balancer has taken the node out before they close.
+	listenerOpen = 4 * time.Second
+	// exitMargin is kept of the grace period for the process's end.
+	exitMargin = 500 * time.Millisecond
+	tickEvery  = 200 * time.Millisecond
+	// memoryShare is the part of the memory limit that the collector aims at.
+	memoryShare = 0.7
+)
+
+// Daemon is the process of one entry VM.
+type Daemon struct {
+	settings platform.Settings
+	log      *log.Logger
+	store    *platform.Store
+	node     *node.Node
+	state    *state
+	conns    *conns
+	front    *relay.Front
+	acquirer *caller.Acquirer
+	metrics  *metrics
+
+	mu      sync.Mutex
+	budgets map[string]*backend.RepeatBudget
+	leaving atomic.Bool
+	servers []*http.Server
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+}
+
+// New returns a daemon that has not started.
+func New(s platform.Settings, l *log.Logger) *Daemon {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	d := &Daemon{settings: s, log: l, budgets: make(map[string]*backend.RepeatBudget)}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.store = &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: newTransport(0)}}
+	d.state = &state{log: l}
+	d.node = node.New(node.Config{
+		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
+		Table: &table.Client{Read: d.readStore, Apply: d.applyStore}, Sequencer: d.sequencer,
+		SettingsPushed: true, HolderGap: s.Lease, LeaseTTL: s.Lease - 500*time.Millisecond, LeaseMargin: leaseMargin,
+		RenewEvery: renewEvery, DrainGrace: time.Millisecond, PeerHTTP: peerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
+	})
+	d.state.store = d.node.Store()
+	d.conns = &conns{nodes: d.node.LiveNodes}
+	d.metrics = newMetrics(d.node.Meter())
+	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.holds, func() bool { return false })
+	d.front = &relay.Front{
+		Table: d.state.table.Load, Servers: d.state.servers.View, Version: d.state.version,
+		Decode: platform.DecodeHead, Outgoing: platform.Outgoing, Inspect: platform.DecodeAnswer, RequestID: platform.RequestIDHeader,
+		Transport: d.conns.pool, Acquire: d.acquire, Release: d.node.Release,
+		Budget: d.budget, Balancer: &backend.Balancer{DataCenter: s.DataCenter}, Leaving: d.leaving.Load, Observe: d.observe,
+	}
+	return d
+}
+
+// peerClient returns the client for other nodes.
+func peerClient() *http.Client {
+	c := peer.NewHTTPClient(nil)
+	t := c.Transport.(*http.Transport)
+	t.DialContext = dial
+	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: time.Second}
+	return c
+}
+
+func (d *Daemon) readStore(ctx context.Context, q table.Query) ([]table.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return d.store.Read(ctx, q)
+}
+
+func (d *Daemon) applyStore(ctx context.Context, tx table.Tx) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return d.store.Apply(ctx, tx)
+}
+
+func (d *Daemon) acquire(ctx context.Context, names []string, w engine.Work) (caller.Grant, error) {
+	s := caller.Search{Work: w, Names: names}
+	if _, adapter := engine.SplitName(w.Adapter); adapter == "" {
+		s.Work.Adapter, s.Key = "", w.ID // every engine serves its base model
+	}
+	return d.acquirer.Acquire(ctx, s)
+}
+
+// sequencer returns what gives orders to a replica.
+func (d *Daemon) sequencer(b settings.BackendServer) *engine.Sequencer {
+	server := func() (backend.Server, *platform.Replicas, error) {
+		s, ok := d.state.servers.View().Server(b.Name)
+		t := d.state.table.Load()
+		if !ok || t == nil {
+			return backend.Server{}, nil, &engine.Error{Op: "order", Kind: engine.NotSent, Engine: b.Name}
+		}
+		pool, _ := t.Pool(s.Pool)
+		hc := &http.Client{Transport: d.conns.pool(pool)}
+		return *s, &platform.Replicas{HTTP: hc, Holder: d.settings.Node}, nil
+	}
+	return &engine.Sequencer{
+		Send: func(ctx context.Context, c engine.Command) (engine.Reply, error) {
+			s, r, err := server()
+			if err != nil {
+				return "", err
+			}
+			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+			defer cancel()
+			reply, err := r.Order(ctx, s, c)
+			d.log.Info("order", "engine", s.ID, "load", c.Load, "model", c.Model, "adapter", c.Adapter,
+				"expected", c.Expected, "token", c.Token, "reply", reply, "err", err)
+			return reply, err
+		},
+		Fetch: func(ctx context.Context) (engine.State, error) {
+			s, r, err := server()
+			if err != nil {
+				return engine.State{}, err
+			}
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			return r.Report(ctx, s)
+		},
+	}
+}
+
+// budget returns this node's part of the budget for sending again to a pool.
+func (d *Daemon) budget(pool string) *backend.RepeatBudget {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := d.budgets[pool]
+	if b == nil {
+		s := d.settings
+		b = &backend.RepeatBudget{
+			Ratio: s.RepeatRatio * budgetShare, Slack: float64(s.RepeatSlack) * budgetShare / float64(max(1, d.node.LiveNodes())),
+			Window: s.RepeatWindow,
+		}
+		d.budgets[pool] = b
+	}
+	return b
+}
+
+// budgetShare is the part of the budget for sending again that is used, since
+// nodes come and go within its window.
+const budgetShare = 0.8
+
+// Start begins to serve.
+func (d *Daemon) Start() error {
+	for _, l := range []struct {
+		address string
+		srv     *http.Server
+	}{
+		{d.settings.ReadyAddress, &http.Server{Handler: http.HandlerFunc(d.ready)}},
+		{d.settings.PeerAddress, peer.NewHTTPServer(d.node.Peers(), nil)},
+		{d.settings.StatusAddress, &http.Server{Handler: d.node.Operators()}},
+		{d.settings.FrontAddress, &http.Server{Handler: d.front}},
+	} {
+		ln, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return err
+		}
+		d.servers = append(d.servers, l.srv)
+		go func() { _ = l.srv.Serve(ln) }() // ends with Close
+	}
+	d.node.Start()
+	d.follow(platform.OperatorTable, operatorWait, 0, d.state.resetOperator, d.state.applyOperator)
+	d.follow(platform.ServersTable, 0, serversPace, d.state.resetServers, d.state.applyServers)
+	d.tasks.Go(func() {
+		t := time.NewTicker(tickEvery)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				d.state.tick()
+			case <-d.ctx.Done():
+				return
+			}
+		}
+	})
+	d.log.Info("started", "callers", d.settings.FrontAddress, "peers", d.settings.PeerAddress,
+		"metrics", d.settings.StatusAddress, "store", d.settings.StoreAddress)
+	return nil
+}
+
+func (d *Daemon) follow(name string, wait, pace time.Duration, reset func([]table.Row), apply func(table.Changes)) {
+	f := &feed.Follower{
+		Table: name, All: d.store.All, Next: d.store.Feed, Reset: reset, Apply: apply,
+		Wait: wait, Answer: storeTimeout, Pace: pace, Retry: 200 * time.Millisecond, MaxRetry: time.Second,
+		Down: func(err error) {
+			d.log.Warn("store lost", "table", name, "err", err)
+			if name == platform.ServersTable {
+				d.state.servers.StoreAway()
+			}
+		},
+		Up: func() {
+			d.log.Info("store regained", "table", name)
+			if name == platform.ServersTable {
+				d.state.servers.StoreBack(time.Now())
+			}
+		},
+	}
+	d.tasks.Go(func() { f.Run(d.ctx) })
+}
+
+// ready answers the balancer.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.leaving.Load() || d.state.table.Load() == nil || d.state.servers.View() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Close hands engines over, finishes what is in flight, and stops, within the
+// platform's grace period.
+func (d *Daemon) Close() {
+	d.log.Info("stopping", "grace", d.settings.GracePeriod)
+	d.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.GracePeriod-exitMargin)
+	defer cancel()
+	d.tasks.Go(func() { d.node.Leave(ctx) })
+	time.Sleep(listenerOpen)
+	front := d.servers[len(d.servers)-1]
+	if err := front.Shutdown(ctx); err != nil {
+		d.log.Warn("requests were cut at the end of the grace period", "err", err)
+	}
+	if err := d.node.Close(ctx); err != nil {
+		d.log.Warn("node did not close in time", "err", err)
+	}
+	d.cancel()
+	for _, srv := range d.servers {
+		_ = srv.Close() // nothing is in flight any more
+	}
+	d.tasks.Wait()
+	d.log.Info("stopped")
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/vanilladrift/vanilladrift/node"
+	"github.com/vanilladrift/vanilladrift/relay"
+)
+
+// metrics counts what became of callers' requests.
+type metrics struct {
+	requests metric.Int64Counter
+	again    metric.Int64Counter
+	first    metric.Float64Histogram
+	granted  metric.Float64Histogram
+}
+
+func newMetrics(m node.Meter) *metrics {
+	return &metrics{
+		requests: m.Counter("relayed-requests", "requests by route, status and kind of failure"),
+		again:    m.Counter("relayed-repeats", "attempts that failed and were followed by another, by kind"),
+		first:    m.Seconds("relayed-first-byte", "time from reading a request to the first byte of its answer"),
+		granted:  m.Seconds("relayed-grant", "time from reading a request to the grant of an engine"),
+	}
+}
+
+// observe logs and counts one event of a request.
+func (d *Daemon) observe(ev relay.Event) {
+	ctx := context.Background()
+	kind := attribute.String("kind", string(ev.Kind))
+	if !ev.Final {
+		d.metrics.again.Add(ctx, 1, metric.WithAttributes(kind))
+	} else {
+		d.metrics.requests.Add(ctx, 1, metric.WithAttributes(kind, attribute.String("route", ev.Route), attribute.Int("status", ev.Status)))
+		if ev.First > 0 {
+			d.metrics.first.Record(ctx, ev.First.Seconds())
+		}
+		if ev.Granted > 0 {
+			d.metrics.granted.Record(ctx, ev.Granted.Seconds())
+		}
+	}
+	msg := "request ended"
+	if !ev.Final {
+		msg = "request goes on"
+	}
+	d.log.Info(msg, "id", ev.ID, "route", ev.Route, "pool", ev.Pool, "adapter", ev.Adapter, "server", ev.Server,
+		"status", ev.Status, "kind", ev.Kind, "reason", ev.Reason, "attempts", ev.Attempts, "events", ev.Events,
+		"age-ms", ev.Age.Milliseconds(), "grant-ms", ev.Granted.Milliseconds(), "first-ms", ev.First.Milliseconds(),
+		"left-ms", ev.Left.Milliseconds(), "retry-ms", ev.RetryTime.Milliseconds(), "config", ev.Config)
+}
--- a/node/admission.go
+++ b/node/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,6 +18,37 @@
 	movedRetry     = 200 * time.Millisecond
 )
 
+// Acquirer returns what finds engines for requests that do not come through
+// [Node.Callers]. Holds tells which engines are believed to hold an adapter.
+func (n *Node) Acquirer(router *engine.Router, holds func(engineName, adapter string) bool, retry func() bool) *caller.Acquirer {
+	return &caller.Acquirer{
+		Router: router, Mu: new(sync.Mutex), Holds: holds, Direct: true, SpendRetry: retry,
+		Ask: func(ctx context.Context, engineName string, w engine.Work) (caller.Grant, error) {
+			n.registry.Expect(engineName, w.ID)
+			g, err := n.acquire(ctx, engineName, w)
+			if err != nil {
+				n.registry.End(engineName, w.ID)
+				return g, err
+			}
+			if err := n.registry.Start(engineName, w.ID, g.Token, w.Adapter, w.Short); err != nil {
+				// Under an older owner's grant the engine itself still refuses what
+				// it does not hold.
+				n.log.Debug("grant of an earlier owner", "engine", engineName, "err", err)
+			}
+			return g, nil
+		},
+	}
+}
+
+// Release gives back a grant that an [caller.Acquirer] of this node found.
+func (n *Node) Release(g caller.Grant, missing bool, tokenTime time.Duration) {
+	if g.ID == "" {
+		return // the request went without a grant
+	}
+	n.registry.End(g.Engine, g.ID)
+	n.release(g, missing, tokenTime)
+}
+
 // acquire asks the owner of an engine for a grant, wherever it is.
 func (n *Node) acquire(ctx context.Context, engineName string, w engine.Work) (caller.Grant, error) {
 	owner := n.ownerHint(engineName)
--- a/node/config.go
+++ b/node/config.go
@@ -7,7 +7,10 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/operator"
+	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/table"
 )
 
 // Config is the configuration of a node. Zero durations take defaults.
@@ -20,6 +23,16 @@
 	TableURL  string
 	ObjectURL string
 	VMListURL string
+	// Table, if set, is used instead of a client of TableURL.
+	Table *table.Client
+	// Sequencer, if set, returns what gives orders to an engine that numbers
+	// them; its other fields are filled in by the node.
+	Sequencer func(b settings.BackendServer) *engine.Sequencer
+	// SettingsPushed is set when the settings are installed in [Node.Store] from
+	// outside, so that they are neither read from the table nor from peers.
+	SettingsPushed bool
+	// HolderGap is the time that engines want between the orders of two VMs.
+	HolderGap time.Duration
 	// PeerScheme is "http" or "https".
 	PeerScheme string
 	// Operators holds the credentials of operators; the zero value refuses all.
@@ -66,6 +79,9 @@
 		t.MaxIdleConnsPerHost = 256
 		c.HTTP = &http.Client{Transport: t}
 	}
+	if c.Table == nil {
+		c.Table = &table.Client{URL: c.TableURL, HTTP: c.HTTP}
+	}
 	if c.PeerHTTP == nil {
 		c.PeerHTTP = c.HTTP
 	}
@@ -79,7 +95,7 @@
 	switch {
 	case c.Name == "":
 		return &Error{Op: op, Kind: Invalid, Reason: "the node has no name"}
-	case c.TableURL == "":
+	case c.TableURL == "" && c.Table == nil:
 		return &Error{Op: op, Kind: Invalid, Reason: "the table's URL is missing"}
 	case d.LeaseMargin*2 >= d.LeaseTTL:
 		return &Error{Op: op, Kind: Invalid, Reason: "the lease margin must be under half of the lease's time"}
--- a/node/members.go
+++ b/node/members.go
@@ -233,7 +233,9 @@
 		return
 	}
 	m.answered(l, true, resp.Msg.GetProcess())
-	m.n.catchUpWith(ctx, l.client, resp.Msg.GetRevision(), sent)
+	if !m.n.cfg.SettingsPushed {
+		m.n.catchUpWith(ctx, l.client, resp.Msg.GetRevision(), sent)
+	}
 }
 
 func (m *members) answered(l *link, ok bool, process string) {
--- a/node/node.go
+++ b/node/node.go
@@ -63,7 +63,7 @@
 	cfg = cfg.withDefaults()
 	n := &Node{
 		cfg: cfg, process: cfg.Process, log: cfg.Log,
-		table:   &table.Client{URL: cfg.TableURL, HTTP: cfg.HTTP},
+		table:   cfg.Table,
 		vms:     &vmlist.Client{URL: cfg.VMListURL, HTTP: cfg.HTTP},
 		owned:   make(map[string]*ownedEngine),
 		retired: make(map[string][]*ownedEngine),
@@ -105,9 +105,11 @@
 func (n *Node) Start() {
 	n.every(n.cfg.RenewEvery, n.session.renew)
 	n.every(n.cfg.PollEvery, n.pollMembers)
-	n.every(n.cfg.PollEvery, n.pollSettings)
 	n.every(n.cfg.PollEvery, n.members.heartbeat)
-	n.every(n.cfg.PollEvery, n.pollVMs)
+	if !n.cfg.SettingsPushed {
+		n.every(n.cfg.PollEvery, n.pollSettings)
+		n.every(n.cfg.PollEvery, n.pollVMs)
+	}
 	n.every(tickEvery, n.tickEngines)
 	n.every(reconcileEvery, n.reconcileGrants)
 }
@@ -215,6 +217,23 @@
 	n.tableUp.Store(err == nil)
 }
 
+// LiveNodes returns the number of nodes that take part, this one included.
+func (n *Node) LiveNodes() int {
+	live := 0
+	for _, m := range n.members.all() {
+		if m.live() {
+			live++
+		}
+	}
+	return max(1, live)
+}
+
+// Leave hands the node's engines over while it goes on serving as an entry.
+func (n *Node) Leave(ctx context.Context) {
+	n.session.leave()
+	n.handOverAll(ctx)
+}
+
 // Close drains the node: new requests are refused, engines are handed over,
 // and what is in flight is finished. It waits until all of that is done, or
 // returns an error of kind [CutShort] when ctx ends first.
--- a/node/orders.go
+++ b/node/orders.go
@@ -18,7 +18,10 @@
 // load carries out a load that the scheduler asked for: budget, intent,
 // unload of the victim, load.
 func (o *ownedEngine) load(ctx context.Context, demand int) {
-	giveBack := o.n.loads.acquire(ctx, o.name, demand)
+	giveBack := func(bool) {}
+	if !o.backend().UnloadWaits {
+		giveBack = o.n.loads.acquire(ctx, o.name, demand)
+	}
 	o.mu.Lock()
 	act, wanted := o.sched.Permit(time.Now())
 	o.mu.Unlock()
@@ -46,14 +49,14 @@
 		return
 	}
 	if act.Victim != "" {
-		if !o.order(func(c *engine.Client) (string, error) { return c.Unload(ctx, act.Victim, o.token) }) {
+		if !o.order(func(c engine.Control) (string, error) { return c.Unload(ctx, act.Victim, o.token) }) {
 			res.VictimKept = false // what the engine did is unknown: not granted until a report shows it
 			return
 		}
 		res.VictimKept = false
 		o.n.metrics.evictions.Add(ctx, 1)
 	}
-	res.OK = o.order(func(c *engine.Client) (string, error) { return c.Load(ctx, act.Adapter, o.token) })
+	res.OK = o.order(func(c engine.Control) (string, error) { return c.Load(ctx, act.Adapter, o.token) })
 }
 
 // beginOrder enters an order, unless the ownership has ended. A pause of the
@@ -67,7 +70,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.stopped || o.handing || o.suspects {
+	if o.stopped || o.handing || o.suspects || o.backend().UnloadWaits && !o.mayOrder(time.Now()) {
 		return false
 	}
 	o.orders++
@@ -83,8 +86,8 @@
 
 // order sends one order. It is not cut short by the end of the ownership, so
 // that its answer tells when it can no longer take effect.
-func (o *ownedEngine) order(send func(c *engine.Client) (string, error)) bool {
-	boot, err := send(o.client())
+func (o *ownedEngine) order(send func(c engine.Control) (string, error)) bool {
+	boot, err := send(o.control())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.noteBoot(time.Now(), boot)
--- a/node/owned.go
+++ b/node/owned.go
@@ -22,6 +22,8 @@
 	// when it is full gets no orders from a new owner until it has passed.
 	reportLag = 3 * time.Second
 	stopPoll  = 10 * time.Millisecond
+	// prepareTimeout bounds the load of a base model.
+	prepareTimeout = 15 * time.Second
 )
 
 // ownedEngine is an engine that this node owns: its scheduler and the orders
@@ -52,18 +54,27 @@
 	fenceDone  bool // the engine knows the token
 	barsDone   bool // every entry node has barred older grants
 	suspects   bool // an earlier owner may still send orders
+
+	seq        *engine.Sequencer // for an engine that numbers its orders
+	quietUntil time.Time         // orders of an earlier owner may have been sent shortly before
+	preparing  bool              // the base model is being loaded
 }
 
 func newOwnedEngine(n *Node, b settings.BackendServer, row table.Owner, ver int64) *ownedEngine {
 	o := &ownedEngine{
 		n: n, name: b.Name, token: row.Token, taken: time.Now(), writing: semaphore.NewWeighted(1), row: row, version: ver,
 		waiters: make(map[string]chan engine.Action), entries: make(map[string]string),
-		fenceDone: !b.ChecksFencing, suspects: len(row.Suspects) > 0,
+		fenceDone: !b.ChecksFencing, suspects: len(row.Suspects) > 0, barsDone: b.UnloadWaits,
 	}
 	o.server.Store(&b)
 	o.sched = engine.NewScheduler(engine.SchedulerConfig{
-		Slots: b.Slots, SwapSlots: b.SwapSlots, Places: b.Places, IntentsNeeded: !b.ChecksFencing,
+		Slots: b.Slots, SwapSlots: b.SwapSlots, Places: b.Places, IntentsNeeded: !b.ChecksFencing && !b.UnloadWaits,
+		BaseServes: b.UnloadWaits, MaxLoads: b.MaxLoads,
 	})
+	if n.cfg.Sequencer != nil {
+		o.seq = n.cfg.Sequencer(b)
+		o.seq.Slots, o.seq.Model, o.seq.Wanted = b.Slots, b.BaseModel, o.wants
+	}
 	o.sched.SetMode(time.Now(), engine.Mode{Recovering: true})
 	return o
 }
@@ -71,6 +82,20 @@
 // backend returns the engine's settings.
 func (o *ownedEngine) backend() *settings.BackendServer { return o.server.Load() }
 
+// wants reports whether the scheduler has a use for an adapter.
+func (o *ownedEngine) wants(name string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.sched.Wants(name)
+}
+
+// quietFor lets no order start for a while.
+func (o *ownedEngine) quietFor(d time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.quietUntil = time.Now().Add(d)
+}
+
 // submit offers work and waits for the grant or the refusal.
 func (o *ownedEngine) submit(ctx context.Context, w engine.Work, address string) engine.Action {
 	ch := make(chan engine.Action, 1)
@@ -122,6 +147,13 @@
 
 // mode derives the scheduler's mode from what is known. The lock is held.
 func (o *ownedEngine) mode(now time.Time) engine.Mode {
+	if o.backend().UnloadWaits {
+		return engine.Mode{
+			Recovering: o.lastReport.IsZero() || o.seq != nil && !o.seq.Ready(),
+			Draining:   o.draining(),
+			ReadOnly:   !o.mayOrder(now),
+		}
+	}
 	return engine.Mode{
 		Recovering: o.lastReport.IsZero() || !o.fenceDone,
 		Draining:   o.draining(),
@@ -131,6 +163,12 @@
 	}
 }
 
+// mayOrder reports whether the lease lets this node give orders to an engine
+// that does not arbitrate between holders. The lock is held.
+func (o *ownedEngine) mayOrder(now time.Time) bool {
+	return o.n.session.valid(now) && !now.Before(o.quietUntil)
+}
+
 func (o *ownedEngine) draining() bool {
 	state := o.n.vmListNow().State(o.backend().Address)
 	return o.backend().Drain || state == vmlist.Leaving || state == vmlist.Gone
@@ -159,13 +197,18 @@
 	ctx, cancel := context.WithTimeout(ctx, reportEvery)
 	defer cancel()
 	asked := time.Now()
-	r, err := o.client().Report(ctx)
+	r, err := o.control().Report(ctx)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.reporting = false
 	if err != nil {
+		o.n.log.Debug("no report", "engine", o.name, "err", err)
 		return
 	}
+	if o.seq != nil && !o.seq.Ready() && !o.preparing && o.mayOrder(time.Now()) {
+		o.preparing = true
+		o.n.tasks.Go(func() { o.prepare(ctx) })
+	}
 	now := time.Now()
 	first := o.lastReport.IsZero()
 	o.lastReport = now
@@ -209,6 +252,32 @@
 	o.boot = boot
 }
 
+// prepare loads the base model of an engine that came up without it.
+func (o *ownedEngine) prepare(ctx context.Context) {
+	defer func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.preparing = false
+	}()
+	if !o.beginOrder() {
+		return
+	}
+	defer o.endOrder()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), prepareTimeout)
+	defer cancel()
+	err := o.seq.LoadModel(ctx, o.token)
+	o.n.log.Info("base model ordered", "engine", o.name, "model", o.backend().BaseModel, "err", err)
+}
+
+// control returns what gives orders to the engine.
+func (o *ownedEngine) control() engine.Control {
+	if o.seq != nil {
+		return engine.Control{Load: o.seq.Load, Unload: o.seq.Unload, Report: o.seq.Report}
+	}
+	c := o.client()
+	return engine.Control{Load: c.Load, Unload: c.Unload, Report: c.Report}
+}
+
 func (o *ownedEngine) client() *engine.Client {
 	return &engine.Client{Name: o.name, URL: "http://" + o.backend().Address, HTTP: o.n.cfg.HTTP}
 }
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -67,7 +67,7 @@
 	}
 	n.session.with(ctx, func(me table.Session, check table.Check) {
 		if old.Process == me.Process && old.Epoch == me.Epoch && old.Node == me.Node {
-			n.adopt(b, old, row.Version) // our own write, whose answer was lost
+			n.adopt(b, old, row.Version).quietFor(n.cfg.HolderGap) // our own write, whose answer was lost
 			return
 		}
 		tx, ok := n.fenceHolder(old)
@@ -75,7 +75,7 @@
 			n.hint(b.Name, old.Node)
 			return
 		}
-		next := takeover(old, me, b.ChecksFencing)
+		next := takeover(old, me, b.ChecksFencing || b.UnloadWaits)
 		tx.Checks = append(tx.Checks, check, table.Check{Key: next.Key(), Version: row.Version})
 		tx.Puts = append(tx.Puts, table.Put{Key: next.Key(), Value: next.Encode()})
 		ver, err := n.table.Commit(ctx, tx)
@@ -83,7 +83,10 @@
 			return // an unknown outcome shows at the next reading
 		}
 		n.log.Info("took engine", "engine", b.Name, "token", next.Token, "from", old.Node)
-		n.adopt(b, next, ver)
+		o := n.adopt(b, next, ver)
+		if old.LastNode != "" && old.LastNode != me.Node {
+			o.quietFor(n.cfg.HolderGap)
+		}
 	})
 }
 
@@ -92,7 +95,7 @@
 func takeover(old table.Owner, me table.Session, engineArbitrates bool) table.Owner {
 	next := old
 	next.Node, next.Process, next.Epoch, next.Address = me.Node, me.Process, me.Epoch, me.Address
-	next.Token = old.Token + 1
+	next.Token, next.LastNode = old.Token+1, me.Node
 	if engineArbitrates {
 		next.Suspects = nil
 		return next
@@ -127,13 +130,14 @@
 	return table.Tx{Checks: []table.Check{check}, Puts: []table.Put{{Key: fenced.Key(), Value: fenced.Encode()}}}, true
 }
 
-func (n *Node) adopt(b settings.BackendServer, row table.Owner, ver int64) {
+func (n *Node) adopt(b settings.BackendServer, row table.Owner, ver int64) *ownedEngine {
 	o := newOwnedEngine(n, b, row, ver)
 	n.mu.Lock()
 	n.owned[b.Name] = o
 	n.hints[b.Name] = n.cfg.Name
 	n.mu.Unlock()
 	n.tasks.Go(func() { o.recover(n.ctx) })
+	return o
 }
 
 // handOver stops granting, waits for orders on the way, and releases the
--- a/node/recovery.go
+++ b/node/recovery.go
@@ -22,6 +22,9 @@
 // the token, every entry node bars older grants and names its streams, and
 // earlier owners are known to be harmless.
 func (o *ownedEngine) recover(ctx context.Context) {
+	if o.backend().UnloadWaits {
+		return // nothing that an earlier owner granted can be harmed
+	}
 	var wg sync.WaitGroup
 	if o.backend().ChecksFencing {
 		wg.Go(func() { o.raiseToken(ctx) })
@@ -243,6 +246,10 @@
 // back only after the engine has confirmed that its stream does not run.
 func (o *ownedEngine) cancelAll(ctx context.Context, ids []string) {
 	for _, id := range ids {
+		if o.backend().UnloadWaits {
+			o.release(id, false, 0) // the engine drops it with its connection
+			continue
+		}
 		if err := o.client().Cancel(ctx, id); err == nil {
 			o.release(id, false, 0)
 		}
--- /dev/null
+++ b/relay/engine.go
@@ -0,0 +1,196 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/engine"
+)
+
+// longPrompt is the prompt, in tokens, from which work counts as long: reading
+// it holds up the others of its batch for many of their steps.
+const longPrompt = 2048
+
+// serveEngine gets a grant for an engine, sends the request there, and passes
+// the stream on. A stream that breaks off goes on at another engine where the
+// route allows it.
+func (x *exchange) serveEngine(ctx context.Context) error {
+	x.after = x.head.After
+	excluded := ""
+	runs := 0
+	for sends := 1; ; sends++ {
+		g, err := x.acquire(ctx, sends, excluded)
+		if err != nil {
+			return x.refused(ctx, err)
+		}
+		if x.ev.Granted == 0 {
+			x.ev.Granted = time.Since(x.start)
+		}
+		res := x.tryEngine(ctx, g)
+		if res.final {
+			return res.err
+		}
+		if ctx.Err() != nil {
+			return x.expired(ctx)
+		}
+		if !res.notRun {
+			runs++
+			excluded = g.Engine
+		}
+		mayRun := res.notRun || x.route.Resumable && runs < x.route.MaxServers
+		if sends >= maxSends || !mayRun || !x.mayRepeat() {
+			return x.giveUpEngine(res)
+		}
+		x.again(Failed, res.answer.Status, res.reason)
+	}
+}
+
+func (x *exchange) acquire(ctx context.Context, n int, excluded string) (caller.Grant, error) {
+	var names []string
+	for _, s := range x.front.Servers().Pool(x.pool.Name) {
+		if !s.Draining && s.ID != excluded {
+			names = append(names, s.ID)
+		}
+	}
+	return x.front.Acquire(ctx, names, engine.Work{
+		ID: x.head.ID + "." + strconv.Itoa(n), Adapter: x.head.AdapterName(),
+		Short:  x.head.PromptTokens < longPrompt,
+		Tokens: x.head.OutputTokens(), Prompt: x.head.PromptTokens, Deadline: x.deadline,
+	})
+}
+
+// refused is the final answer when no engine takes the request.
+func (x *exchange) refused(ctx context.Context, err error) error {
+	const op = "acquire"
+	var r *caller.Refusal
+	if ctx.Err() != nil && x.r.Context().Err() != nil || !errors.As(err, &r) {
+		return x.expired(ctx)
+	}
+	reason := "no engine takes it: " + string(r.Reason)
+	switch {
+	case x.begun:
+		return &Error{Op: op, Kind: Cut, Reason: reason}
+	case x.maybeRan:
+		return &Error{Op: op, Kind: Failed, Reason: reason}
+	}
+	return &Error{Op: op, Kind: Busy, Reason: reason, RetryAfter: max(r.RetryAfter, busyRetry)}
+}
+
+// tryEngine sends the request under a grant.
+func (x *exchange) tryEngine(ctx context.Context, g caller.Grant) (res result) {
+	missing := false
+	var tokenTime time.Duration
+	defer func() { x.front.Release(g, missing, tokenTime) }()
+	s, ok := x.front.Servers().Server(g.Engine)
+	if !ok {
+		return result{notRun: true, reason: "the engine is gone"}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	resp, a, err := x.send(ctx, Sending{
+		Server: s, Engine: true, Priority: x.route.Priority, After: x.after,
+		Version: x.front.Version(x.head.Model, x.head.Adapter),
+	})
+	if err != nil {
+		if neverSent(err) {
+			return result{failed: true, notRun: true, reason: err.Error()}
+		}
+		x.maybeRan = true
+		return result{failed: true, reason: err.Error()}
+	}
+	defer resp.Body.Close()
+	if a.NotRun {
+		drain(resp.Body)
+		missing = a.Misplaced
+		return result{notRun: true, reason: "the engine refused it", answer: a}
+	}
+	x.maybeRan = true
+	if a.Status != http.StatusOK || !a.Stream {
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+		if err != nil {
+			return result{failed: true, reason: err.Error()}
+		}
+		if a.Status >= http.StatusInternalServerError {
+			return result{failed: true, reason: "the engine failed it", answer: a, body: body}
+		}
+		if x.begun {
+			return result{final: true, err: &Error{Op: "resume", Kind: Cut, Reason: "the engine does not resume it"}}
+		}
+		x.answer(a, body)
+		return result{final: true}
+	}
+	tokenTime, err = x.stream(a, resp.Body)
+	if err == nil {
+		return result{final: true}
+	}
+	return result{failed: true, reason: err.Error()}
+}
+
+// giveUpEngine is the final answer after the last attempt.
+func (x *exchange) giveUpEngine(res result) error {
+	if x.begun {
+		return &Error{Op: "stream", Kind: Cut, Reason: res.reason}
+	}
+	return x.giveUp(res)
+}
+
+// stream passes whole events on until the stream ends. It returns the mean
+// time between events.
+func (x *exchange) stream(a Answer, body io.Reader) (perEvent time.Duration, err error) {
+	events := newEventReader(body)
+	var first, last time.Time
+	n := 0
+	for {
+		ev, err := events.next()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return 0, err
+		}
+		if x.begun && !ev.follows(x.after) {
+			continue // the caller has it already
+		}
+		last = time.Now()
+		if n == 0 {
+			first = last
+		}
+		n++
+		if err := x.pass(a, ev); err != nil {
+			return 0, err
+		}
+	}
+	if !x.begun {
+		x.copyHeader(a)
+		x.w.WriteHeader(a.Status)
+		x.begun = true
+		x.ev.Status = a.Status
+	}
+	if n > 1 {
+		perEvent = last.Sub(first) / time.Duration(n-1)
+	}
+	return perEvent, nil
+}
+
+func (x *exchange) pass(a Answer, ev streamEvent) error {
+	if !x.begun {
+		x.copyHeader(a)
+		x.w.WriteHeader(a.Status)
+		x.begun = true
+		x.ev.Status, x.ev.First = a.Status, time.Since(x.start)
+	}
+	if _, err := x.w.Write(ev.raw); err != nil {
+		return err
+	}
+	if ev.id != "" {
+		x.after = ev.id
+	}
+	x.ev.Events++
+	return http.NewResponseController(x.w).Flush()
+}
--- /dev/null
+++ b/relay/plain.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/route"
+)
+
+// maxSends bounds the sends of one request, those that no server ran included.
+const maxSends = 4
+
+// servePlain sends the request to a plain server. Where the route allows it, a
+// failure is tried again at another server.
+func (x *exchange) servePlain(ctx context.Context) error {
+	tried := make(map[string]bool)
+	for {
+		servers := x.front.Servers().Pool(x.pool.Name)
+		s, done := x.front.Balancer.Pick(time.Now(), servers, tried)
+		if s == nil {
+			return x.noServer(len(tried) > 0)
+		}
+		tried[s.ID] = true
+		res := x.tryPlain(ctx, s)
+		done(time.Now(), res.failed)
+		if res.final {
+			return res.err
+		}
+		if ctx.Err() != nil {
+			return x.expired(ctx)
+		}
+		more := len(tried) < x.route.MaxServers && (res.notRun || x.route.Kind == route.Repeatable) && x.mayRepeat()
+		if !more {
+			return x.giveUp(res)
+		}
+		x.again(Failed, res.answer.Status, res.reason)
+	}
+}
+
+// result is the end of one attempt.
+type result struct {
+	final  bool // the caller has its answer, or err is the answer
+	err    error
+	failed bool // it counts against the server
+	notRun bool // the server did not run the request
+	reason string
+	answer Answer // with body, if the server gave a whole answer that is a failure
+	body   []byte
+}
+
+func (x *exchange) tryPlain(ctx context.Context, s *backend.Server) result {
+	resp, a, err := x.send(ctx, Sending{Server: s, Priority: x.route.Priority})
+	if err != nil {
+		if neverSent(err) {
+			return result{failed: true, notRun: true, reason: err.Error()}
+		}
+		x.maybeRan = true
+		return result{failed: true, reason: err.Error()}
+	}
+	defer resp.Body.Close()
+	if a.NotRun {
+		drain(resp.Body)
+		return result{failed: !a.Misplaced, notRun: true, reason: "the server refused it", answer: a}
+	}
+	x.maybeRan = true
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return result{failed: true, reason: err.Error()}
+	}
+	if a.Status >= http.StatusInternalServerError {
+		return result{failed: true, reason: "the server failed it", answer: a, body: body}
+	}
+	x.answer(a, body)
+	return result{final: true}
+}
+
+// giveUp is the final answer after the last attempt.
+func (x *exchange) giveUp(res result) error {
+	const op = "serve"
+	switch {
+	case res.body != nil:
+		x.answer(res.answer, res.body)
+		return nil
+	case res.notRun && !x.maybeRan:
+		return &Error{Op: op, Kind: Busy, Reason: res.reason, RetryAfter: busyRetry}
+	}
+	return &Error{Op: op, Kind: Failed, Reason: res.reason}
+}
+
+func (x *exchange) noServer(tried bool) error {
+	const op = "choose"
+	switch {
+	case x.maybeRan:
+		return &Error{Op: op, Kind: Failed, Reason: "no other server is left"}
+	case tried:
+		return &Error{Op: op, Kind: Busy, Reason: "every server refused it", RetryAfter: busyRetry}
+	}
+	return &Error{Op: op, Kind: NoServer, Reason: "the pool has no server", RetryAfter: busyRetry}
+}
+
+// drain reads the rest of a short answer, so that its connection can be used
+// again.
+func drain(r io.Reader) {
+	_, _ = io.CopyN(io.Discard, r, 64<<10) // a connection that fails here is dropped
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,61 @@
+package route
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind tells what may be repeated of the requests of a route.
+type Kind string
+
+// The kinds of route.
+const (
+	Repeatable Kind = "repeatable" // a request may run more than once
+	Once       Kind = "once"       // a request runs at most once
+	Stream     Kind = "stream"     // the answer is a stream of events; runs once unless the route is resumable
+)
+
+// Route leads the requests for one path prefix of a host to a pool.
+type Route struct {
+	Name       string
+	Host       string
+	Prefix     string // starts and ends with a slash
+	Kind       Kind
+	Timeout    time.Duration // the longest time that a caller is kept waiting
+	Aim        time.Duration // an answer (a stream's first event) within it earns full credit
+	MaxGap     time.Duration // the longest pause between events of a stream that is on time
+	Priority   int           // 0 is the most urgent
+	Shares     []Share
+	MaxServers int  // backend servers to which one request may be sent
+	Resumable  bool // a stream may go on at another server after its last whole event
+	Sessions   bool // requests share prompt parts, so that servers keep what they have read
+}
+
+// Share is the part of a route's requests that one pool gets.
+type Share struct {
+	Pool   string
+	Weight int
+}
+
+// PoolFor returns the pool for a request. The same id always leads to the same
+// pool.
+func (r *Route) PoolFor(id string) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total == 0 {
+		return ""
+	}
+	n := int(xxhash.Sum64String(id) % uint64(total))
+	for _, s := range r.Shares {
+		if n -= s.Weight; n < 0 {
+			return s.Pool
+		}
+	}
+	return ""
+}
+
+// MayRepeat reports whether a request of the route may run more than once.
+func (r *Route) MayRepeat() bool { return r.Kind == Repeatable || r.Kind == Stream && r.Resumable }
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,79 @@
+package route
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table is one version of the configuration. It is immutable.
+type Table struct {
+	version int64
+	limits  Limits
+	byHost  map[string][]Route // longest prefix first
+	pools   map[string]Pool
+}
+
+// NewTable returns the table of the given routes and pools.
+func NewTable(version int64, routes []Route, pools []Pool, limits Limits) *Table {
+	t := &Table{version: version, limits: limits, byHost: make(map[string][]Route), pools: make(map[string]Pool)}
+	for _, r := range routes {
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, p := range pools {
+		t.pools[p.Name] = p
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits returns the limits on callers.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Pool returns the pool with the given name.
+func (t *Table) Pool(name string) (Pool, bool) {
+	p, ok := t.pools[name]
+	return p, ok
+}
+
+// Pools returns all pools, sorted by name.
+func (t *Table) Pools() []Pool {
+	list := make([]Pool, 0, len(t.pools))
+	for _, p := range t.pools {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b Pool) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Match returns the route whose prefix is the longest that the path begins
+// with. A port in the host does not matter.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	list, ok := t.byHost[host]
+	if !ok {
+		if h, _, err := net.SplitHostPort(host); err == nil {
+			list = t.byHost[h]
+		}
+	}
+	for i := range list {
+		if strings.HasPrefix(path, list[i].Prefix) {
+			return &list[i], true
+		}
+	}
+	return nil, false
+}
--- a/settings/backend.go
+++ b/settings/backend.go
@@ -10,9 +10,14 @@
 	Places          int  // places in the engine's batch
 	ChecksFencing   bool // the engine refuses orders with an old fencing token
 	RefusesWhenFull bool // the engine refuses a load when no slot is free
-	Region          string
-	DataCenter      string
-	Drain           bool // an operator has asked for no new work
+	// UnloadWaits is set for an engine that refuses, without running it, a
+	// request whose adapter it does not hold, and whose unloads wait for the
+	// runs of the adapter. No adapter can be evicted there under a request.
+	UnloadWaits bool
+	MaxLoads    int // adapter loads that the engine does at once; 0 means 1
+	Region      string
+	DataCenter  string
+	Drain       bool // an operator has asked for no new work
 }
 
 func newBackendServer(d Document) BackendServer {
@@ -25,6 +30,8 @@
 		Places:          atoi(d.Fields["places"]),
 		ChecksFencing:   d.Fields["checks-fencing"] == "on",
 		RefusesWhenFull: d.Fields["refuses-when-full"] == "on",
+		UnloadWaits:     d.Fields["unload-waits"] == "on",
+		MaxLoads:        atoi(d.Fields["max-loads"]),
 		Region:          d.Fields["region"],
 		DataCenter:      d.Fields["data-center"],
 		Drain:           d.Fields["drain"] == "on",
--- a/settings/field.go
+++ b/settings/field.go
@@ -164,6 +164,8 @@
 		"data-center":       {check: plainName},
 		"drain":             {check: oneOf("on", "off")},
 		"refuses-when-full": {check: oneOf("on", "off")},
+		"unload-waits":      {check: oneOf("on", "off")},
+		"max-loads":         {check: intRange(1, 1024)},
 	},
 	Service: {
 		"addresses":  {check: addressList},
--- a/table/client.go
+++ b/table/client.go
@@ -23,6 +23,10 @@
 type Client struct {
 	URL  string
 	HTTP *http.Client // nil means http.DefaultClient
+	// Read and Apply, if set, take the place of the wire that this package
+	// speaks. They fail with errors of this package.
+	Read  func(ctx context.Context, q Query) ([]Row, error)
+	Apply func(ctx context.Context, tx Tx) (int64, error)
 
 	reads, writes, bytes atomic.Int64
 }
@@ -35,7 +39,7 @@
 
 // Get returns the row, or an error of kind [NotFound].
 func (c *Client) Get(ctx context.Context, key string) (Row, error) {
-	rows, err := c.read(ctx, "get", key, scanQuery{Key: key})
+	rows, err := c.read(ctx, "get", key, Query{Key: key})
 	if err != nil {
 		return Row{}, err
 	}
@@ -53,18 +57,23 @@
 // ScanAfter is like [Client.Scan] for keys greater than after, at most limit
 // rows; a limit of 0 means no limit.
 func (c *Client) ScanAfter(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
-	return c.read(ctx, "scan", prefix, scanQuery{Prefix: prefix, After: after, Limit: limit})
+	return c.read(ctx, "scan", prefix, Query{Prefix: prefix, After: after, Limit: limit})
 }
 
-type scanQuery struct {
+// Query selects rows: the one with Key, or else up to Limit rows (0 means all)
+// whose keys begin with Prefix and are greater than After.
+type Query struct {
 	Key    string `url:"key,omitempty"`
 	Prefix string `url:"prefix,omitempty"`
 	After  string `url:"after,omitempty"`
 	Limit  int    `url:"limit,omitempty"`
 }
 
-func (c *Client) read(ctx context.Context, op, key string, q scanQuery) ([]Row, error) {
+func (c *Client) read(ctx context.Context, op, key string, q Query) ([]Row, error) {
 	c.reads.Add(1)
+	if c.Read != nil {
+		return c.Read(ctx, q)
+	}
 	req, err := sling.New().Base(c.URL).Get("/v1/rows").QueryStruct(q).Request()
 	if err != nil {
 		return nil, &Error{Op: op, Kind: Malformed, Key: key, Err: err}
@@ -85,6 +94,9 @@
 func (c *Client) Commit(ctx context.Context, tx Tx) (int64, error) {
 	const op = "commit"
 	c.writes.Add(1)
+	if c.Apply != nil {
+		return c.Apply(ctx, tx)
+	}
 	req, err := sling.New().Base(c.URL).Post("/v1/tx").BodyJSON(tx).Request()
 	if err != nil {
 		return 0, &Error{Op: op, Kind: Malformed, Err: err}
--- a/table/error.go
+++ b/table/error.go
@@ -7,11 +7,12 @@
 
 // The kinds of error that this package returns.
 const (
-	Conflict    ErrorKind = "conflict"    // a check failed; nothing was written
-	NotFound    ErrorKind = "not-found"   // the row does not exist
-	Unavailable ErrorKind = "unavailable" // the service did not take the call; nothing was written
-	Unknown     ErrorKind = "unknown"     // no answer came; the write may have been applied
-	Malformed   ErrorKind = "malformed"   // a row or an answer could not be decoded
+	Conflict    ErrorKind = "conflict"     // a check failed; nothing was written
+	NotFound    ErrorKind = "not-found"    // the row does not exist
+	Unavailable ErrorKind = "unavailable"  // the service did not take the call; nothing was written
+	Unknown     ErrorKind = "unknown"      // no answer came; the write may have been applied
+	HistoryLost ErrorKind = "history-lost" // the changes that were asked for are no longer kept
+	Malformed   ErrorKind = "malformed"    // a row or an answer could not be decoded
 )
 
 // Error is the error type of this package.
--- a/table/owner.go
+++ b/table/owner.go
@@ -23,6 +23,9 @@
 	Epoch   int64    `json:"epoch"`
 	Address string   `json:"address"` // of the node, for peers
 	Token   int64    `json:"token"`   // fencing token, grows with each takeover
+	// LastNode is the node that could give orders last; it stays when the
+	// engine is released.
+	LastNode string `json:"last-node,omitempty"`
 	Stable  []string `json:"stable,omitempty"`
 	// Suspects lists processes of earlier owners that may still send orders.
 	Suspects []Suspect `json:"suspects,omitempty"`
--- a/table/tx.go
+++ b/table/tx.go
@@ -38,3 +38,16 @@
 type Rows struct {
 	Rows []Row `json:"rows"`
 }
+
+// Changes is the answer to a question for changes after a version: the changed
+// rows in order, and the version from which to ask on.
+type Changes struct {
+	Rows    []ChangedRow
+	Version int64
+}
+
+// ChangedRow is a row that was written or removed.
+type ChangedRow struct {
+	Row
+	Removed bool
+}
