Estimate parallel loads and the engines' speed; do not count polls of a load

The wait for a cold adapter took its loads one by one, the time between tokens started at 25 ms, and a repeated order to load, which the replica answers 202 without counting it, moved the expected sequence on, so that half of the loads waited for a report.

--- a/engine/config.go
+++ b/engine/config.go
@@ -32,6 +32,9 @@
 	// BaseServes is set for engines that also serve their base model itself, as
 	// the adapter without a name. It takes no slot.
 	BaseServes bool
+	// PromptSpeed is how many prompt tokens the engine reads in the time of one
+	// output token; default 64.
+	PromptSpeed int
 	// TokenTime and LoadTime are the first estimates; defaults 25 ms and 300 ms.
 	TokenTime time.Duration
 	LoadTime  time.Duration
@@ -42,6 +45,7 @@
 	c.Places = orInt(c.Places, 16)
 	c.MaxQueue = orInt(c.MaxQueue, 1024)
 	c.MaxLoads = orInt(c.MaxLoads, 1)
+	c.PromptSpeed = orInt(c.PromptSpeed, 64)
 	c.LongShare = orFloat(c.LongShare, 0.5)
 	c.Ageing = orFloat(c.Ageing, 0.5)
 	c.LongPenalty = orFloat(c.LongPenalty, 1)
--- a/engine/estimate.go
+++ b/engine/estimate.go
@@ -30,14 +30,14 @@
 // counts at once, not only when it ends.
 func (s *Scheduler) coldWait(now time.Time, a *adapter) time.Duration {
 	each := s.loadTime
-	if s.asked+s.loads > 0 {
-		each = max(each, now.Sub(s.askedAt))
+	if len(s.askedAt) > 0 {
+		each = max(each, now.Sub(s.askedAt[0]))
 	}
 	turns := len(s.cold)
 	if a.state == absent && !s.cold[a] {
 		turns++
 	}
-	return each * time.Duration(max(1, turns))
+	return each * time.Duration(max(1, (turns+s.cfg.MaxLoads-1)/s.cfg.MaxLoads))
 }
 
 // forgetSlowness lets the estimate of the time between tokens fall back while
@@ -59,14 +59,13 @@
 }
 
 // observeLoad folds the time of a load that has ended into the estimate.
-func (s *Scheduler) observeLoad(now time.Time) {
-	s.loadTime += time.Duration(2 * estimateWeight * float64(now.Sub(s.askedAt)-s.loadTime))
-	s.askedAt = now // the next one, if there is one, counts from here
+func (s *Scheduler) observeLoad(now, asked time.Time) {
+	s.loadTime += time.Duration(2 * estimateWeight * float64(now.Sub(asked)-s.loadTime))
 }
 
 func (s *Scheduler) serviceTime(w *Work) time.Duration {
 	if s.token == 0 {
 		s.token = s.cfg.TokenTime
 	}
-	return time.Duration(w.Tokens)*s.token + time.Duration(w.Prompt)*s.token/64
+	return time.Duration(w.Tokens)*s.token + time.Duration(w.Prompt)*s.token/time.Duration(s.cfg.PromptSpeed)
 }
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -27,7 +27,7 @@
 	longRun  int
 	asked    int           // loads asked for from the budget
 	loads    int           // loads under way
-	askedAt  time.Time     // when the oldest load that is asked for or under way was asked for
+	askedAt  []time.Time   // when the loads that are asked for or under way were asked for, oldest first
 	loadTime time.Duration // moving average of the time from asking for a load to its end
 	backlog  time.Duration // expected time in the batch of all waiting work
 	token    time.Duration // moving average of the time between tokens
@@ -169,7 +169,7 @@
 // failed, the work that waits for the adapter is refused.
 func (s *Scheduler) Loaded(now time.Time, r LoadResult) []Action {
 	s.loads--
-	s.observeLoad(now)
+	s.observeLoad(now, s.endAsk())
 	if v := s.adapters[r.Victim]; v != nil && v.state == leaving {
 		if r.VictimKept {
 			v.state = loaded
--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -294,13 +294,12 @@
 	if err != nil {
 		return reply, err
 	}
-	if reply == Accepted {
-		s.advance(func() { s.held[name] = c.Version })
-	} else {
-		s.mu.Lock()
-		s.held[name] = c.Version
-		s.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, coming := s.held[name]; reply == Accepted && !coming {
+		s.sequence++
 	}
+	s.held[name] = c.Version
 	return reply, nil
 }
 
@@ -330,7 +329,7 @@
 }
 
 // await waits until a load that was accepted has ended. The engine says so
-// when the same order is given again.
+// when the same order is given again; until then that order changes nothing.
 func (s *Sequencer) await(ctx context.Context, name string, c Command) error {
 	s.mu.Lock()
 	usual := s.coldTime
@@ -357,7 +356,6 @@
 			s.learn(name, time.Since(start))
 			return nil
 		}
-		s.advance(func() {})
 	}
 }
 
--- a/engine/slots.go
+++ b/engine/slots.go
@@ -94,9 +94,7 @@
 	if want == nil {
 		return Action{}, false
 	}
-	if s.asked+s.loads == 0 {
-		s.askedAt = now
-	}
+	s.askedAt = append(s.askedAt, now)
 	s.asked++
 	return Action{Kind: AskLoad, Demand: len(want.waiting)}, true
 }
@@ -106,14 +104,27 @@
 // the load should be given back to the budget.
 func (s *Scheduler) Permit(now time.Time) (act Action, ok bool) {
 	s.asked--
-	if s.mode.ReadOnly {
-		return Action{}, false
+	if !s.mode.ReadOnly {
+		if act, ok = s.chooseLoad(now); ok {
+			return act, true
+		}
 	}
-	return s.chooseLoad(now)
+	s.endAsk()
+	return Action{}, false
 }
 
 // Deny answers an [AskLoad] that the budget does not allow.
-func (s *Scheduler) Deny() { s.asked-- }
+func (s *Scheduler) Deny() {
+	s.asked--
+	s.endAsk()
+}
+
+// endAsk forgets the oldest load that was asked for, and returns when that was.
+func (s *Scheduler) endAsk() time.Time {
+	at := s.askedAt[0]
+	s.askedAt = s.askedAt[1:]
+	return at
+}
 
 // chooseLoad chooses the adapter that is wanted most and the slot for it.
 func (s *Scheduler) chooseLoad(now time.Time) (Action, bool) {
--- a/entry/state.go
+++ b/entry/state.go
@@ -21,6 +21,14 @@
 // platform's bound.
 const maxAdapterLoads = 4
 
+// promptSpeed and tokenTime are first estimates of an engine's speed, from the
+// deployments' sheets: a step of 5.23 ms makes one token of each request and
+// reads 38.4 prompt tokens a millisecond.
+const (
+	promptSpeed = 200
+	tokenTime   = 5230 * time.Microsecond
+)
+
 // state is what the daemon believes, from the platform's store.
 type state struct {
 	log      *log.Logger
@@ -200,6 +208,7 @@
 		"address": srv.Address, "base-model": p.Engine.Models[0].Name, "data-center": srv.DataCenter,
 		"slots": strconv.Itoa(p.Engine.AdapterSlots), "places": strconv.Itoa(p.Engine.Places),
 		"checks-fencing": "off", "unload-waits": "on", "max-loads": strconv.Itoa(maxAdapterLoads), "drain": drain,
+		"prompt-speed": strconv.Itoa(promptSpeed), "token-time": tokenTime.String(),
 	}}
 }
 
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -125,7 +125,8 @@
 		x.answer(a, body)
 		return result{final: true}
 	}
-	tokenTime, err = x.stream(a, resp.Body)
+	perEvent, err := x.stream(a, resp.Body)
+	tokenTime = perEvent / time.Duration(x.pool.Engine.EventTokens)
 	if err == nil {
 		return result{final: true}
 	}
--- a/route/pool.go
+++ b/route/pool.go
@@ -15,6 +15,7 @@
 	Places       int // requests in one batch
 	Memory       int // tokens
 	AdapterSlots int
+	EventTokens  int     // output tokens in one event of a stream
 	LoadRate     float64 // base model loads a second that the weight store allows
 	Models       []Model
 }
--- a/settings/backend.go
+++ b/settings/backend.go
@@ -1,5 +1,7 @@
 package settings
 
+import "time"
+
 // BackendServer is the typed form of a backend document.
 type BackendServer struct {
 	Name            string
@@ -14,7 +16,9 @@
 	// request whose adapter it does not hold, and whose unloads wait for the
 	// runs of the adapter. No adapter can be evicted there under a request.
 	UnloadWaits bool
-	MaxLoads    int // adapter loads that the engine does at once; 0 means 1
+	PromptSpeed int           // prompt tokens read in the time of one output token; 0 means unknown
+	TokenTime   time.Duration // usual time between tokens; 0 means unknown
+	MaxLoads    int           // adapter loads that the engine does at once; 0 means 1
 	Region      string
 	DataCenter  string
 	Drain       bool // an operator has asked for no new work
@@ -31,6 +35,8 @@
 		ChecksFencing:   d.Fields["checks-fencing"] == "on",
 		RefusesWhenFull: d.Fields["refuses-when-full"] == "on",
 		UnloadWaits:     d.Fields["unload-waits"] == "on",
+		PromptSpeed:     atoi(d.Fields["prompt-speed"]),
+		TokenTime:       atod(d.Fields["token-time"]),
 		MaxLoads:        atoi(d.Fields["max-loads"]),
 		Region:          d.Fields["region"],
 		DataCenter:      d.Fields["data-center"],
--- a/settings/field.go
+++ b/settings/field.go
@@ -165,6 +165,8 @@
 		"drain":             {check: oneOf("on", "off")},
 		"refuses-when-full": {check: oneOf("on", "off")},
 		"unload-waits":      {check: oneOf("on", "off")},
+		"prompt-speed":      {check: intRange(1, 1<<20)},
+		"token-time":        {check: duration},
 		"max-loads":         {check: intRange(1, 1024)},
 	},
 	Service: {
