Hold leases by the members' consent while the store is away; find silent owners sooner

A call to an owner without power hung until two heartbeats of a second failed. Change: a holder that every other member has just heard counts its lease from the oldest of those heartbeats; a node takes engines only from a holder that it has not heard for a lease and its margin, and then refuses its consent for good. Hits go straight to an engine that holds them while its owner is silent.

--- a/caller/homes.go
+++ b/caller/homes.go
@@ -92,14 +92,14 @@
 		}
 		return t.waitAtBest(ctx)
 	}
+	if t.best != nil && ownerless(t.best.Reason) {
+		return Grant{Engine: t.name}, nil
+	}
 	t.maxWait = coldWait
 	if g, err := t.ask(ctx, names); t.done(err) {
 		return g, err
 	}
 	if hope(t.best.Reason) < hope(engine.Overflow) {
-		if ownerless(t.best.Reason) && len(holders) > 0 {
-			return Grant{Engine: holders[0]}, nil
-		}
 		return Grant{}, t.best
 	}
 	return t.waitAtBest(ctx)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -36,6 +36,11 @@
 	orderTimeout  = 600 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
 
+	// probeAfter and probeTimeout find a node that does not answer within half a
+	// second, before its engines' requests have lost their aim.
+	probeAfter   = 100 * time.Millisecond
+	probeTimeout = 200 * time.Millisecond
+
 	leaseMargin = 300 * time.Millisecond
 	renewEvery  = time.Second
 	// listenerOpen is how long after SIGTERM new requests are taken. By then the
@@ -81,7 +86,7 @@
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
 		Table: &table.Client{Read: d.readStore, Apply: d.applyStore}, Sequencer: d.sequencer,
 		SettingsPushed: true, HolderGap: s.Lease, LeaseTTL: s.Lease - 500*time.Millisecond, LeaseMargin: leaseMargin,
-		RenewEvery: renewEvery, DrainGrace: time.Millisecond, PeerHTTP: peerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
+		RenewEvery: renewEvery, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: peerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
 	})
 	d.state.store = d.node.Store()
 	d.conns = &conns{nodes: d.node.LiveNodes}
--- a/node/config.go
+++ b/node/config.go
@@ -44,7 +44,11 @@
 	RenewEvery      time.Duration // default 1.5 s
 	PollEvery       time.Duration // table, VM list and heartbeats; default 1 s
 	SettingsPromise time.Duration // default 4 s
-	DrainGrace      time.Duration // serving on while the balancer notices; default 1 s
+	// ProbeAfter is the age of an unanswered call at which its peer is probed,
+	// default 300 ms; below that, peers are also probed between polls. ProbeTimeout bounds a heartbeat, default 1 s.
+	ProbeAfter   time.Duration
+	ProbeTimeout time.Duration
+	DrainGrace   time.Duration // serving on while the balancer notices; default 1 s
 
 	// HTTP sends to engines and the platform; nil means a client with a
 	// transport of its own.
@@ -59,6 +63,8 @@
 	Process string
 }
 
+const defaultProbeAfter = 300 * time.Millisecond
+
 func (c Config) withDefaults() Config {
 	def := func(d *time.Duration, v time.Duration) {
 		if *d == 0 {
@@ -70,6 +76,8 @@
 	def(&c.RenewEvery, 1500*time.Millisecond)
 	def(&c.PollEvery, time.Second)
 	def(&c.SettingsPromise, 4*time.Second)
+	def(&c.ProbeAfter, defaultProbeAfter)
+	def(&c.ProbeTimeout, time.Second)
 	def(&c.DrainGrace, time.Second)
 	if c.PeerScheme == "" {
 		c.PeerScheme = "http"
--- a/node/members.go
+++ b/node/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,10 +18,8 @@
 )
 
 const (
-	heartbeatTimeout = time.Second
-	gossipFanOut     = 2                      // peers chosen at random in each round, to spread settings
-	probeAfter       = 300 * time.Millisecond // a call this old makes its peer be probed
-	downAfter        = 2                      // unanswered heartbeats in a row
+	gossipFanOut = 2 // peers chosen at random in each round, to spread settings
+	downAfter    = 2 // unanswered heartbeats in a row
 )
 
 // member is another node, or this one, as its session row shows it.
@@ -89,6 +88,11 @@
 		m.watch.See(row.Key, row.Version, now)
 		m.list = append(m.list, member{Session: s, version: row.Version, lapsed: m.watch.Lapsed(row.Key, now)})
 	}
+	processes := make(map[string]bool, len(m.list))
+	for _, x := range m.list {
+		processes[x.Process] = true
+	}
+	m.n.consents.forgetExcept(processes)
 	var candidates []candidate
 	for _, x := range m.list {
 		if x.live() && !x.Leaving {
@@ -188,15 +192,24 @@
 // heartbeat tells some peers this node's settings revision, and probes the
 // peers that owe an answer. The traffic does not grow with the number of nodes.
 func (m *members) heartbeat(ctx context.Context) {
+	set := m.owing(time.Now())
+	m.addRandom(set)
+	m.heartbeatAll(ctx, set)
+}
+
+// probe asks the peers that owe an answer whether they live.
+func (m *members) probe(ctx context.Context) { m.heartbeatAll(ctx, m.owing(time.Now())) }
+
+func (m *members) heartbeatAll(ctx context.Context, addresses map[string]bool) {
 	var wg sync.WaitGroup
-	for address := range m.targets(time.Now()) {
+	for address := range addresses {
 		wg.Go(func() { m.heartbeatOne(ctx, address) })
 	}
 	wg.Wait()
 }
 
-// targets returns the addresses for one round of heartbeats.
-func (m *members) targets(now time.Time) map[string]bool {
+// owing returns the addresses of peers that owe an answer or are down.
+func (m *members) owing(now time.Time) map[string]bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	set := make(map[string]bool)
@@ -205,36 +218,79 @@
 			set[address] = true
 		}
 		for _, start := range l.calls {
-			if now.Sub(start) > probeAfter {
+			if now.Sub(start) > m.n.cfg.ProbeAfter {
 				set[address] = true
 			}
 		}
 	}
+	return set
+}
+
+// addRandom adds a few peers at random, and those whose session has lapsed:
+// only one that does not answer either may be replaced.
+func (m *members) addRandom(set map[string]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.n.mu.Lock()
 	defer m.n.mu.Unlock()
 	for i, k := range m.n.rng.Perm(len(m.list)) {
-		if x := m.list[k]; i <= gossipFanOut && x.Process != m.n.process {
+		if x := m.list[k]; (i <= gossipFanOut || x.lapsed && !x.Fenced) && x.Process != m.n.process {
 			set[x.Address] = true
 		}
 	}
-	return set
 }
 
 func (m *members) heartbeatOne(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	sent := time.Now()
+	resp, l, err := m.sendHeartbeat(ctx, address, false)
+	if err != nil {
+		return
+	}
+	m.n.consents.hear(resp.Msg.GetProcess(), sent)
+	if !m.n.cfg.SettingsPushed {
+		m.n.catchUpWith(ctx, l.client, resp.Msg.GetRevision(), sent)
+	}
+}
+
+func (m *members) sendHeartbeat(ctx context.Context, address string, hold bool) (*connect.Response[peerpb.HeartbeatResponse], *link, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.n.cfg.ProbeTimeout)
 	defer cancel()
 	l := m.link(address)
-	sent := time.Now()
 	resp, err := l.client.Heartbeat(ctx, connect.NewRequest(&peerpb.HeartbeatRequest{
-		Node: m.n.cfg.Name, Process: m.n.process, Revision: m.n.store.Tree().Rev(),
+		Node: m.n.cfg.Name, Process: m.n.process, Revision: m.n.store.Tree().Rev(), Hold: hold,
 	}))
 	if err != nil {
 		m.answered(l, false, "")
-		return
+		return nil, l, err
 	}
 	m.answered(l, true, resp.Msg.GetProcess())
-	if !m.n.cfg.SettingsPushed {
-		m.n.catchUpWith(ctx, l.client, resp.Msg.GetRevision(), sent)
+	return resp, l, nil
+}
+
+// holdLease keeps the lease alive by the consent of every other member while
+// the table cannot be reached.
+func (m *members) holdLease(ctx context.Context) {
+	now := time.Now()
+	left := m.n.session.left(now)
+	if left <= 0 || left > (m.n.cfg.LeaseTTL-m.n.cfg.LeaseMargin)/2 || len(m.n.ownedEngines()) == 0 {
+		return
+	}
+	var wg sync.WaitGroup
+	var refused atomic.Bool
+	for _, x := range m.all() {
+		if x.Process == m.n.process || !x.live() {
+			continue
+		}
+		wg.Go(func() {
+			resp, _, err := m.sendHeartbeat(ctx, x.Address, true)
+			if err != nil || !resp.Msg.GetAgreed() {
+				refused.Store(true)
+			}
+		})
+	}
+	wg.Wait()
+	if !refused.Load() {
+		m.n.session.extend(now)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,7 @@
 	session  *session
 	members  *members
 	loads    *loadBudget
+	consents *consents
 	metrics  *metrics
 	log      *log.Logger
 
@@ -84,6 +85,7 @@
 	n.session = newSession(n)
 	n.members = newMembers(n)
 	n.loads = newLoadBudget(n)
+	n.consents = &consents{TTL: cfg.LeaseTTL, Margin: cfg.LeaseMargin}
 	n.front = &caller.Front{
 		Tree: n.store.Tree, Ready: n.admitting, Engines: n.enginesFor, Engine: n.engineClient,
 		Acquire: n.acquire, Release: n.release, Ledger: n.ledger, Services: services(cfg),
@@ -106,6 +108,10 @@
 	n.every(n.cfg.RenewEvery, n.session.renew)
 	n.every(n.cfg.PollEvery, n.pollMembers)
 	n.every(n.cfg.PollEvery, n.members.heartbeat)
+	n.every(n.cfg.RenewEvery/3, n.members.holdLease)
+	if n.cfg.ProbeAfter < defaultProbeAfter {
+		n.every(n.cfg.ProbeAfter, n.members.probe)
+	}
 	if !n.cfg.SettingsPushed {
 		n.every(n.cfg.PollEvery, n.pollSettings)
 		n.every(n.cfg.PollEvery, n.pollVMs)
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -75,10 +75,16 @@
 			n.hint(b.Name, old.Node)
 			return
 		}
+		if len(tx.Puts) > 0 && !n.consents.beginTaking(old.Process, time.Now()) {
+			return // it lost the table, but is alive
+		}
 		next := takeover(old, me, b.ChecksFencing || b.UnloadWaits)
 		tx.Checks = append(tx.Checks, check, table.Check{Key: next.Key(), Version: row.Version})
 		tx.Puts = append(tx.Puts, table.Put{Key: next.Key(), Value: next.Encode()})
 		ver, err := n.table.Commit(ctx, tx)
+		if table.IsKind(err, table.Conflict) || table.IsKind(err, table.Unavailable) {
+			n.consents.abandonTaking(old.Process)
+		}
 		if err != nil {
 			return // an unknown outcome shows at the next reading
 		}
--- a/node/session.go
+++ b/node/session.go
@@ -94,6 +94,16 @@
 	s.state.Unlock()
 }
 
+// extend counts a lease that is still valid from the given time, because no
+// other member may take the node's engines until then.
+func (s *session) extend(sent time.Time) {
+	s.state.Lock()
+	defer s.state.Unlock()
+	if s.lease.Valid(time.Now()) {
+		s.lease.Renewed(sent)
+	}
+}
+
 // settle reads the row back after a renewal that failed or got no answer.
 func (s *session) settle(ctx context.Context, next table.Session, sent time.Time) {
 	row, err := s.n.table.Get(ctx, next.Key())
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -41,7 +41,9 @@
 		}
 		if !res.notRun {
 			runs++
-			excluded = g.Engine
+		}
+		if !res.notRun || g.ID == "" {
+			excluded = g.Engine // it failed, or does not hold what it was believed to
 		}
 		mayRun := res.notRun || x.route.Resumable && runs < x.route.MaxServers
 		if sends >= maxSends || !mayRun || !x.mayRepeat() {
