--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -31,7 +31,7 @@
 	operatorWait = 2500 * time.Millisecond
 	// serversPace is the time between two questions for servers: well under the
 	// time in which a leaving server must get no new request.
-	serversPace = 700 * time.Millisecond
+	serversPace = 900 * time.Millisecond
 	// orderTimeout and reportTimeout bound calls of replicas' own interface.
 	orderTimeout  = 600 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
@@ -43,6 +43,9 @@
 
 	leaseMargin = 300 * time.Millisecond
 	renewEvery  = time.Second
+	// membersPace is the time between two readings of the nodes' sessions; a
+	// change of owner waits longer than that in any case.
+	membersPace = 1500 * time.Millisecond
 	// listenerOpen is how long after SIGTERM new requests are taken. By then the
 	// balancer, which asks once a second, has taken the node out; a request
 	// that comes later might not end within the grace period.
@@ -86,7 +89,7 @@
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
 		Table: &table.Client{Read: d.readStore, Apply: d.applyStore}, Sequencer: d.sequencer,
 		SettingsPushed: true, HolderGap: s.Lease, LeaseTTL: s.Lease - 500*time.Millisecond, LeaseMargin: leaseMargin,
-		RenewEvery: renewEvery, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: peerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
+		RenewEvery: renewEvery, PollEvery: membersPace, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: peerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
 	})
 	d.state.store = d.node.Store()
 	d.conns = &conns{nodes: d.node.LiveNodes}
--- a/node/members.go
+++ b/node/members.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	joinTries    = 3
+	joinPause    = 20 * time.Millisecond
 	gossipFanOut = 2 // peers chosen at random in each round, to spread settings
 	downAfter    = 2 // unanswered heartbeats in a row
 )
@@ -38,10 +40,11 @@
 type members struct {
 	n *Node
 
-	mu    sync.Mutex
-	watch table.Watch
-	list  []member
-	links map[string]*link // by address
+	mu     sync.Mutex
+	watch  table.Watch
+	missed bool // the rows could not be read lately
+	list   []member
+	links  map[string]*link // by address
 	// candidates are the nodes that may own engines, and wanted remembers who
 	// should own what, until the candidates change.
 	candidates []candidate
@@ -74,11 +77,22 @@
 	}
 }
 
+// unread records that the session rows could not be read.
+func (m *members) unread() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.missed = true
+}
+
 // update takes over session rows that were read from the table.
 func (m *members) update(rows []table.Row, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.list = m.list[:0:0]
+	if m.missed {
+		m.watch.Restart(now)
+		m.missed = false
+	}
 	for _, row := range rows {
 		s, err := table.DecodeSession(row)
 		if err != nil {
@@ -349,6 +363,7 @@
 func (n *Node) pollMembers(ctx context.Context) {
 	rows, err := n.table.Scan(ctx, table.SessionPrefix)
 	if err != nil {
+		n.members.unread()
 		return
 	}
 	n.members.update(rows, time.Now())
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,7 @@
 	owned   map[string]*ownedEngine   // engines whose ownership row names this session
 	retired map[string][]*ownedEngine // engines that were lost; their orders may still be on the way
 	hints   map[string]string         // engine to the node that was last heard to own it
+	checked map[string]time.Time      // engine to when its ownership row was last read because of a hint
 	vmList  vmlist.List
 	fresh   settings.Freshness
 	rng     *rand.Rand
@@ -69,6 +70,7 @@
 		owned:   make(map[string]*ownedEngine),
 		retired: make(map[string][]*ownedEngine),
 		hints:   make(map[string]string),
+		checked: make(map[string]time.Time),
 		fresh:   settings.Freshness{Promise: cfg.SettingsPromise},
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
@@ -105,8 +107,11 @@
 
 // Start starts the node's loops.
 func (n *Node) Start() {
-	n.every(n.cfg.RenewEvery, n.session.renew)
-	n.every(n.cfg.PollEvery, n.pollMembers)
+	n.tasks.Go(func() {
+		n.join()
+		n.every(n.cfg.RenewEvery, n.session.renew)
+		n.every(n.cfg.PollEvery, n.pollMembers)
+	})
 	n.every(n.cfg.PollEvery, n.members.heartbeat)
 	n.every(n.cfg.RenewEvery/3, n.members.holdLease)
 	if n.cfg.ProbeAfter < defaultProbeAfter {
@@ -120,6 +125,18 @@
 	n.every(reconcileEvery, n.reconcileGrants)
 }
 
+// join registers the session. After a restart the row of the earlier process
+// is replaced first, which takes more than one write.
+func (n *Node) join() {
+	for range joinTries {
+		n.session.renew(n.ctx)
+		if n.session.valid(time.Now()) || n.ctx.Err() != nil {
+			return
+		}
+		sleep(n.ctx, joinPause)
+	}
+}
+
 // every runs f at once and then once per period until the node is closed.
 func (n *Node) every(period time.Duration, f func(ctx context.Context)) {
 	n.tasks.Go(func() {
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -16,14 +16,19 @@
 		return
 	}
 	present := make(map[string]bool)
+	fair := n.fairShare()
+	owned := len(n.ownedEngines())
 	for _, b := range n.store.Tree().Backends() {
 		present[b.Name] = true
 		wanted := n.members.wantedOwner(b.Name, b.DataCenter)
 		mine := n.ownedEngine(b.Name)
 		switch {
 		case wanted == n.cfg.Name && mine == nil && !n.session.isLeaving():
-			n.takeEngine(ctx, b)
-		case wanted != n.cfg.Name && wanted != "" && mine != nil:
+			if !n.ownedElsewhere(b.Name) {
+				n.takeEngine(ctx, b)
+			}
+		case wanted != n.cfg.Name && wanted != "" && mine != nil && (owned > fair || n.session.isLeaving()):
+			owned--
 			n.tasks.Go(func() { n.handOver(ctx, mine) })
 		}
 	}
@@ -34,6 +39,40 @@
 	}
 }
 
+// fairShare returns how many engines this node may keep although another should
+// own them. Where a change of owner interrupts the loads of an engine, it is
+// not worth the evenness; elsewhere nothing is kept.
+func (n *Node) fairShare() int {
+	if n.cfg.HolderGap == 0 {
+		return 0
+	}
+	nodes := n.LiveNodes()
+	return (len(n.store.Tree().Backends()) + nodes - 1) / nodes
+}
+
+// ownedElsewhere reports whether a live node is believed to own an engine. The
+// belief is checked now and then.
+func (n *Node) ownedElsewhere(name string) bool {
+	if n.cfg.HolderGap == 0 {
+		return false
+	}
+	n.mu.Lock()
+	owner, checked := n.hints[name], n.checked[name]
+	n.mu.Unlock()
+	m, ok := n.members.get(owner)
+	if !ok || !m.live() || m.Leaving || owner == n.cfg.Name || time.Since(checked) > ownerCheckEvery {
+		n.mu.Lock()
+		n.checked[name] = time.Now()
+		n.mu.Unlock()
+		return false
+	}
+	return true
+}
+
+// ownerCheckEvery is how often the ownership row of an engine that another node
+// keeps is read.
+const ownerCheckEvery = 5 * time.Second
+
 func (n *Node) ownedEngine(name string) *ownedEngine {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/table/owner.go
+++ b/table/owner.go
@@ -17,16 +17,16 @@
 // engine holds beyond the list sits in swap slots, which may change without a
 // write.
 type Owner struct {
-	Engine  string   `json:"engine"`
-	Node    string   `json:"node"` // empty when released
-	Process string   `json:"process"`
-	Epoch   int64    `json:"epoch"`
-	Address string   `json:"address"` // of the node, for peers
-	Token   int64    `json:"token"`   // fencing token, grows with each takeover
+	Engine  string `json:"engine"`
+	Node    string `json:"node"` // empty when released
+	Process string `json:"process"`
+	Epoch   int64  `json:"epoch"`
+	Address string `json:"address"` // of the node, for peers
+	Token   int64  `json:"token"`   // fencing token, grows with each takeover
 	// LastNode is the node that could give orders last; it stays when the
 	// engine is released.
-	LastNode string `json:"last-node,omitempty"`
-	Stable  []string `json:"stable,omitempty"`
+	LastNode string   `json:"last-node,omitempty"`
+	Stable   []string `json:"stable,omitempty"`
 	// Suspects lists processes of earlier owners that may still send orders.
 	Suspects []Suspect `json:"suspects,omitempty"`
 }
--- a/table/watch.go
+++ b/table/watch.go
@@ -28,6 +28,16 @@
 	w.seen[key] = sighting{version: version, first: now}
 }
 
+// Restart counts every session as seen at its present version only from now
+// on. It is for a time in which the rows could not be read: a holder could not
+// renew its row then either.
+func (w *Watch) Restart(now time.Time) {
+	for key, s := range w.seen {
+		s.first = now
+		w.seen[key] = s
+	}
+}
+
 // Forget drops what is known of a session row.
 func (w *Watch) Forget(key string) { delete(w.seen, key) }
 
