A gap between holders only where they would take turns; adopted adapters stay

Cause: each change of owner stopped the engine's loads for three seconds. A new owner knew no popularity and evicted what was needed.

--- a/caller/homes.go
+++ b/caller/homes.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,7 +18,7 @@
 	// coldWait is the longest wait for a load at an adapter's first home before
 	// the next is asked. A load elsewhere comes from the store, while the home
 	// may have held the adapter lately, so a wait of a few loads is worth it.
-	coldWait = 700 * time.Millisecond
+	coldWait = 1200 * time.Millisecond
 	// copyWait is the wait at every holder from which one more copy is worth its
 	// load.
 	copyWait = 150 * time.Millisecond
@@ -82,6 +84,7 @@
 	}
 	mayCopy := a.noteDemand(time.Now(), w.Adapter)
 	holders, others := a.split(names, w.Adapter)
+	rotate(holders, rand.IntN(max(1, len(holders))))
 	t := &trial{a: a, work: w, maxWait: cmp.Or(s.MaxWait, a.Router.MaxWait(w.Short))}
 	if g, err := t.ask(ctx, holders); t.done(err) {
 		return g, err
@@ -117,6 +120,12 @@
 	return holders, others
 }
 
+// rotate moves the first n names to the end, so that the holders of an adapter
+// share its requests and each of them knows that it is popular.
+func rotate(names []string, n int) {
+	copy(names, append(slices.Clone(names[n:]), names[:n]...))
+}
+
 // trial is one round of questions to owners.
 type trial struct {
 	a       *Acquirer
--- a/engine/adopt.go
+++ b/engine/adopt.go
@@ -49,6 +49,9 @@
 			s.occupy(a)
 		}
 		a.state, a.swap, a.used = loaded, r.Swap, now
+		for a.pop.At(now, s.cfg.HalfLife) < adoptedRequests {
+			a.pop.Add(now, s.cfg.HalfLife)
+		}
 		if r.Held {
 			a.state = held
 		}
@@ -60,6 +63,11 @@
 	return s.dispatch(now, nil)
 }
 
+// adoptedRequests is how many requests an adapter that a new owner finds is
+// taken to have had. The earlier owner knew why it held it, so it is not evicted
+// before what is loaded for a single request.
+const adoptedRequests = 3
+
 // Unhold lets held adapters be granted and evicted.
 func (s *Scheduler) Unhold(now time.Time) []Action {
 	for _, a := range s.resident {
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -113,7 +113,7 @@
 		return Cold, wait
 	case w.MaxWait > 0 && wait > w.MaxWait:
 		return Overflow, wait
-	case now.Add(wait + w.service).After(w.Deadline):
+	case w.tooLate(now, wait):
 		return TooLate, wait
 	}
 	return "", wait
@@ -234,7 +234,7 @@
 		return Recovering
 	case a.state == absent && !s.loadable():
 		return NotLoaded
-	case now.Add(w.service).After(w.Deadline):
+	case w.tooLate(now, 0):
 		return TooLate
 	}
 	return ""
--- a/engine/slots.go
+++ b/engine/slots.go
@@ -137,11 +137,17 @@
 	return act, true
 }
 
+// mostWanted returns the absent adapter to load next. When more loads are
+// wanted than can be done in time, those go first whose work can still meet its
+// aim: in the order of their age, all of them would be late.
 func (s *Scheduler) mostWanted(now time.Time) *adapter {
 	var best *adapter
 	var bestScore float64
 	for a := range s.cold {
 		score := now.Sub(a.waiting[0].arrived).Seconds() + 0.1*float64(len(a.waiting))
+		if a.waiting[0].meetsAim(now, s.cfg.LoadTime) {
+			score += aimScore
+		}
 		if best == nil || score > bestScore || score == bestScore && a.name < best.name {
 			best, bestScore = a, score
 		}
@@ -149,6 +155,9 @@
 	return best
 }
 
+// aimScore is larger than any time that work waits, in seconds.
+const aimScore = 1e6
+
 func (s *Scheduler) slotsUsed() int {
 	if s.base != nil {
 		return len(s.resident) - 1
--- a/engine/work.go
+++ b/engine/work.go
@@ -11,6 +11,11 @@
 	Tokens   int    // expected output tokens
 	Prompt   int    // prompt tokens
 	Deadline time.Time
+	// FirstBy is when the caller gives up waiting for the first token, and AimBy
+	// when the first token should have come; zero means that there is no such
+	// time.
+	FirstBy time.Time
+	AimBy   time.Time
 	// MaxWait is the longest queue wait that the entry node accepts here
 	// before it asks another engine; zero accepts any wait.
 	MaxWait time.Duration
@@ -49,5 +54,20 @@
 	return w
 }
 
+// tooLate reports whether the work cannot be served in time if it starts after
+// the wait.
+func (w *Work) tooLate(now time.Time, wait time.Duration) bool {
+	if !w.FirstBy.IsZero() && now.Add(wait+w.reading).After(w.FirstBy) {
+		return true
+	}
+	return now.Add(wait + w.service).After(w.Deadline)
+}
+
+// meetsAim reports whether the first token can come by AimBy if the work starts
+// after the wait.
+func (w *Work) meetsAim(now time.Time, wait time.Duration) bool {
+	return !w.AimBy.IsZero() && !now.Add(wait+w.reading).After(w.AimBy)
+}
+
 // Age returns how long ago the work was granted.
 func (w Work) Age(now time.Time) time.Duration { return now.Sub(w.granted) }
--- a/node/admission.go
+++ b/node/admission.go
@@ -107,6 +107,7 @@
 		Engine: engineName, RequestId: w.ID, Adapter: w.Adapter, Entry: n.cfg.Name, EntryProcess: n.process,
 		ShortClass: w.Short, Tokens: int32(w.Tokens), PromptTokens: int32(w.Prompt),
 		TimeLeftMs: time.Until(w.Deadline).Milliseconds(), MaxWaitMs: w.MaxWait.Milliseconds(),
+		FirstByMs: untilMs(w.FirstBy), AimByMs: untilMs(w.AimBy),
 	}
 	if owner == n.cfg.Name {
 		return n.admit(ctx, req, n.cfg.Address), nil
@@ -127,6 +128,21 @@
 	return resp.Msg, nil
 }
 
+// untilMs returns the time left in milliseconds, and 0 for the zero time.
+func untilMs(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return max(1, time.Until(t).Milliseconds())
+}
+
+func fromMs(now time.Time, ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond)
+}
+
 // admit answers a request for a grant on an engine that this node may own. It
 // does not look at the lease: a later owner bars the grants of this one, and
 // while the table is down there can be no later owner.
@@ -145,6 +161,7 @@
 		Tokens: int(req.GetTokens()), Prompt: int(req.GetPromptTokens()),
 		Deadline: now.Add(time.Duration(req.GetTimeLeftMs()) * time.Millisecond),
 		MaxWait:  time.Duration(req.GetMaxWaitMs()) * time.Millisecond,
+		FirstBy:  fromMs(now, req.GetFirstByMs()), AimBy: fromMs(now, req.GetAimByMs()),
 	}, address)
 	if act.Kind == engine.Grant {
 		return &peerpb.AdmitResponse{Verdict: peerpb.AdmitResponse_VERDICT_GRANTED, Token: o.token}
--- a/node/config.go
+++ b/node/config.go
@@ -31,7 +31,8 @@
 	// SettingsPushed is set when the settings are installed in [Node.Store] from
 	// outside, so that they are neither read from the table nor from peers.
 	SettingsPushed bool
-	// HolderGap is the time that engines want between the orders of two VMs.
+	// HolderGap is the time within which two VMs must not take turns at giving
+	// orders to an engine.
 	HolderGap time.Duration
 	// PeerScheme is "http" or "https".
 	PeerScheme string
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -129,18 +129,29 @@
 		}
 		n.log.Info("took engine", "engine", b.Name, "token", next.Token, "from", old.Node)
 		o := n.adopt(b, next, ver)
-		if old.LastNode != "" && old.LastNode != me.Node {
-			o.quietFor(n.cfg.HolderGap)
+		if old.LastNode != me.Node {
+			o.quietFor(n.gapAfter(old))
 		}
 	})
 }
 
+// gapAfter returns how long a new owner gives no orders. Two VMs must not take
+// turns within HolderGap, and tokens keep a change in one direction apart. So a
+// gap is needed only where the earlier owner had taken the engine shortly before.
+func (n *Node) gapAfter(old table.Owner) time.Duration {
+	if old.Node == "" {
+		return time.Duration(old.SettleMs) * time.Millisecond
+	}
+	// The session lapsed, so the taking was at least that long ago.
+	return max(0, n.cfg.HolderGap+n.cfg.LeaseMargin-n.cfg.LeaseTTL)
+}
+
 // takeover returns the ownership row of a new owner. An earlier owner that did
 // not release the engine may still send orders, unless the engine arbitrates.
 func takeover(old table.Owner, me table.Session, engineArbitrates bool) table.Owner {
 	next := old
 	next.Node, next.Process, next.Epoch, next.Address = me.Node, me.Process, me.Epoch, me.Address
-	next.Token, next.LastNode = old.Token+1, me.Node
+	next.Token, next.LastNode, next.SettleMs = old.Token+1, me.Node, 0
 	if engineArbitrates {
 		next.Suspects = nil
 		return next
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -64,6 +64,7 @@
 		ID: x.head.ID + "." + strconv.Itoa(n), Adapter: x.head.AdapterName(),
 		Short:  x.head.PromptTokens < longPrompt,
 		Tokens: x.head.OutputTokens(), Prompt: x.head.PromptTokens, Deadline: x.deadline,
+		FirstBy: x.start.Add(x.route.FirstPatience()), AimBy: x.start.Add(x.route.Aim),
 	})
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -57,5 +57,20 @@
 	return ""
 }
 
+// A caller gives a stream up when no event comes for the longest of these: a
+// time, a multiple of the aim, and a multiple of the pause that is on time. The
+// platform's page on callers says so.
+const (
+	minPatience = 2 * time.Second
+	aimPatience = 4
+	gapPatience = 8
+)
+
+// FirstPatience returns how long a caller waits for the first event of a
+// stream.
+func (r *Route) FirstPatience() time.Duration {
+	return max(minPatience, aimPatience*r.Aim, gapPatience*r.MaxGap)
+}
+
 // MayRepeat reports whether a request of the route may run more than once.
 func (r *Route) MayRepeat() bool { return r.Kind == Repeatable || r.Kind == Stream && r.Resumable }
--- a/table/owner.go
+++ b/table/owner.go
@@ -25,7 +25,10 @@
 	Token   int64  `json:"token"`   // fencing token, grows with each takeover
 	// LastNode is the node that could give orders last; it stays when the
 	// engine is released.
-	LastNode string   `json:"last-node,omitempty"`
+	LastNode string `json:"last-node,omitempty"`
+	// SettleMs is how long the next owner must not give orders after the
+	// release, because this one had taken the engine only shortly before.
+	SettleMs int64    `json:"settle-ms,omitempty"`
 	Stable   []string `json:"stable,omitempty"`
 	// Suspects lists processes of earlier owners that may still send orders.
 	Suspects []Suspect `json:"suspects,omitempty"`
