Reading a prompt does not slow with the time between tokens

The time to read prompts was taken from the time between tokens, which grows while prompts are read, so a burst was refused that could be served. Ruled out: the rate of loads (60 of 64 a second in one window only).

--- a/engine/estimate.go
+++ b/engine/estimate.go
@@ -76,5 +76,10 @@
 		s.token = s.cfg.TokenTime
 	}
 	reading = time.Duration(w.Prompt) * s.token / time.Duration(s.cfg.PromptSpeed)
+	if s.cfg.ReadsInTurn {
+		// The time between tokens grows with the prompts that are read meanwhile;
+		// the time to read a prompt does not.
+		reading = time.Duration(w.Prompt) * s.cfg.TokenTime / time.Duration(s.cfg.PromptSpeed)
+	}
 	return time.Duration(w.Tokens)*s.token + reading, reading
 }
