Ask lapsed members for their consent too; remove rows of sessions long lapsed

Now only a process whose address refuses connections need not agree. Rows of VMs that are gone for good would block that, so they are removed after a while.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -49,5 +49,5 @@
 	d.log.Info(msg, "id", ev.ID, "route", ev.Route, "pool", ev.Pool, "adapter", ev.Adapter, "server", ev.Server,
 		"status", ev.Status, "kind", ev.Kind, "reason", ev.Reason, "attempts", ev.Attempts, "events", ev.Events,
 		"age-ms", ev.Age.Milliseconds(), "grant-ms", ev.Granted.Milliseconds(), "first-ms", ev.First.Milliseconds(),
-		"left-ms", ev.Left.Milliseconds(), "retry-ms", ev.RetryTime.Milliseconds(), "config", ev.Config)
+		"gap-ms", ev.Gap.Milliseconds(), "left-ms", ev.Left.Milliseconds(), "retry-ms", ev.RetryTime.Milliseconds(), "config", ev.Config)
 }
--- a/node/members.go
+++ b/node/members.go
@@ -5,9 +5,11 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/juju/errors"
 
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/peer"
@@ -77,6 +79,30 @@
 	}
 }
 
+// reapAfter is how long a session has lapsed before its row is removed.
+const reapAfter = 6 * time.Second
+
+// reap removes the rows of sessions that lapsed long ago, such as those of VMs
+// that are gone for good. One node does so for all.
+func (m *members) reap(ctx context.Context, now time.Time) {
+	if m.n.cfg.HolderGap == 0 || m.wantedOwner("reaper", "") != m.n.cfg.Name {
+		return
+	}
+	for _, x := range m.all() {
+		m.mu.Lock()
+		old := x.lapsed && m.watch.Unchanged(x.Key(), now) > m.n.cfg.LeaseTTL+reapAfter
+		m.mu.Unlock()
+		if !old {
+			continue
+		}
+		_, err := m.n.table.Commit(ctx, table.Tx{
+			Checks:  []table.Check{{Key: x.Key(), Version: x.version}},
+			Deletes: []string{x.Key()},
+		})
+		m.n.log.Info("session removed", "of", x.Node, "process", x.Process, "err", err)
+	}
+}
+
 // unread records that the session rows could not be read.
 func (m *members) unread() {
 	m.mu.Lock()
@@ -292,12 +318,16 @@
 	var wg sync.WaitGroup
 	var refused atomic.Bool
 	for _, x := range m.all() {
-		if x.Process == m.n.process || !x.live() {
+		if x.Process == m.n.process {
 			continue
 		}
+		// A member whose session looks lapsed may have renewed it since, so it is
+		// asked as well. Only a process that has ended need not agree: the next one
+		// hears this node before it may take anything.
 		wg.Go(func() {
 			resp, _, err := m.sendHeartbeat(ctx, x.Address, true)
-			if err != nil || !resp.Msg.GetAgreed() {
+			ended := errors.Is(err, syscall.ECONNREFUSED)
+			if err != nil && !ended || err == nil && !resp.Msg.GetAgreed() {
 				refused.Store(true)
 			}
 		})
@@ -367,5 +397,6 @@
 		return
 	}
 	n.members.update(rows, time.Now())
+	n.members.reap(ctx, time.Now())
 	n.settleOwnership(ctx)
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -161,10 +161,13 @@
 		if x.begun && !ev.follows(x.after) {
 			continue // the caller has it already
 		}
-		last = time.Now()
+		now := time.Now()
 		if n == 0 {
-			first = last
+			first = now
+		} else {
+			x.ev.Gap = max(x.ev.Gap, now.Sub(last))
 		}
+		last = now
 		n++
 		if err := x.pass(a, ev); err != nil {
 			return 0, err
--- a/relay/event.go
+++ b/relay/event.go
@@ -20,6 +20,7 @@
 	Age       time.Duration // since the request was read
 	Granted   time.Duration // from reading to the first grant of an engine
 	First     time.Duration // from reading to the first byte of the answer
+	Gap       time.Duration // the longest pause between two events of the stream
 	Left      time.Duration // until the deadline
 	RetryTime time.Duration // that the caller was told to wait
 }
--- a/table/watch.go
+++ b/table/watch.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// Unchanged returns how long a session row has been seen at its present
+// version.
+func (w *Watch) Unchanged(key string, now time.Time) time.Duration {
+	s, ok := w.seen[key]
+	if !ok {
+		return 0
+	}
+	return now.Sub(s.first)
+}
+
 // Forget drops what is known of a session row.
 func (w *Watch) Forget(key string) { delete(w.seen, key) }
 
