A removed session ends its node's ownership

A node that was cut off for longer than its session row is kept registered again under the same epoch and went on with engines that others had taken. The test failed before.

--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -141,10 +141,14 @@
 	ctx, cancel := context.WithDeadline(ctx, w.Deadline.Add(askSlack))
 	defer cancel()
 	g, err := a.Ask(ctx, name, w)
+	wait := g.Wait
 	var r *Refusal
 	if errors.As(err, &r) {
+		wait = r.Wait
+	}
+	if err == nil || r != nil {
 		a.Mu.Lock()
-		a.Router.ObserveWait(time.Now(), name, r.Wait)
+		a.Router.ObserveWait(time.Now(), name, wait)
 		a.Mu.Unlock()
 	}
 	return g, err
--- a/caller/front.go
+++ b/caller/front.go
@@ -23,6 +23,8 @@
 	Engine string
 	ID     string // request id at the engine
 	Token  int64  // fencing token of the owner that gave it
+	// Wait is the expected wait of the next short work there.
+	Wait time.Duration
 }
 
 // Refusal is the answer of an engine's owner that it will not run a request.
--- a/caller/homes.go
+++ b/caller/homes.go
@@ -21,7 +21,7 @@
 	coldWait = 1200 * time.Millisecond
 	// copyWait is the wait at every holder from which one more copy is worth its
 	// load.
-	copyWait = 150 * time.Millisecond
+	copyWait = 60 * time.Millisecond
 	// copyPause is the time between two more copies of one adapter; a load
 	// takes about as long.
 	copyPause = 300 * time.Millisecond
@@ -84,7 +84,7 @@
 	}
 	mayCopy := a.noteDemand(time.Now(), w.Adapter)
 	holders, others := a.split(names, w.Adapter)
-	rotate(holders, rand.IntN(max(1, len(holders))))
+	a.leastWaitFirst(time.Now(), holders)
 	t := &trial{a: a, work: w, maxWait: cmp.Or(s.MaxWait, a.Router.MaxWait(w.Short))}
 	if g, err := t.ask(ctx, holders); t.done(err) {
 		return g, err
@@ -120,10 +120,15 @@
 	return holders, others
 }
 
-// rotate moves the first n names to the end, so that the holders of an adapter
-// share its requests and each of them knows that it is popular.
-func rotate(names []string, n int) {
-	copy(names, append(slices.Clone(names[n:]), names[:n]...))
+// leastWaitFirst sorts engines by the wait that their owners named last. Those
+// that named none lately share the requests evenly.
+func (a *Acquirer) leastWaitFirst(now time.Time, names []string) {
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	a.Mu.Lock()
+	defer a.Mu.Unlock()
+	slices.SortStableFunc(names, func(x, y string) int {
+		return cmp.Compare(a.Router.LastWait(now, x), a.Router.LastWait(now, y))
+	})
 }
 
 // trial is one round of questions to owners.
--- a/engine/router.go
+++ b/engine/router.go
@@ -189,6 +189,15 @@
 	v.wait, v.waitAt = wait, now
 }
 
+// LastWait returns the queue wait that an engine's owner named lately, or 0.
+func (r *Router) LastWait(now time.Time, name string) time.Duration {
+	v := r.engines[name]
+	if v == nil || now.Sub(v.waitAt) > r.cfg.Memory/10 {
+		return 0
+	}
+	return max(0, v.wait-now.Sub(v.waitAt))
+}
+
 // ObserveToken records a measured time between tokens.
 func (r *Router) ObserveToken(now time.Time, name string, d time.Duration) {
 	v := r.view(name)
--- a/node/admission.go
+++ b/node/admission.go
@@ -62,7 +62,9 @@
 		switch resp.GetVerdict() {
 		case peerpb.AdmitResponse_VERDICT_GRANTED:
 			n.hint(engineName, owner)
-			return caller.Grant{Engine: engineName, ID: w.ID, Token: resp.GetToken()}, nil
+			return caller.Grant{
+				Engine: engineName, ID: w.ID, Token: resp.GetToken(), Wait: time.Duration(resp.GetWaitMs()) * time.Millisecond,
+			}, nil
 		case peerpb.AdmitResponse_VERDICT_REFUSED:
 			return caller.Grant{}, &caller.Refusal{
 				Reason:     engine.Reason(resp.GetReason()),
@@ -164,7 +166,7 @@
 		FirstBy:  fromMs(now, req.GetFirstByMs()), AimBy: fromMs(now, req.GetAimByMs()),
 	}, address)
 	if act.Kind == engine.Grant {
-		return &peerpb.AdmitResponse{Verdict: peerpb.AdmitResponse_VERDICT_GRANTED, Token: o.token}
+		return &peerpb.AdmitResponse{Verdict: peerpb.AdmitResponse_VERDICT_GRANTED, Token: o.token, WaitMs: o.wait(now).Milliseconds()}
 	}
 	n.metrics.refused(act.Reason)
 	return &peerpb.AdmitResponse{
--- a/node/owned.go
+++ b/node/owned.go
@@ -96,6 +96,14 @@
 	o.quietUntil = time.Now().Add(d)
 }
 
+// wait returns the expected wait of short work on a loaded adapter.
+func (o *ownedEngine) wait(now time.Time) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, _, wait := o.sched.Load(now)
+	return wait
+}
+
 // submit offers work and waits for the grant or the refusal.
 func (o *ownedEngine) submit(ctx context.Context, w engine.Work, address string) engine.Action {
 	ch := make(chan engine.Action, 1)
--- a/node/session.go
+++ b/node/session.go
@@ -108,8 +108,7 @@
 func (s *session) settle(ctx context.Context, next table.Session, sent time.Time) {
 	row, err := s.n.table.Get(ctx, next.Key())
 	if table.IsKind(err, table.NotFound) {
-		s.version = 0 // removed by an operator: register again
-		s.n.tokensKnown.Store(false)
+		s.fenced(table.Session{}, 0) // removed as lapsed, or by an operator
 		return
 	}
 	if err != nil {
--- a/node/session_test.go
+++ b/node/session_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
 	"github.com/vanilladrift/vanilladrift/table"
 )
@@ -43,3 +44,26 @@
 		is.NoErr(n.registry.Start("e", "r", 9, "a@1", true))
 	})
 }
+
+// A session row that is gone was removed as lapsed, and others may own its
+// engines. The node must not go on with them under a new lease.
+func TestRemovedSessionEndsOwnership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net, tbl := standin.NewNetwork(), &standin.Table{}
+		net.Listen(platform, "10.9.0.1:1", tbl)
+		n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL, HTTP: net.Client("n")})
+		n.session.renew(context.Background())
+		b := settings.BackendServer{Name: "e", Address: "10.1.0.1:1", Slots: 2, Places: 2, UnloadWaits: true}
+		n.adopt(b, table.Owner{Engine: "e", Node: "n", Process: n.process, Epoch: 1, Token: 1}, 1)
+		is.Equal(len(n.ownedEngines()), 1)
+		epoch := n.session.row.Epoch
+		tbl.Commit(table.Tx{Deletes: []string{n.session.row.Key()}})
+		n.session.renew(context.Background())
+		n.session.renew(context.Background())
+		is.True(n.session.valid(time.Now()))
+		is.Equal(len(n.ownedEngines()), 0)
+		is.True(n.session.row.Epoch > epoch)
+		n.Kill()
+	})
+}
