Removing a session counts as taking; each order asks the lease again

A holder cut off from the store kept its lease by consent, as it should, while another node removed its row as lapsed, and a third took its engines because there was no session to end. Whoever removes a row or takes from a removed one now needs the holder's silence. What was heard and begun is kept by time, not by membership.

--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -72,6 +72,9 @@
 	Model string // the base model that the engine must hold
 	Send  func(ctx context.Context, c Command) (Reply, error)
 	Fetch func(ctx context.Context) (State, error)
+	// May, if set, reports whether an order may be sent now. It is asked right
+	// before each, since a load takes several orders and may wait between them.
+	May func() bool
 	// Wanted reports whether an adapter is in use or wanted, so that it must
 	// not be unloaded to make room.
 	Wanted func(name string) bool
@@ -228,6 +231,9 @@
 // orderOnce sends one command at the known sequence. After a conflict the state
 // is unknown.
 func (s *Sequencer) orderOnce(ctx context.Context, c Command) (Reply, error) {
+	if s.May != nil && !s.May() {
+		return "", &Error{Op: "order", Kind: NotSent, Err: errors.New("the lease does not allow it")}
+	}
 	s.mu.Lock()
 	c.Expected = s.sequence
 	s.mu.Unlock()
--- a/node/consents.go
+++ b/node/consents.go
@@ -21,7 +21,7 @@
 
 	mu     sync.Mutex
 	heard  map[string]time.Time // by process: when it was last heard
-	taking map[string]bool      // processes whose engines this node has begun to take
+	taking map[string]time.Time // processes whose engines this node has begun to take, and when
 }
 
 // hear records a sign of life of a process. It reports whether the process may
@@ -29,7 +29,7 @@
 func (c *consents) hear(process string, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.taking[process] {
+	if _, ok := c.taking[process]; ok {
 		return false
 	}
 	if c.heard == nil {
@@ -48,9 +48,9 @@
 		return false
 	}
 	if c.taking == nil {
-		c.taking = make(map[string]bool)
+		c.taking = make(map[string]time.Time)
 	}
-	c.taking[process] = true
+	c.taking[process] = now
 	return true
 }
 
@@ -61,17 +61,21 @@
 	delete(c.taking, process)
 }
 
-// forgetExcept drops what is known of processes that are no members any more.
-func (c *consents) forgetExcept(processes map[string]bool) {
+// takingKept is for how many lease times a process is refused after its engines
+// were begun to be taken. Without this node's consent its lease ends within one.
+const takingKept = 4
+
+// expire drops what no longer makes a difference.
+func (c *consents) expire(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for p := range c.heard {
-		if !processes[p] {
+	for p, at := range c.heard {
+		if now.Sub(at) > c.TTL+c.Margin {
 			delete(c.heard, p)
 		}
 	}
-	for p := range c.taking {
-		if !processes[p] {
+	for p, at := range c.taking {
+		if now.Sub(at) > takingKept*(c.TTL+c.Margin) {
 			delete(c.taking, p)
 		}
 	}
--- a/node/members.go
+++ b/node/members.go
@@ -92,7 +92,7 @@
 		m.mu.Lock()
 		old := x.lapsed && m.watch.Unchanged(x.Key(), now) > m.n.cfg.LeaseTTL+reapAfter
 		m.mu.Unlock()
-		if !old {
+		if !old || !m.n.consents.beginTaking(x.Process, now) {
 			continue
 		}
 		_, err := m.n.table.Commit(ctx, table.Tx{
@@ -128,11 +128,7 @@
 		m.watch.See(row.Key, row.Version, now)
 		m.list = append(m.list, member{Session: s, version: row.Version, lapsed: m.watch.Lapsed(row.Key, now)})
 	}
-	processes := make(map[string]bool, len(m.list))
-	for _, x := range m.list {
-		processes[x.Process] = true
-	}
-	m.n.consents.forgetExcept(processes)
+	m.n.consents.expire(now)
 	var candidates []candidate
 	for _, x := range m.list {
 		if x.live() && !x.Leaving {
@@ -286,7 +282,9 @@
 	if err != nil {
 		return
 	}
-	m.n.consents.hear(resp.Msg.GetProcess(), sent)
+	if resp.Msg.GetHolding() {
+		m.n.consents.hear(resp.Msg.GetProcess(), sent)
+	}
 	if !m.n.cfg.SettingsPushed {
 		m.n.catchUpWith(ctx, l.client, resp.Msg.GetRevision(), sent)
 	}
--- a/node/owned.go
+++ b/node/owned.go
@@ -74,6 +74,7 @@
 	if n.cfg.Sequencer != nil {
 		o.seq = n.cfg.Sequencer(b)
 		o.seq.Slots, o.seq.Model, o.seq.Wanted = b.Slots, b.BaseModel, o.wants
+		o.seq.May = o.maySend
 	}
 	o.sched.SetMode(time.Now(), engine.Mode{Recovering: true})
 	return o
@@ -89,6 +90,13 @@
 	return o.sched.Wants(name)
 }
 
+// maySend reports whether an order that has begun may still be sent.
+func (o *ownedEngine) maySend() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.stopped && o.mayOrder(time.Now())
+}
+
 // quietFor lets no order start for a while.
 func (o *ownedEngine) quietFor(d time.Duration) {
 	o.mu.Lock()
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -114,7 +114,7 @@
 			n.hint(b.Name, old.Node)
 			return
 		}
-		if len(tx.Puts) > 0 && !n.consents.beginTaking(old.Process, time.Now()) {
+		if !n.endedSession(old) && !n.consents.beginTaking(old.Process, time.Now()) {
 			return // it lost the table, but is alive
 		}
 		next := takeover(old, me, b.ChecksFencing || b.UnloadWaits)
@@ -171,6 +171,7 @@
 	}
 	m, ok := n.members.get(old.Node)
 	if !ok {
+		// The row was removed long after the session lapsed.
 		key := table.Session{Node: old.Node}.Key()
 		return table.Tx{Checks: []table.Check{{Key: key}}}, true
 	}
@@ -186,6 +187,16 @@
 	return table.Tx{Checks: []table.Check{check}, Puts: []table.Put{{Key: fenced.Key(), Value: fenced.Encode()}}}, true
 }
 
+// endedSession reports whether the holder's lease is known to have ended: it
+// released the engine, or its node has registered another session since.
+func (n *Node) endedSession(old table.Owner) bool {
+	if old.Node == "" {
+		return true
+	}
+	m, ok := n.members.get(old.Node)
+	return ok && (m.Process != old.Process || m.Epoch != old.Epoch || m.Fenced)
+}
+
 func (n *Node) adopt(b settings.BackendServer, row table.Owner, ver int64) *ownedEngine {
 	o := newOwnedEngine(n, b, row, ver)
 	n.mu.Lock()
--- a/node/peers.go
+++ b/node/peers.go
@@ -30,9 +30,10 @@
 
 // Heartbeat implements the Peer service.
 func (s *peerServer) Heartbeat(_ context.Context, req *connect.Request[peerpb.HeartbeatRequest]) (*connect.Response[peerpb.HeartbeatResponse], error) {
+	now := time.Now()
 	return connect.NewResponse(&peerpb.HeartbeatResponse{
-		Node: s.n.cfg.Name, Process: s.n.process, Revision: s.n.store.Tree().Rev(),
-		Agreed: s.n.consents.hear(req.Msg.GetProcess(), time.Now()),
+		Node: s.n.cfg.Name, Process: s.n.process, Revision: s.n.store.Tree().Rev(), Holding: s.n.session.valid(now),
+		Agreed: req.Msg.GetHold() && s.n.consents.hear(req.Msg.GetProcess(), now),
 	}), nil
 }
 
