--- a/backend/budget.go
+++ b/backend/budget.go
@@ -12,8 +12,8 @@
 //
 // Fields may be left zero: nothing is allowed then.
 type RepeatBudget struct {
-	Ratio  float64       // repeats for each request
-	Slack  float64       // repeats of this node beyond that in each window
+	Ratio  float64 // repeats for each request
+	Slack  float64 // repeats of this node beyond that in each window
 	Window time.Duration
 
 	mu       sync.Mutex
@@ -30,6 +30,13 @@
 // slices is how finely a window is counted.
 const budgetSlices = 20
 
+// SetSlack changes the slack, as the number of nodes that share it changes.
+func (b *RepeatBudget) SetSlack(slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Slack = slack
+}
+
 // Request counts a caller's request.
 func (b *RepeatBudget) Request(now time.Time) {
 	b.mu.Lock()
--- a/entry/conns.go
+++ b/entry/conns.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/route"
 )
 
@@ -23,8 +24,8 @@
 	probeIdle  = time.Second
 	probeEvery = 500 * time.Millisecond
 	probeCount = 3
-	// idleConns is how long a connection to a server is kept without use. It is
-	// below the keep-alive time of the servers.
+	// idleConns is how long a connection is kept without use to a server that
+	// does not say how long it keeps it.
 	idleConns = 4 * time.Second
 	// ioBuffer is the size of a connection's buffers.
 	ioBuffer = 4 << 10
@@ -49,10 +50,10 @@
 }
 
 // newTransport returns connections of which no request is compressed.
-func newTransport(perHost int) *http.Transport {
+func newTransport(perHost int, idle time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext: dial, DisableCompression: true, MaxConnsPerHost: perHost, MaxIdleConnsPerHost: max(perHost, 16),
-		IdleConnTimeout: idleConns, ReadBufferSize: ioBuffer, WriteBufferSize: ioBuffer,
+		IdleConnTimeout: idle, ReadBufferSize: ioBuffer, WriteBufferSize: ioBuffer,
 	}
 }
 
@@ -65,28 +66,64 @@
 	pools map[string]*poolConns
 }
 
+// poolConns is the connections to the servers of one pool.
 type poolConns struct {
+	c         *conns
+	name      string
 	transport *http.Transport
 	perHost   int
+	idle      time.Duration
 }
 
 // minConns is what a node keeps however many nodes there are.
 const minConns = 2
 
+// pool returns the connections to the servers of a pool.
 func (c *conns) pool(p route.Pool) http.RoundTripper {
 	perHost := max(minConns, p.MaxConns/max(1, c.nodes()))
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	old := c.pools[p.Name]
+	if old != nil && old.perHost == perHost {
+		return old
+	}
+	idle := idleConns
+	if old != nil {
+		idle = old.idle
+	}
+	return c.replace(p.Name, perHost, idle)
+}
+
+// replace gives a pool new connections; the old ones end with their requests.
+// The lock is held.
+func (c *conns) replace(name string, perHost int, idle time.Duration) *poolConns {
 	if c.pools == nil {
 		c.pools = make(map[string]*poolConns)
 	}
-	pc := c.pools[p.Name]
-	if pc == nil || pc.perHost != perHost {
-		if pc != nil {
-			defer pc.transport.CloseIdleConnections()
-		}
-		pc = &poolConns{transport: newTransport(perHost), perHost: perHost}
-		c.pools[p.Name] = pc
+	if old := c.pools[name]; old != nil {
+		defer old.transport.CloseIdleConnections()
+	}
+	pc := &poolConns{c: c, name: name, transport: newTransport(perHost, idle), perHost: perHost, idle: idle}
+	c.pools[name] = pc
+	return pc
+}
+
+// RoundTrip implements http.RoundTripper.
+func (pc *poolConns) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := pc.transport.RoundTrip(r)
+	if err == nil {
+		pc.c.learn(pc.name, platform.KeepAlive(resp.Header))
+	}
+	return resp, err
+}
+
+// learn takes how long a server of the pool says that it keeps idle
+// connections. They are closed here before, with a margin of a fifth.
+func (c *conns) learn(name string, keepAlive time.Duration) {
+	idle := keepAlive * 4 / 5
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if pc := c.pools[name]; pc != nil && idle > 0 && pc.idle != idle {
+		c.replace(name, pc.perHost, idle)
 	}
-	return pc.transport
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -27,11 +27,11 @@
 	// storeTimeout bounds a call of the store, many times its usual answer.
 	storeTimeout = time.Second
 	// operatorWait is how long the store holds a question for configuration
-	// open; a connection that went silent is noticed after it.
-	operatorWait = 2500 * time.Millisecond
+	// open; a connection that went silent breaks sooner, by its probes.
+	operatorWait = 4 * time.Second
 	// serversPace is the time between two questions for servers: well under the
 	// time in which a leaving server must get no new request.
-	serversPace = 900 * time.Millisecond
+	serversPace = 1200 * time.Millisecond
 	// orderTimeout and reportTimeout bound calls of replicas' own interface.
 	orderTimeout  = 600 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
@@ -45,7 +45,7 @@
 	renewEvery  = time.Second
 	// membersPace is the time between two readings of the nodes' sessions; a
 	// change of owner waits longer than that in any case.
-	membersPace = 1500 * time.Millisecond
+	membersPace = 2 * time.Second
 	// listenerOpen is how long after SIGTERM new requests are taken. By then the
 	// balancer, which asks once a second, has taken the node out; a request
 	// that comes later might not end within the grace period.
@@ -83,7 +83,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	d := &Daemon{settings: s, log: l, budgets: make(map[string]*backend.RepeatBudget)}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	d.store = &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: newTransport(0)}}
+	d.store = &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: newTransport(0, idleConns)}}
 	d.state = &state{log: l}
 	d.node = node.New(node.Config{
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
@@ -176,13 +176,11 @@
 	defer d.mu.Unlock()
 	b := d.budgets[pool]
 	if b == nil {
-		s := d.settings
-		b = &backend.RepeatBudget{
-			Ratio: s.RepeatRatio * budgetShare, Slack: float64(s.RepeatSlack) * budgetShare / float64(max(1, d.node.LiveNodes())),
-			Window: s.RepeatWindow,
-		}
+		b = &backend.RepeatBudget{Ratio: d.settings.RepeatRatio * budgetShare, Window: d.settings.RepeatWindow}
 		d.budgets[pool] = b
 	}
+	nodes := max(fewestNodes, d.node.LiveNodes())
+	b.SetSlack(float64(d.settings.RepeatSlack) * budgetShare / float64(nodes))
 	return b
 }
 
@@ -190,6 +188,10 @@
 // nodes come and go within its window.
 const budgetShare = 0.8
 
+// fewestNodes is the number of nodes that the slack of the budget is divided by
+// at least, since a node that has just started does not know the others yet.
+const fewestNodes = 4
+
 // Start begins to serve.
 func (d *Daemon) Start() error {
 	for _, l := range []struct {
