Take engines up again at once after a restart; explain a request from logs

Ownership is now settled when engines are pushed, a node's own earlier process needs no check, and an engine whose row names the node is taken by it.

--- a/cmd/vanilladrift/main.go
+++ b/cmd/vanilladrift/main.go
@@ -93,6 +93,7 @@
 	add(c, "attach", "attach a caller, by its key, to a branch", &callerAttachCommand{client: &opts})
 	add(c, "list", "list callers", &listCommand{client: &opts, kind: "caller"})
 	n := add(root, "node", "look at nodes", &struct{}{})
+	add(n, "explain", "show from logs what became of a request: ID --log FILE", &explainCommand{})
 	add(n, "list", "list the nodes that a node sees", &nodeListCommand{client: &opts})
 	add(n, "status", "show one node's state", &nodeStatusCommand{client: &opts})
 	e := add(root, "engine", "look at and drain model engines", &struct{}{})
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -91,7 +91,7 @@
 		SettingsPushed: true, HolderGap: s.Lease, LeaseTTL: s.Lease - 500*time.Millisecond, LeaseMargin: leaseMargin,
 		RenewEvery: renewEvery, PollEvery: membersPace, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: peerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
 	})
-	d.state.store = d.node.Store()
+	d.state.store, d.state.settle = d.node.Store(), d.node.Settle
 	d.conns = &conns{nodes: d.node.LiveNodes}
 	d.metrics = newMetrics(d.node.Meter())
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.holds, func() bool { return false })
--- a/entry/state.go
+++ b/entry/state.go
@@ -36,6 +36,7 @@
 	table    atomic.Pointer[route.Table]
 	servers  backend.Registry
 	versions sync.Map // "model/adapter" to int64
+	settle   func()   // told when the engines have changed
 
 	mu      sync.Mutex
 	rev     int64             // of the node's settings
@@ -197,6 +198,7 @@
 	s.engines = engines
 	s.rev++
 	s.store.InstallSnapshot(s.rev, docs)
+	s.settle()
 }
 
 func engineDocument(p route.Pool, srv *backend.Server) settings.Document {
--- a/node/admission.go
+++ b/node/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -169,12 +170,21 @@
 		return &peerpb.AdmitResponse{Verdict: peerpb.AdmitResponse_VERDICT_GRANTED, Token: o.token, WaitMs: o.wait(now).Milliseconds()}
 	}
 	n.metrics.refused(act.Reason)
+	running, waiting := o.queue()
+	n.log.Info("admission refused", "id", requestOf(req.GetRequestId()), "engine", o.name, "adapter", req.GetAdapter(), "reason", act.Reason,
+		"wait-ms", act.Wait.Milliseconds(), "max-wait-ms", req.GetMaxWaitMs(), "left-ms", req.GetTimeLeftMs(), "running", running, "waiting", waiting)
 	return &peerpb.AdmitResponse{
 		Verdict: peerpb.AdmitResponse_VERDICT_REFUSED, Reason: string(act.Reason),
 		RetryAfterMs: act.RetryAfter.Milliseconds(), WaitMs: act.Wait.Milliseconds(),
 	}
 }
 
+// requestOf returns the caller's request id of an attempt's id.
+func requestOf(attempt string) string {
+	id, _, _ := strings.Cut(attempt, ".")
+	return id
+}
+
 // release gives a grant back to the engine's present owner. When that fails,
 // the owner finds out by reconciling.
 func (n *Node) release(g caller.Grant, missing bool, tokenTime time.Duration) {
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/engine"
@@ -49,6 +50,8 @@
 	fresh   settings.Freshness
 	rng     *rand.Rand
 
+	settling *semaphore.Weighted // held while ownership is settled
+
 	tableUp     atomic.Bool
 	tokensKnown atomic.Bool // the registry knows every engine's fencing token
 	leaving     atomic.Bool // no new requests
@@ -71,8 +74,10 @@
 		retired: make(map[string][]*ownedEngine),
 		hints:   make(map[string]string),
 		checked: make(map[string]time.Time),
-		fresh:   settings.Freshness{Promise: cfg.SettingsPromise},
-		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
+
+		settling: semaphore.NewWeighted(1),
+		fresh:    settings.Freshness{Promise: cfg.SettingsPromise},
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 	if n.process == "" {
 		n.process = crand.Text()
--- a/node/owned.go
+++ b/node/owned.go
@@ -112,6 +112,14 @@
 	return wait
 }
 
+// queue returns how many requests run and wait.
+func (o *ownedEngine) queue() (running, waiting int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	running, waiting, _ = o.sched.Load(time.Now())
+	return running, waiting
+}
+
 // submit offers work and waits for the grant or the refusal.
 func (o *ownedEngine) submit(ctx context.Context, w engine.Work, address string) engine.Action {
 	ch := make(chan engine.Action, 1)
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -9,9 +9,19 @@
 	"github.com/vanilladrift/vanilladrift/table"
 )
 
+// Settle takes the engines that this node should own without waiting for the
+// next poll. It is for settings that were pushed.
+func (n *Node) Settle() {
+	n.tasks.Go(func() { n.settleOwnership(n.ctx) })
+}
+
 // settleOwnership takes the engines that this node should own and hands over
 // those that another live node should own.
 func (n *Node) settleOwnership(ctx context.Context) {
+	if n.settling.Acquire(ctx, 1) != nil {
+		return
+	}
+	defer n.settling.Release(1)
 	if !n.session.valid(time.Now()) {
 		return
 	}
@@ -23,7 +33,7 @@
 		wanted := n.members.wantedOwner(b.Name, b.DataCenter)
 		mine := n.ownedEngine(b.Name)
 		switch {
-		case wanted == n.cfg.Name && mine == nil && !n.session.isLeaving():
+		case (wanted == n.cfg.Name || n.ownedBefore(b.Name)) && mine == nil && !n.session.isLeaving():
 			if !n.ownedElsewhere(b.Name) {
 				n.takeEngine(ctx, b)
 			}
@@ -69,6 +79,18 @@
 	return true
 }
 
+// ownedBefore reports whether an engine's ownership row names this node, whose
+// earlier process ended without a release. It takes the engine up again even if
+// another should own it, since it can do so at once.
+func (n *Node) ownedBefore(name string) bool {
+	if n.cfg.HolderGap == 0 {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.hints[name] == n.cfg.Name
+}
+
 // ownerCheckEvery is how often the ownership row of an engine that another node
 // keeps is read.
 const ownerCheckEvery = 5 * time.Second
@@ -95,6 +117,7 @@
 func (n *Node) takeEngine(ctx context.Context, b settings.BackendServer) {
 	row, err := n.table.Get(ctx, table.OwnerPrefix+b.Name)
 	if err != nil && !table.IsKind(err, table.NotFound) {
+		n.log.Info("owner not read", "engine", b.Name, "err", err)
 		return
 	}
 	old := table.Owner{Engine: b.Name}
@@ -112,6 +135,7 @@
 		tx, ok := n.fenceHolder(old)
 		if !ok {
 			n.hint(b.Name, old.Node)
+			n.log.Debug("engine has an owner", "engine", b.Name, "owner", old.Node, "process", old.Process)
 			return
 		}
 		if !n.endedSession(old) && !n.consents.beginTaking(old.Process, time.Now()) {
@@ -125,6 +149,7 @@
 			n.consents.abandonTaking(old.Process)
 		}
 		if err != nil {
+			n.log.Info("engine not taken", "engine", b.Name, "from", old.Node, "err", err)
 			return // an unknown outcome shows at the next reading
 		}
 		n.log.Info("took engine", "engine", b.Name, "token", next.Token, "from", old.Node)
@@ -169,6 +194,9 @@
 	if old.Node == "" {
 		return table.Tx{}, true // released
 	}
+	if old.Node == n.cfg.Name {
+		return table.Tx{}, true // an earlier process of this node, or an earlier epoch; the session's own check covers it
+	}
 	m, ok := n.members.get(old.Node)
 	if !ok {
 		// The row was removed long after the session lapsed.
@@ -190,7 +218,7 @@
 // endedSession reports whether the holder's lease is known to have ended: it
 // released the engine, or its node has registered another session since.
 func (n *Node) endedSession(old table.Owner) bool {
-	if old.Node == "" {
+	if old.Node == "" || old.Node == n.cfg.Name {
 		return true
 	}
 	m, ok := n.members.get(old.Node)
@@ -240,6 +268,7 @@
 // remembered until they are answered.
 func (n *Node) drop(o *ownedEngine) {
 	o.stop()
+	n.forgetHint(o.name, n.cfg.Name)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.owned[o.name] == o {
@@ -296,6 +325,9 @@
 			return
 		}
 		n.registry.Bar(o.Engine, o.Token)
+		if o.Node != "" {
+			n.hint(o.Engine, o.Node)
+		}
 	}
 	n.tokensKnown.Store(true)
 }
--- a/node/session.go
+++ b/node/session.go
@@ -88,6 +88,9 @@
 }
 
 func (s *session) confirmed(row table.Session, ver int64, sent time.Time) {
+	if s.row.Counter == 0 {
+		s.n.log.Info("session registered", "epoch", row.Epoch, "row-version", ver)
+	}
 	s.row, s.version = row, ver
 	s.state.Lock()
 	s.lease.Renewed(sent)
--- a/node/session_test.go
+++ b/node/session_test.go
@@ -67,3 +67,42 @@
 		n.Kill()
 	})
 }
+
+// After a crash of every node, a node takes its engines up again at once: its
+// earlier process has ended, whatever the members were when it looked.
+func TestRestartedNodeTakesItsEnginesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net, tbl := standin.NewNetwork(), &standin.Table{}
+		net.Listen(platform, "10.9.0.1:1", tbl)
+		for _, name := range []string{"n", "other"} {
+			s := table.Session{Node: name, Process: name + ".1", Epoch: 1, Counter: 7, Address: "10.0.0.9:1"}
+			tbl.Commit(table.Tx{Puts: []table.Put{{Key: s.Key(), Value: s.Encode()}}})
+		}
+		var docs []settings.Document
+		for _, engine := range []string{"e1", "e2", "e3", "e4"} {
+			row := table.Owner{Engine: engine, Node: "n", Process: "n.1", Epoch: 1, Token: 3, LastNode: "n"}
+			tbl.Commit(table.Tx{Puts: []table.Put{{Key: row.Key(), Value: row.Encode()}}})
+			docs = append(docs, settings.Document{Kind: settings.Backend, Name: engine, Fields: map[string]string{
+				"address": "10.1.0.1:1", "base-model": "m", "slots": "2", "places": "2", "unload-waits": "on",
+			}})
+		}
+		n := New(Config{
+			Name: "n", Address: "10.0.0.1:1", Process: "n.2", TableURL: tableURL, HTTP: net.Client("n"),
+			SettingsPushed: true, HolderGap: 3 * time.Second,
+		})
+		n.store.InstallSnapshot(1, docs)
+		start := time.Now()
+		n.Start()
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(len(n.ownedEngines()), 4) // those that rendezvous gives to the other node included
+		for _, o := range n.ownedEngines() {
+			is.Equal(o.token, int64(4))
+			o.mu.Lock()
+			is.True(o.mayOrder(time.Now())) // no gap after its own earlier process
+			o.mu.Unlock()
+		}
+		is.True(time.Since(start) < 200*time.Millisecond)
+		n.Kill()
+	})
+}
