--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -11,41 +11,6 @@
 	"golang.org/x/sync/semaphore"
 )
 
-// State is what an engine that numbers its orders reports of itself. It may be
-// older than the last orders.
-type State struct {
-	Boot     string // differs for every start of the engine
-	Sequence int64  // orders accepted since the start
-	Busy     bool   // a base model is being loaded or unloaded
-	Models   []string
-	Loaded   map[string]int64 // versions of adapters by "model/adapter"
-	Coming   map[string]int64 // adapters on their way, likewise
-	Running  int
-	Waiting  int
-}
-
-// Command is one order to an engine that numbers its orders.
-type Command struct {
-	Load     bool   // load, else unload
-	Model    string // base model
-	Adapter  string // empty for the model itself
-	Version  int64  // 0 means the newest
-	Expected int64  // the engine's sequence; the order has no effect at another one
-	Token    int64  // fencing token
-}
-
-// Reply is an engine's answer to a command.
-type Reply string
-
-// The answers to a command.
-const (
-	Accepted  Reply = "accepted"  // the engine carries it out
-	Already   Reply = "already"   // it holds, or has been carried out at once
-	Deferred  Reply = "conflict"  // another sequence or another order under way; nothing was done
-	StaleCall Reply = "fenced"    // the engine has seen a higher token
-	Elsewhere Reply = "elsewhere" // another incarnation answered; nothing was done
-)
-
 const (
 	// stateLag bounds how old a report may be.
 	stateLag = 400 * time.Millisecond
@@ -99,12 +64,6 @@
 	warmTime   time.Duration
 }
 
-// unanswered is a load without an answer.
-type unanswered struct {
-	expected int64
-	at       time.Time
-}
-
 func (s *Sequencer) init() {
 	s.once.Do(func() {
 		s.sending = semaphore.NewWeighted(1)
@@ -345,55 +304,6 @@
 	return reply, nil
 }
 
-// noteUnanswered remembers a load that may still be carried out.
-func (s *Sequencer) noteUnanswered(c Command) {
-	if !c.Load {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.unanswered = append(s.unanswered, unanswered{c.Expected, time.Now()})
-}
-
-// reserved returns how many slots must stay free for loads that were not
-// answered. Within one start of the engine the next order makes them void; after
-// a restart the sequence comes by their numbers again. The lock is held.
-func (s *Sequencer) reserved(now time.Time) int {
-	s.unanswered = slices.DeleteFunc(s.unanswered, func(u unanswered) bool { return now.Sub(u.at) > lateLimit })
-	n := 0
-	for _, u := range s.unanswered {
-		if u.expected > s.sequence {
-			n++
-		}
-	}
-	return min(n, s.Slots-1)
-}
-
-// makeRoom unloads adapters that nothing wants until a slot is free.
-func (s *Sequencer) makeRoom(ctx context.Context, name string, token int64) error {
-	for {
-		s.mu.Lock()
-		_, present := s.held[name]
-		full := !present && len(s.held)+s.reserved(time.Now()) >= s.Slots
-		others := slices.Sorted(maps.Keys(s.held))
-		s.mu.Unlock()
-		if !full {
-			return nil
-		}
-		i := slices.IndexFunc(others, func(other string) bool { return s.Wanted == nil || !s.Wanted(other) })
-		if i < 0 {
-			return &Error{Op: "load", Kind: Full}
-		}
-		victim := others[i]
-		if err := s.unload(ctx, victim, token); err != nil {
-			return err
-		}
-		if err := s.settle(ctx); err != nil {
-			return err
-		}
-	}
-}
-
 // await waits until a load that was accepted has ended. The engine says so
 // when the same order is given again; until then that order changes nothing.
 func (s *Sequencer) await(ctx context.Context, name string, c Command) error {
@@ -466,13 +376,3 @@
 	}
 	return s.settle(ctx)
 }
-
-// SplitName splits "model/adapter".
-func SplitName(name string) (model, adapter string) {
-	for i := range len(name) {
-		if name[i] == '/' {
-			return name[:i], name[i+1:]
-		}
-	}
-	return name, ""
-}
--- a/engine/sequencer_test.go
+++ b/engine/sequencer_test.go
@@ -220,7 +220,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.IntRange(0, 19), 5, 40).Draw(rt, "steps")
 		failure := ""
-		synctest.Test(t, func(t *testing.T) {
+		synctest.Test(t, func(*testing.T) {
 			e := newNumberedEngine(3)
 			s := e.sequencer()
 			names := []string{"m/a", "m/b", "m/c", "m/d", "m/e", "m/f"}
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -96,37 +96,17 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, a, err := x.send(ctx, Sending{
+	resp, a, failed := x.sendFor(ctx, Sending{
 		Server: s, Engine: true, Priority: x.route.Priority, After: x.after,
 		Version: x.front.Version(x.head.Model, x.head.Adapter),
 	})
-	if err != nil {
-		if neverSent(err) {
-			return result{failed: true, notRun: true, reason: err.Error()}
-		}
-		x.maybeRan = true
-		return result{failed: true, reason: err.Error()}
-	}
-	defer resp.Body.Close()
-	if a.NotRun {
-		drain(resp.Body)
+	if failed != nil {
 		missing = a.Misplaced
-		return result{notRun: true, reason: "the engine refused it", answer: a}
+		return *failed
 	}
-	x.maybeRan = true
+	defer resp.Body.Close()
 	if a.Status != http.StatusOK || !a.Stream {
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-		if err != nil {
-			return result{failed: true, reason: err.Error()}
-		}
-		if a.Status >= http.StatusInternalServerError {
-			return result{failed: true, reason: "the engine failed it", answer: a, body: body}
-		}
-		if x.begun {
-			return result{final: true, err: &Error{Op: "resume", Kind: Cut, Reason: "the engine does not resume it"}}
-		}
-		x.answer(a, body)
-		return result{final: true}
+		return x.readAnswer(a, resp.Body)
 	}
 	perEvent, err := x.stream(a, resp.Body)
 	tokenTime = perEvent / time.Duration(x.pool.Engine.EventTokens)
--- a/relay/front.go
+++ b/relay/front.go
@@ -179,6 +179,43 @@
 	return resp, a, nil
 }
 
+// sendFor sends the request and sorts out what needs no body: an attempt
+// without an answer, and a refusal of the server. The result is nil when the
+// answer's body is to be read and closed.
+func (x *exchange) sendFor(ctx context.Context, s Sending) (*http.Response, Answer, *result) {
+	resp, a, err := x.send(ctx, s)
+	switch {
+	case err != nil && neverSent(err):
+		return nil, a, &result{failed: true, notRun: true, reason: err.Error()}
+	case err != nil:
+		x.maybeRan = true
+		return nil, a, &result{failed: true, reason: err.Error()}
+	case a.NotRun:
+		drain(resp.Body)
+		resp.Body.Close()
+		return nil, a, &result{failed: !a.Misplaced, notRun: true, reason: "the server refused it", answer: a}
+	}
+	x.maybeRan = true
+	return resp, a, nil
+}
+
+// readAnswer reads a whole answer and passes it on, unless the server failed the
+// request or broke off.
+func (x *exchange) readAnswer(a Answer, body io.Reader) result {
+	raw, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	if err != nil {
+		return result{failed: true, reason: err.Error()}
+	}
+	if a.Status >= http.StatusInternalServerError {
+		return result{failed: true, reason: "the server failed it", answer: a, body: raw}
+	}
+	if x.begun {
+		return result{final: true, err: &Error{Op: "resume", Kind: Cut, Reason: "the server does not resume it"}}
+	}
+	x.answer(a, raw)
+	return result{final: true}
+}
+
 // mayRepeat reports whether the request may be sent once more, and pays for it.
 func (x *exchange) mayRepeat() bool {
 	return time.Until(x.deadline) > 0 && x.front.Budget(x.pool.Name).Spend(time.Now())
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/backend"
@@ -52,29 +51,12 @@
 }
 
 func (x *exchange) tryPlain(ctx context.Context, s *backend.Server) result {
-	resp, a, err := x.send(ctx, Sending{Server: s, Priority: x.route.Priority})
-	if err != nil {
-		if neverSent(err) {
-			return result{failed: true, notRun: true, reason: err.Error()}
-		}
-		x.maybeRan = true
-		return result{failed: true, reason: err.Error()}
+	resp, a, res := x.sendFor(ctx, Sending{Server: s})
+	if res != nil {
+		return *res
 	}
 	defer resp.Body.Close()
-	if a.NotRun {
-		drain(resp.Body)
-		return result{failed: !a.Misplaced, notRun: true, reason: "the server refused it", answer: a}
-	}
-	x.maybeRan = true
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil {
-		return result{failed: true, reason: err.Error()}
-	}
-	if a.Status >= http.StatusInternalServerError {
-		return result{failed: true, reason: "the server failed it", answer: a, body: body}
-	}
-	x.answer(a, body)
-	return result{final: true}
+	return x.readAnswer(a, resp.Body)
 }
 
 // giveUp is the final answer after the last attempt.
--- a/relay/request.go
+++ b/relay/request.go
@@ -15,9 +15,8 @@
 	Model          string        // base model
 	Adapter        string
 	PromptTokens   int
-	MaxTokens      int // of the output
-	ExpectedTokens int // of the output, the caller's estimate; 0 means none
-	Parts          []Part
+	MaxTokens      int    // of the output
+	ExpectedTokens int    // of the output, the caller's estimate; 0 means none
 	After          string // the last event that the caller has, when it resumes a stream
 }
 
@@ -37,12 +36,6 @@
 	return h.MaxTokens
 }
 
-// Part is one part of a prompt. Requests share parts.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // Sending is one attempt to pass a request on to a server.
 type Sending struct {
 	Incoming *http.Request
