--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -23,7 +23,7 @@
 	// SpendRetry takes a retry from the budget, or reports that none is left.
 	SpendRetry func() bool
 	// Holds, if set, reports whether an engine is believed to hold an adapter;
-	// the search then goes by [Homes]. While an engine's owner does not answer,
+	// the search then goes by the adapters' homes. While an engine's owner does not answer,
 	// a request goes to an engine that holds its adapter without a grant, so the
 	// engine itself must refuse what it does not hold. Release must be set too.
 	Holds func(engineName, adapter string) bool
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -41,8 +41,13 @@
 	probeAfter   = 100 * time.Millisecond
 	probeTimeout = 200 * time.Millisecond
 
+	// leaseShort is how much shorter than the platform's time between two holders
+	// a lease is, so that an order that was sent under it has arrived before the
+	// next holder's; leaseMargin is kept on both sides of it for slow answers.
+	leaseShort  = 500 * time.Millisecond
 	leaseMargin = 300 * time.Millisecond
-	renewEvery  = time.Second
+	// renewEvery leaves two renewals within a lease.
+	renewEvery = time.Second
 	// membersPace is the time between two readings of the nodes' sessions; a
 	// change of owner waits longer than that in any case.
 	membersPace = 2 * time.Second
@@ -52,7 +57,16 @@
 	listenerOpen = 2700 * time.Millisecond
 	// exitMargin is kept of the grace period for the process's end.
 	exitMargin = 500 * time.Millisecond
-	tickEvery  = 200 * time.Millisecond
+	// tickEvery is how often servers that an outage may have hidden are looked at.
+	tickEvery = 200 * time.Millisecond
+	// firstRetry and lastRetry are the pauses after the store did not answer: many
+	// of its answers' times, and at most what a poll would have waited.
+	firstRetry = 200 * time.Millisecond
+	lastRetry  = time.Second
+	// pingAfter and pingTimeout find a connection between nodes that has gone
+	// silent, within the time in which a lease ends.
+	pingAfter   = 2 * time.Second
+	pingTimeout = time.Second
 	// memoryShare is the part of the memory limit that the collector aims at.
 	memoryShare = 0.7
 )
@@ -78,7 +92,7 @@
 	tasks   sync.WaitGroup
 }
 
-// New returns a daemon that has not started.
+// New returns a daemon that has not started. It sets the process's memory limit.
 func New(s platform.Settings, l *log.Logger) *Daemon {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	d := &Daemon{settings: s, log: l, budgets: make(map[string]*backend.RepeatBudget)}
@@ -88,7 +102,7 @@
 	d.node = node.New(node.Config{
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
 		Table: &table.Client{Read: d.readStore, Apply: d.applyStore}, Sequencer: d.sequencer,
-		SettingsPushed: true, HolderGap: s.Lease, LeaseTTL: s.Lease - 500*time.Millisecond, LeaseMargin: leaseMargin,
+		SettingsPushed: true, HolderGap: s.Lease, LeaseTTL: s.Lease - leaseShort, LeaseMargin: leaseMargin,
 		RenewEvery: renewEvery, PollEvery: membersPace, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: peerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
 	})
 	d.state.store, d.state.settle = d.node.Store(), d.node.Settle
@@ -109,7 +123,7 @@
 	c := peer.NewHTTPClient(nil)
 	t := c.Transport.(*http.Transport)
 	t.DialContext = dial
-	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: time.Second}
+	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
 	return c
 }
 
@@ -233,7 +247,7 @@
 func (d *Daemon) follow(name string, wait, pace time.Duration, reset func([]table.Row), apply func(table.Changes)) {
 	f := &feed.Follower{
 		Table: name, All: d.store.All, Next: d.store.Feed, Reset: reset, Apply: apply,
-		Wait: wait, Answer: storeTimeout, Pace: pace, Retry: 200 * time.Millisecond, MaxRetry: time.Second,
+		Wait: wait, Answer: storeTimeout, Pace: pace, Retry: firstRetry, MaxRetry: lastRetry,
 		Down: func(err error) {
 			d.log.Warn("store lost", "table", name, "err", err)
 			if name == platform.ServersTable {
--- a/node/lapse.go
+++ b/node/lapse.go
@@ -43,7 +43,8 @@
 	}
 }
 
-// reapAfter is how long a session has lapsed before its row is removed.
+// reapAfter is how long a session has lapsed before its row is removed: longer
+// than an ordinary restart.
 const reapAfter = 6 * time.Second
 
 // reap removes the rows of sessions that lapsed long ago, such as those of VMs
--- a/node/members.go
+++ b/node/members.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// joinTries is one write to find the row of an earlier process, one to
+	// replace it, and one more; joinPause is a few answers of the table.
 	joinTries    = 3
 	joinPause    = 20 * time.Millisecond
 	gossipFanOut = 2 // peers chosen at random in each round, to spread settings
