Derive the lease's times from the platform's; check the node's configuration at the start

A deployment with a shorter time between two holders than 3 s would have started with a lease that its renewals do not keep. The times are the same for 3 s.

--- a/cmd/vanilladriftd/platform.go
+++ b/cmd/vanilladriftd/platform.go
@@ -38,8 +38,11 @@
 	l := log.NewWithOptions(ring, log.Options{
 		Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.JSONFormatter,
 	}).With("node", s.Node)
-	d := entry.New(s, l)
-	if err := d.Start(); err != nil {
+	d, err := entry.New(s, l)
+	if err == nil {
+		err = d.Start()
+	}
+	if err != nil {
 		l.Error("not started", "err", err)
 		return err
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -41,13 +41,14 @@
 	probeAfter   = 100 * time.Millisecond
 	probeTimeout = 200 * time.Millisecond
 
-	// leaseShort is how much shorter than the platform's time between two holders
-	// a lease is, so that an order that was sent under it has arrived before the
-	// next holder's; leaseMargin is kept on both sides of it for slow answers.
-	leaseShort  = 500 * time.Millisecond
-	leaseMargin = 300 * time.Millisecond
-	// renewEvery leaves two renewals within a lease.
-	renewEvery = time.Second
+	// shorterBy is the part of the platform's time between two holders by which a
+	// lease is shorter, so that an order that was sent under it has arrived before
+	// the next holder's. marginPart is kept on both sides of it for slow answers.
+	shorterBy  = 6
+	marginPart = 10
+	// renewals is how often a lease is renewed while it is trusted: twice, and a
+	// little more for late timers.
+	renewals = 2.2
 	// membersPace is the time between two readings of the nodes' sessions; a
 	// change of owner waits longer than that in any case.
 	membersPace = 2 * time.Second
@@ -92,19 +93,31 @@
 	tasks   sync.WaitGroup
 }
 
+// leaseTimes returns the times of a lease for the platform's time between two
+// holders.
+func leaseTimes(gap time.Duration) (ttl, margin, renewEvery time.Duration) {
+	ttl, margin = gap-gap/shorterBy, gap/marginPart
+	return ttl, margin, time.Duration(float64(ttl-margin) / renewals)
+}
+
 // New returns a daemon that has not started. It sets the process's memory limit.
-func New(s platform.Settings, l *log.Logger) *Daemon {
+func New(s platform.Settings, l *log.Logger) (*Daemon, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	d := &Daemon{settings: s, log: l, budgets: make(map[string]*backend.RepeatBudget)}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.store = &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: newTransport(0, idleConns)}}
 	d.state = &state{log: l}
-	d.node = node.New(node.Config{
+	ttl, margin, renewEvery := leaseTimes(s.Lease)
+	cfg := node.Config{
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
 		Table: &table.Client{Read: d.readStore, Apply: d.applyStore}, Sequencer: d.sequencer,
-		SettingsPushed: true, HolderGap: s.Lease, LeaseTTL: s.Lease - leaseShort, LeaseMargin: leaseMargin,
+		SettingsPushed: true, HolderGap: s.Lease, LeaseTTL: ttl, LeaseMargin: margin,
 		RenewEvery: renewEvery, PollEvery: membersPace, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: peerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
-	})
+	}
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	d.node = node.New(cfg)
 	d.state.store, d.state.settle = d.node.Store(), d.node.Settle
 	d.conns = &conns{nodes: d.node.LiveNodes}
 	d.metrics = newMetrics(d.node.Meter())
@@ -115,7 +128,7 @@
 		Transport: d.conns.pool, Acquire: d.acquire, Release: d.node.Release,
 		Budget: d.budget, Balancer: &backend.Balancer{DataCenter: s.DataCenter}, Leaving: d.leaving.Load, Observe: d.observe,
 	}
-	return d
+	return d, nil
 }
 
 // peerClient returns the client for other nodes.
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	s, err := platform.ReadSettings(path)
-//	d := entry.New(s, logger)
+//	d, err := entry.New(s, logger)
 //	err = d.Start()
 //	...
 //	d.Close(ctx)
