--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 
 // source is a store with one table.
 type source struct {
+	mu      sync.Mutex // guards all fields
 	version int64
 	rows    map[string]int64
 	log     []table.ChangedRow
@@ -23,6 +25,14 @@
 	calls   int
 }
 
+// set changes the store.
+func (s *source) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// put writes a row. The lock is held.
 func (s *source) put(key string) {
 	s.version++
 	s.rows[key] = s.version
@@ -30,6 +40,8 @@
 }
 
 func (s *source) all(context.Context, string) ([]table.Row, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
 		return nil, 0, errors.New("down")
@@ -42,30 +54,79 @@
 }
 
 func (s *source) next(ctx context.Context, _ string, after int64, wait time.Duration) (table.Changes, error) {
+	s.mu.Lock()
 	s.calls++
-	if s.silent {
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
 		<-ctx.Done()
 		return table.Changes{}, ctx.Err()
 	}
-	end := time.Now().Add(wait)
-	for {
-		switch {
-		case s.down:
-			return table.Changes{}, errors.New("down")
-		case after < s.kept:
-			return table.Changes{}, &table.Error{Op: "feed", Kind: table.HistoryLost}
-		}
-		ch := table.Changes{Version: s.version}
-		for _, r := range s.log {
-			if r.Version > after {
-				ch.Rows = append(ch.Rows, r)
-			}
+	for end := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
+		if ch, err := s.since(after); err != nil || len(ch.Rows) > 0 || !time.Now().Before(end) {
+			return ch, err
 		}
-		if len(ch.Rows) > 0 || !time.Now().Before(end) {
-			return ch, nil
+	}
+}
+
+func (s *source) since(after int64) (table.Changes, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return table.Changes{}, errors.New("down")
+	case after < s.kept:
+		return table.Changes{}, &table.Error{Op: "feed", Kind: table.HistoryLost}
+	}
+	ch := table.Changes{Version: s.version}
+	for _, r := range s.log {
+		if r.Version > after {
+			ch.Rows = append(ch.Rows, r)
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
+	return ch, nil
+}
+
+// sink records what a follower reports.
+type sink struct {
+	mu                 sync.Mutex
+	seen               map[string]int64
+	resets, ups, downs int
+}
+
+func (s *sink) reset(rows []table.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resets++
+	for _, r := range rows {
+		s.seen[r.Key] = r.Version
+	}
+}
+
+func (s *sink) apply(ch table.Changes) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range ch.Rows {
+		s.seen[r.Key] = r.Version
+	}
+}
+
+func (s *sink) count(n *int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*n++
+}
+
+func (s *sink) version(key string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[key]
+}
+
+func (s *sink) counts() (resets, ups, downs int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.resets, s.ups, s.downs
 }
 
 func TestFollower(t *testing.T) {
@@ -73,57 +134,54 @@
 		is := is.New(t)
 		src := &source{rows: map[string]int64{}}
 		src.put("a")
-		seen := map[string]int64{}
-		resets, ups, downs := 0, 0, 0
-		note := func(r table.Row) { seen[r.Key] = r.Version }
+		out := &sink{seen: map[string]int64{}}
 		f := &Follower{
 			Table: "t", All: src.all, Next: src.next, Wait: 2 * time.Second, Answer: time.Second,
 			Pace: 100 * time.Millisecond, Retry: 100 * time.Millisecond, MaxRetry: time.Second,
-			Reset: func(rows []table.Row) {
-				resets++
-				for _, r := range rows {
-					note(r)
-				}
-			},
-			Apply: func(ch table.Changes) {
-				for _, r := range ch.Rows {
-					note(r.Row)
-				}
-			},
-			Down: func(error) { downs++ },
-			Up:   func() { ups++ },
+			Reset: out.reset, Apply: out.apply,
+			Down: func(error) { out.count(&out.downs) }, Up: func() { out.count(&out.ups) },
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); f.Run(ctx) }()
 		time.Sleep(50 * time.Millisecond)
-		is.Equal(seen["a"], int64(1))
-		src.put("b")
+		is.Equal(out.version("a"), int64(1))
+		src.set(func() { src.put("b") })
 		time.Sleep(200 * time.Millisecond)
-		is.Equal(seen["b"], int64(2))
+		is.Equal(out.version("b"), int64(2))
 
-		src.silent = true // the connection goes silent without breaking
+		src.set(func() { src.silent = true }) // the connection goes silent without breaking
 		time.Sleep(4 * time.Second)
-		src.silent = false
-		src.put("c")
+		src.set(func() {
+			src.silent = false
+			src.put("c")
+		})
 		time.Sleep(2 * time.Second)
-		is.Equal(seen["c"], int64(3))
+		is.Equal(out.version("c"), int64(3))
+		_, ups, downs := out.counts()
 		is.Equal(downs, 1)
 		is.Equal(ups, 1)
 
-		src.down = true // history is lost during an outage
+		src.set(func() { src.down = true }) // history is lost during an outage
 		time.Sleep(3 * time.Second)
-		src.put("d")
-		src.kept, src.log = src.version, nil
-		src.down = false
+		src.set(func() {
+			src.put("d")
+			src.kept, src.log = src.version, nil
+			src.down = false
+		})
 		time.Sleep(3 * time.Second)
-		is.Equal(seen["d"], int64(4))
+		is.Equal(out.version("d"), int64(4))
+		resets, ups, _ := out.counts()
 		is.Equal(resets, 2)
 		is.Equal(ups, 2)
 
-		before := src.calls
+		calls := func() (n int) {
+			src.set(func() { n = src.calls })
+			return n
+		}
+		before := calls()
 		time.Sleep(20 * time.Second)
-		is.True(src.calls-before <= 11) // a quiet feed costs one call a wait
+		is.True(calls()-before <= 11) // a quiet feed costs one call a wait
 		cancel()
 		<-done
 	})
