--- a/backend/budget.go
+++ b/backend/budget.go
@@ -27,7 +27,7 @@
 	n  int
 }
 
-// slices is how finely a window is counted.
+// budgetSlices is how finely a window is counted.
 const budgetSlices = 20
 
 // SetSlack changes the slack, as the number of nodes that share it changes.
--- a/backend/doc.go
+++ b/backend/doc.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	var reg backend.Registry
-//	reg.Update(now, rows...)
+//	reg.Replace(now, servers)
 //	for _, s := range reg.View().Pool("orders") { ... }
 //
 // # Not covered
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -85,15 +85,13 @@
 	r.away = true
 }
 
-// StoreBack records that the store answers. It reports whether it was away.
-func (r *Registry) StoreBack(now time.Time) bool {
+// StoreBack records that the store answers again.
+func (r *Registry) StoreBack(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.away {
-		return false
+	if r.away {
+		r.away, r.returned = false, now
 	}
-	r.away, r.returned = false, now
-	return true
 }
 
 // Tick drops the servers that did not come back after an outage, and returns
--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"sync"
@@ -23,9 +24,10 @@
 	// SpendRetry takes a retry from the budget, or reports that none is left.
 	SpendRetry func() bool
 	// Holds, if set, reports whether an engine is believed to hold an adapter;
-	// the search then goes by the adapters' homes. While an engine's owner does not answer,
-	// a request goes to an engine that holds its adapter without a grant, so the
-	// engine itself must refuse what it does not hold. Release must be set too.
+	// the search then goes by the adapters' homes. While an engine's owner does
+	// not answer, a request goes to an engine that holds its adapter without a
+	// grant, so the engine itself must refuse what it does not hold. Release must
+	// be set too.
 	Holds func(engineName, adapter string) bool
 	// Release gives a grant back that was only asked for to have an adapter
 	// loaded.
@@ -94,44 +96,31 @@
 // none can, the request waits at the one that names the shortest wait.
 func (a *Acquirer) try(ctx context.Context, s Search) (Grant, error) {
 	w := s.Work
-	id := w.ID
 	a.Mu.Lock()
 	names := a.Router.Candidates(time.Now(), w.Adapter, s.Names, w.Short)
-	w.MaxWait = a.Router.MaxWait(w.Short)
 	a.Mu.Unlock()
 	if len(names) == 0 {
 		return Grant{}, &Refusal{Reason: engine.NotLoaded, RetryAfter: noEngineRetry}
 	}
-	if s.MaxWait > 0 {
-		w.MaxWait = s.MaxWait
+	t := &trial{a: a, work: w, maxWait: a.maxWait(s)}
+	if g, err := t.ask(ctx, names); t.done(err) {
+		return g, err
 	}
-	var best *Refusal
-	bestName, cold := "", false
-	for i, name := range names {
-		w.ID = attemptID(id, i)
-		g, err := a.ask(ctx, name, w)
-		if err == nil {
-			return g, nil
-		}
-		var r *Refusal
-		if !errors.As(err, &r) {
-			return Grant{}, err
-		}
-		cold = cold || r.Reason == engine.Cold
-		if bestName == "" || better(r, best) {
-			best, bestName = r, name
-		}
+	if s.Spare || hope(t.best.Reason) < hope(engine.Overflow) {
+		return Grant{}, t.best
 	}
-	if s.Spare || hope(best.Reason) < hope(engine.Overflow) {
-		return Grant{}, best
-	}
-	if !cold {
+	if !t.cold {
 		a.Mu.Lock()
 		a.Router.Overflowed(time.Now(), w.Adapter)
 		a.Mu.Unlock()
 	}
-	w.MaxWait, w.ID = 0, id+"w"
-	return a.ask(ctx, bestName, w)
+	return t.waitAtBest(ctx)
+}
+
+// maxWait returns the longest queue wait that the search accepts at its first
+// choices.
+func (a *Acquirer) maxWait(s Search) time.Duration {
+	return cmp.Or(s.MaxWait, a.Router.MaxWait(s.Work.Short))
 }
 
 // ask asks one owner and notes the wait that it names. The owner refuses what
--- a/engine/client.go
+++ b/engine/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +12,8 @@
 
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
+
+	"github.com/vanilladrift/vanilladrift/transport"
 )
 
 const (
@@ -154,8 +155,7 @@
 // transport classifies a failure without an answer. Only a failed dial proves
 // that nothing was sent.
 func (c *Client) transport(op string, err error) error {
-	var oe *net.OpError
-	if errors.As(err, &oe) && oe.Op == "dial" {
+	if transport.NeverSent(err) {
 		return &Error{Op: op, Kind: NotSent, Engine: c.Name, Err: err}
 	}
 	return &Error{Op: op, Kind: Broken, Engine: c.Name, Err: err}
--- a/engine/numbered.go
+++ b/engine/numbered.go
@@ -1,5 +1,7 @@
 package engine
 
+import "strings"
+
 // State is what an engine that numbers its orders reports of itself. It may be
 // older than the last orders.
 type State struct {
@@ -35,12 +37,17 @@
 	Elsewhere Reply = "elsewhere" // another incarnation answered; nothing was done
 )
 
-// SplitName splits "model/adapter".
-func SplitName(name string) (model, adapter string) {
-	for i := range len(name) {
-		if name[i] == '/' {
-			return name[:i], name[i+1:]
-		}
+// JoinName returns the name of an adapter of a model, and that of the model
+// itself when the adapter is empty.
+func JoinName(model, adapter string) string {
+	if adapter == "" {
+		return model
 	}
-	return name, ""
+	return model + "/" + adapter
+}
+
+// SplitName splits what [JoinName] joined.
+func SplitName(name string) (model, adapter string) {
+	model, adapter, _ = strings.Cut(name, "/")
+	return model, adapter
 }
--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -98,6 +98,13 @@
 	return r, nil
 }
 
+// start tells which start of the engine is known.
+func (s *Sequencer) start() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.boot
+}
+
 // Ready reports whether the engine holds its base model.
 func (s *Sequencer) Ready() bool {
 	s.mu.Lock()
@@ -239,7 +246,8 @@
 		return "", err
 	}
 	defer s.sending.Release(1)
-	return s.boot, s.unload(ctx, name, token)
+	err := s.unload(ctx, name, token)
+	return s.start(), err
 }
 
 func (s *Sequencer) unload(ctx context.Context, name string, token int64) error {
@@ -271,9 +279,10 @@
 	reply, err := s.begin(ctx, name, c)
 	s.sending.Release(1)
 	if err != nil || reply == Already {
-		return s.boot, err
+		return s.start(), err
 	}
-	return s.boot, s.await(ctx, name, c)
+	err = s.await(ctx, name, c)
+	return s.start(), err
 }
 
 // begin sends the order to load once the engine has a slot for it.
--- a/entry/state.go
+++ b/entry/state.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/route"
 	"github.com/vanilladrift/vanilladrift/settings"
@@ -91,10 +92,7 @@
 }
 
 func (s *state) setVersion(v platform.AdapterVersion) {
-	name := v.Model + "/" + v.Adapter
-	if v.Adapter == "" {
-		name = v.Model
-	}
+	name := engine.JoinName(v.Model, v.Adapter)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if old, ok := s.versions.Load(name); ok && old.(int64) >= v.Version {
@@ -106,11 +104,7 @@
 
 // version returns the newest announced version of an adapter, or 0.
 func (s *state) version(model, adapter string) int64 {
-	name := model
-	if adapter != "" {
-		name += "/" + adapter
-	}
-	v, ok := s.versions.Load(name)
+	v, ok := s.versions.Load(engine.JoinName(model, adapter))
 	if !ok {
 		return 0
 	}
@@ -220,6 +214,6 @@
 	if !ok {
 		return false
 	}
-	model, name, _ := strings.Cut(adapter, "/")
+	model, name := engine.SplitName(adapter)
 	return adapter == "" || srv.Holds(model, name)
 }
--- a/node/lapse.go
+++ b/node/lapse.go
@@ -50,7 +50,7 @@
 // reap removes the rows of sessions that lapsed long ago, such as those of VMs
 // that are gone for good. One node does so for all.
 func (m *members) reap(ctx context.Context, now time.Time) {
-	if m.n.cfg.HolderGap == 0 || m.wantedOwner("reaper", "") != m.n.cfg.Name {
+	if !m.n.keepsOwners() || m.wantedOwner("reaper", "") != m.n.cfg.Name {
 		return
 	}
 	for _, x := range m.all() {
--- a/node/members.go
+++ b/node/members.go
@@ -122,6 +122,18 @@
 	return slices.Clone(m.list)
 }
 
+// countLive returns how many members may own engines.
+func (m *members) countLive() (live int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, x := range m.list {
+		if x.live() {
+			live++
+		}
+	}
+	return live
+}
+
 // get returns the member with the given name.
 func (m *members) get(name string) (member, bool) {
 	for _, x := range m.all() {
--- a/node/meter.go
+++ b/node/meter.go
@@ -15,6 +15,3 @@
 
 // Seconds returns a histogram of times. The name must be unique.
 func (m Meter) Seconds(name, help string) metric.Float64Histogram { return m.m.seconds(name, help) }
-
-// Gauge registers a value that is read when the metrics are fetched.
-func (m Meter) Gauge(name, help string, value func() float64) { m.m.gauge(name, help, value) }
--- a/node/node.go
+++ b/node/node.go
@@ -247,13 +247,7 @@
 
 // LiveNodes returns the number of nodes that take part, this one included.
 func (n *Node) LiveNodes() int {
-	live := 0
-	for _, m := range n.members.all() {
-		if m.live() {
-			live++
-		}
-	}
-	return max(1, live)
+	return max(1, n.members.countLive())
 }
 
 // Leave hands the node's engines over while it goes on serving as an entry.
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -49,11 +49,15 @@
 	}
 }
 
+// keepsOwners reports whether engines stay with their owner where that is fair:
+// where holders must not take turns, a change of owner interrupts the loads of an
+// engine, which the evenness is not worth.
+func (n *Node) keepsOwners() bool { return n.cfg.HolderGap > 0 }
+
 // fairShare returns how many engines this node may keep although another should
-// own them. Where a change of owner interrupts the loads of an engine, it is
-// not worth the evenness; elsewhere nothing is kept.
+// own them.
 func (n *Node) fairShare() int {
-	if n.cfg.HolderGap == 0 {
+	if !n.keepsOwners() {
 		return 0
 	}
 	nodes := n.LiveNodes()
@@ -63,7 +67,7 @@
 // ownedElsewhere reports whether a live node is believed to own an engine. The
 // belief is checked now and then.
 func (n *Node) ownedElsewhere(name string) bool {
-	if n.cfg.HolderGap == 0 {
+	if !n.keepsOwners() {
 		return false
 	}
 	n.mu.Lock()
@@ -83,7 +87,7 @@
 // earlier process ended without a release. It takes the engine up again even if
 // another should own it, since it can do so at once.
 func (n *Node) ownedBefore(name string) bool {
-	if n.cfg.HolderGap == 0 {
+	if !n.keepsOwners() {
 		return false
 	}
 	n.mu.Lock()
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -2,8 +2,8 @@
 // route, chooses a backend server, and passes the server's answer on unchanged.
 //
 // A request takes one straight way: decode the head, match the route, read the
-// body, then either [Front.servePlain] (a pool of plain servers, chosen by a
-// [backend.Balancer]) or [Front.serveEngine] (a pool of model engines, whose
+// body, then either servePlain (a pool of plain servers, chosen by a
+// [backend.Balancer]) or serveEngine (a pool of model engines, whose
 // owners grant each request). Each decision that touches a request is one
 // [Event] for the log.
 //
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -154,10 +154,7 @@
 		}
 	}
 	if !x.begun {
-		x.copyHeader(a)
-		x.w.WriteHeader(a.Status)
-		x.begun = true
-		x.ev.Status = a.Status
+		x.begin(a)
 	}
 	if n > 1 {
 		perEvent = last.Sub(first) / time.Duration(n-1)
@@ -167,10 +164,8 @@
 
 func (x *exchange) pass(a Answer, ev streamEvent) error {
 	if !x.begun {
-		x.copyHeader(a)
-		x.w.WriteHeader(a.Status)
-		x.begun = true
-		x.ev.Status, x.ev.First = a.Status, time.Since(x.start)
+		x.ev.First = time.Since(x.start)
+		x.begin(a)
 	}
 	if _, err := x.w.Write(ev.raw); err != nil {
 		return err
--- a/relay/front.go
+++ b/relay/front.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/route"
+	"github.com/vanilladrift/vanilladrift/transport"
 )
 
 const (
@@ -185,7 +187,7 @@
 func (x *exchange) sendFor(ctx context.Context, s Sending) (*http.Response, Answer, *result) {
 	resp, a, err := x.send(ctx, s)
 	switch {
-	case err != nil && neverSent(err):
+	case err != nil && transport.NeverSent(err):
 		return nil, a, &result{failed: true, notRun: true, reason: err.Error()}
 	case err != nil:
 		x.maybeRan = true
@@ -230,20 +232,19 @@
 
 // answer writes a whole answer of a server to the caller.
 func (x *exchange) answer(a Answer, body []byte) {
-	x.copyHeader(a)
-	x.ev.Status, x.ev.First = a.Status, time.Since(x.start)
-	x.begun = true
-	x.w.WriteHeader(a.Status)
+	x.ev.First = time.Since(x.start)
+	x.begin(a)
 	if _, err := x.w.Write(body); err != nil {
 		x.ev.Kind, x.ev.Reason = Left, err.Error()
 	}
 }
 
-func (x *exchange) copyHeader(a Answer) {
-	h := x.w.Header()
-	for name, values := range a.Header {
-		h[name] = values
-	}
+// begin writes the head of a server's answer to the caller.
+func (x *exchange) begin(a Answer) {
+	maps.Copy(x.w.Header(), a.Header)
+	x.ev.Status = a.Status
+	x.begun = true
+	x.w.WriteHeader(a.Status)
 }
 
 // expired returns the final answer for a request whose time ran out, or whose
--- a/relay/request.go
+++ b/relay/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/engine"
 )
 
 // Head is what the headers of a request say of it.
@@ -21,12 +22,7 @@
 }
 
 // AdapterName returns the name under which engines are asked for the adapter.
-func (h Head) AdapterName() string {
-	if h.Adapter == "" {
-		return h.Model
-	}
-	return h.Model + "/" + h.Adapter
-}
+func (h Head) AdapterName() string { return engine.JoinName(h.Model, h.Adapter) }
 
 // OutputTokens returns the expected length of the output.
 func (h Head) OutputTokens() int {
--- a/service/client.go
+++ b/service/client.go
@@ -4,11 +4,12 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
+
+	"github.com/vanilladrift/vanilladrift/transport"
 )
 
 const maxAnswerBytes = 16 << 20
@@ -97,8 +98,7 @@
 }
 
 func sendKind(err error) ErrorKind {
-	var oe *net.OpError
-	if errors.As(err, &oe) && oe.Op == "dial" {
+	if transport.NeverSent(err) {
 		return NotRun
 	}
 	return Unknown
--- a/table/client.go
+++ b/table/client.go
@@ -5,13 +5,14 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
+
+	"github.com/vanilladrift/vanilladrift/transport"
 )
 
 const (
@@ -121,7 +122,7 @@
 	}
 	resp, err := hc.Do(req.WithContext(ctx))
 	if err != nil {
-		if neverSent(err) {
+		if transport.NeverSent(err) {
 			return Unavailable, errors.Trace(err)
 		}
 		return Unknown, errors.Trace(err)
@@ -143,9 +144,3 @@
 	}
 	return "", nil
 }
-
-// neverSent reports whether the request failed before a connection stood.
-func neverSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
