--- a/caller/trial.go
+++ b/caller/trial.go
@@ -51,4 +51,3 @@
 
 // waitAtBest has the request wait at the most hopeful engine.
 func (t *trial) waitAtBest(ctx context.Context) (Grant, error) { return t.askOne(ctx, t.name, 0) }
-
