Read the whole table at once after a gap in the feed

Cause: a follower that heard that the history was lost waited its pace before it read the table, so a change that fell into the gap was seen after two paces instead of one: for the rows of servers 2.4 s, longer than the 2 s for which a replica that leaves still serves.

Change: the table is read in the same step. TestGapCostsNoPace fails before.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -97,7 +97,7 @@
 	changes, err := f.Next(ctx, f.Table, f.version, wait)
 	if table.IsKind(err, table.HistoryLost) || err == nil && changes.Version < f.version {
 		f.read = false // a gap: the whole table tells what was missed
-		return nil
+		return f.step(ctx)
 	}
 	if err != nil {
 		return err
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -186,3 +186,32 @@
 		<-done
 	})
 }
+
+// A change that falls into a gap of the history is seen as soon as any other: a
+// follower that keeps a pace must not spend it twice, first on hearing of the
+// gap and then on reading the table.
+func TestGapCostsNoPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		src := &source{rows: map[string]int64{}}
+		src.put("a")
+		out := &sink{seen: map[string]int64{}}
+		f := &Follower{
+			Table: "t", All: src.all, Next: src.next, Answer: time.Second, Pace: 1200 * time.Millisecond,
+			Retry: 100 * time.Millisecond, MaxRetry: time.Second, Reset: out.reset, Apply: out.apply,
+			Down: func(error) {}, Up: func() {},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		src.set(func() {
+			src.put("b")
+			src.kept, src.log = src.version, nil
+		})
+		time.Sleep(f.Pace)
+		is.Equal(out.version("b"), int64(2))
+		cancel()
+		<-done
+	})
+}
