--- a/cmd/vanilladrift/demo.go
+++ b/cmd/vanilladrift/demo.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"os"
 
 	"github.com/vanilladrift/vanilladrift/demo"
@@ -9,10 +10,24 @@
 type demoCommand struct {
 	Seed     uint64 `long:"seed" default:"1" description:"seed of the random choices"`
 	Requests int    `long:"requests" default:"3000" description:"requests to send"`
+	Platform bool   `long:"platform" description:"run the daemons on a stand-in of the users' platform"`
+	Log      string `long:"log" description:"file for the daemons' log lines, with --platform"`
 	JSON     bool   `long:"json" description:"print the summary as JSON"`
 }
 
 // Execute implements flags.Commander.
 func (c *demoCommand) Execute([]string) error {
-	return demo.Run(demo.Options{Seed: c.Seed, Requests: c.Requests, JSON: c.JSON, Out: os.Stdout, Progress: os.Stderr})
+	o := demo.Options{Seed: c.Seed, Requests: c.Requests, JSON: c.JSON, Out: os.Stdout, Progress: os.Stderr}
+	if !c.Platform {
+		return demo.Run(o)
+	}
+	if c.Log == "" {
+		return demo.RunPlatform(o, io.Discard)
+	}
+	f, err := os.Create(c.Log)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return demo.RunPlatform(o, f)
 }
--- a/cmd/vanilladriftd/platform.go
+++ b/cmd/vanilladriftd/platform.go
@@ -38,7 +38,7 @@
 	l := log.NewWithOptions(ring, log.Options{
 		Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.JSONFormatter,
 	}).With("node", s.Node)
-	d, err := entry.New(s, l)
+	d, err := entry.New(s, entry.Network{}, l)
 	if err == nil {
 		err = d.Start()
 	}
--- /dev/null
+++ b/demo/platform.go
@@ -0,0 +1,158 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/entry"
+	"github.com/vanilladrift/vanilladrift/standin"
+	"github.com/vanilladrift/vanilladrift/table"
+)
+
+// drainTime is how long a replica serves on after it has said that it leaves:
+// new requests must stop within it.
+const drainTime = 2 * time.Second
+
+// RunPlatform runs the daemons on a stand-in of the users' platform, and returns
+// an [Error] when a promise was broken. Log lines of the daemons go to logTo.
+func RunPlatform(o Options, logTo io.Writer) error {
+	return runPlatform(o, entry.Network{}, logTo)
+}
+
+func runPlatform(o Options, n entry.Network, logTo io.Writer) error {
+	say := func(format string, args ...any) { fmt.Fprintf(o.Progress, "demo: "+format+"\n", args...) }
+	say("starting a stand-in of the platform, %d replicas and %d daemons", replicaCount+ledgerCount, daemonCount)
+	w, err := newPlatformWorld(n, logTo)
+	if err != nil {
+		return err
+	}
+	defer w.close()
+	if err := w.waitReady(); err != nil {
+		return err
+	}
+	t := newPlatformTraffic(w, o.Seed)
+	part := o.Requests / 5
+	t.run(part)
+	say("announcing versions while orders to replicas are lost and carried out late")
+	t.changeVersions(part)
+	say("a replica restarts empty, streams break, answers are lost")
+	w.replicas[1].SetFault(standin.ReplicaFault{CutStreams: 5})
+	w.ledgers[0].SetFault(standin.ReplicaFault{LoseAnswers: 5})
+	w.replicas[0].Restart()
+	t.run(part)
+	say("the store loses answers and its history, and a replica leaves")
+	t.drain(part)
+	say("stopping %s", w.fronts[0])
+	t.stopDaemon(o.Requests - 4*part)
+	t.finish()
+	return t.summary(o)
+}
+
+// changeVersions announces versions of the most used adapters. From the
+// promise's time on, callers must get them.
+func (t *platformTraffic) changeVersions(n int) {
+	for _, r := range t.w.replicas {
+		r.SetFault(standin.ReplicaFault{LoseOrders: 3, OrderDelay: 700 * time.Millisecond})
+	}
+	const changed = 5
+	for i := range changed {
+		t.w.announce(fmt.Sprintf("a%d", i+1), 2)
+	}
+	limit := time.Now().Add(versionPromise)
+	t.run(n / 2)
+	time.Sleep(time.Until(limit))
+	t.mu.Lock()
+	for i := range changed {
+		t.forced[fmt.Sprintf("a%d", i+1)] = 2
+	}
+	t.mu.Unlock()
+	t.run(n - n/2)
+}
+
+// drain has a replica leave while the store fails. No request may start at it
+// once the time for which it serves on is over.
+func (t *platformTraffic) drain(n int) {
+	var calls atomic.Int64
+	t.w.rows.SetFault(standin.TableFault{LoseAnswer: func(table.Tx) bool { return calls.Add(1)%3 == 0 }})
+	t.w.rows.ForgetHistory()
+	leaving := t.w.replicas[replicaCount-1]
+	leaving.Drain()
+	limit := time.Now().Add(drainTime)
+	t.run(n / 2)
+	time.Sleep(time.Until(limit))
+	before := len(leaving.Record().Ran)
+	t.w.remove(leaving)
+	t.w.rows.SetFault(standin.TableFault{})
+	t.run(n - n/2)
+	t.res.AfterDrain = len(leaving.Record().Ran) - before
+}
+
+// stopDaemon stops a daemon as SIGTERM does, while requests come: the balancer
+// takes it out of rotation a second or two after it stops being ready.
+func (t *platformTraffic) stopDaemon(n int) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		t.w.daemons[0].Close()
+	}()
+	go func() {
+		time.Sleep(1500 * time.Millisecond)
+		t.leave(0)
+	}()
+	t.run(n)
+	<-done
+	t.w.daemons[0] = nil
+}
+
+func (t *platformTraffic) summary(o Options) error {
+	r := t.res
+	if o.JSON {
+		enc := json.NewEncoder(o.Out)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(r); err != nil {
+			return err
+		}
+	} else {
+		r.print(o.Out)
+	}
+	if broken := r.broken(); len(broken) > 0 {
+		return &Error{Op: "run", Kind: "broken-promise", Broken: broken}
+	}
+	return nil
+}
+
+func (r PlatformResult) broken() []string {
+	broken := brokenOf(
+		count{r.WrongBytes, "answers with wrong bytes"},
+		count{r.WrongVersion, "answers from the wrong adapter or version"},
+		count{r.RanTwice, "orders run twice"},
+		count{r.NotRunButRan, "requests reported as not run that ran"},
+		count{r.Crashes, "engines crashed by orders"},
+		count{r.BackAndForth, "owners that took turns at an engine"},
+		count{r.AfterDrain, "requests started at a replica that has left"},
+	)
+	if r.Served < r.Requests*9/10 {
+		broken = append(broken, fmt.Sprintf("only %d of %d requests were served", r.Served, r.Requests))
+	}
+	return broken
+}
+
+func (r PlatformResult) print(w io.Writer) {
+	fmt.Fprintf(w, "requests          %d (%d served, %d given up on)\n", r.Requests, r.Served, r.Failed)
+	printRefused(w, r.Refused)
+	fmt.Fprintf(w, "first event       p50 %d ms, p99 %d ms\n", r.FirstP50Ms, r.FirstP99Ms)
+	for _, c := range []count{
+		{r.WrongBytes, "wrong bytes"},
+		{r.WrongVersion, "wrong version"},
+		{r.RanTwice, "ran twice"},
+		{r.NotRunButRan, "not run but ran"},
+		{r.Crashes, "engine crashes"},
+		{r.BackAndForth, "back and forth"},
+		{r.AfterDrain, "after drain"},
+	} {
+		fmt.Fprintf(w, "%-17s %d\n", c.what, c.n)
+	}
+}
--- /dev/null
+++ b/demo/platform_test.go
@@ -0,0 +1,29 @@
+package demo
+
+import (
+	"io"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/entry"
+	"github.com/vanilladrift/vanilladrift/standin"
+)
+
+// The whole path keeps its promises on the stand-in of the platform, in virtual
+// time.
+func TestPlatform(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(2)) // more only wait for each other in virtual time
+	for _, seed := range []uint64{1, 2, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			w := &standin.Wire{}
+			err := runPlatform(Options{Seed: seed, Requests: 1500, Out: io.Discard, Progress: io.Discard},
+				entry.Network{Listen: w.Listen, Dial: w.Dial}, io.Discard)
+			is.New(t).NoErr(err)
+			time.Sleep(time.Minute) // what still runs in the background gives up
+		})
+	}
+}
--- /dev/null
+++ b/demo/platform_world.go
@@ -0,0 +1,200 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/entry"
+	"github.com/vanilladrift/vanilladrift/platform"
+	"github.com/vanilladrift/vanilladrift/standin"
+	"github.com/vanilladrift/vanilladrift/table"
+)
+
+// The sizes and times of the stand-in of the platform. The engines are as fast
+// as those of the deployments' sheets; the adapters do not all fit.
+const (
+	daemonCount    = 3
+	replicaCount   = 3
+	ledgerCount    = 2
+	engineAdapters = 60
+	adapterSlots   = 12
+	holderGap      = 3 * time.Second
+	gracePeriod    = 8 * time.Second
+	versionPromise = 5 * time.Second
+	readySoon      = 15 * time.Second
+	daemonMemory   = 284 << 20
+)
+
+// platformWorld is the running system on a stand-in of the platform.
+type platformWorld struct {
+	listeners
+	client   *http.Client
+	rows     *standin.Rows
+	replicas []*standin.Replica
+	ledgers  []*standin.Replica
+	daemons  []*entry.Daemon
+	fronts   []string // their addresses for callers
+	ready    []string // and for the balancer
+
+	mu       sync.Mutex
+	versions map[string]int64 // newest of each adapter, where it is not the first
+}
+
+func newPlatformWorld(n entry.Network, logTo io.Writer) (*platformWorld, error) {
+	w := &platformWorld{
+		listeners: listeners{network: n}, rows: &standin.Rows{}, versions: map[string]int64{},
+		client: &http.Client{Transport: &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: workers}},
+	}
+	store, err := w.serve(w.rows)
+	if err != nil {
+		return nil, err
+	}
+	w.rows.Put(platform.ConfigKey, platform.ExampleConfig)
+	for i := range replicaCount {
+		r := &standin.Replica{
+			Self: backend.Server{ID: fmt.Sprintf("engine-%d", i+1), Pool: "engines", Places: 16}, Model: baseModel, AdapterSlots: adapterSlots,
+			LoadTime: 250 * time.Millisecond, ModelTime: 500 * time.Millisecond, ReadTime: 26 * time.Microsecond,
+			EventTime: 25 * time.Millisecond, ReportLag: 300 * time.Millisecond, Queue: 16,
+			Newest: w.newest,
+		}
+		w.replicas = append(w.replicas, r)
+		if err := w.startReplica(r); err != nil {
+			return nil, err
+		}
+	}
+	for i := range ledgerCount {
+		r := &standin.Replica{Self: backend.Server{ID: fmt.Sprintf("ledger-%d", i+1), Pool: "ledger", Places: 6}, EventTime: 10 * time.Millisecond, Queue: 24}
+		w.ledgers = append(w.ledgers, r)
+		if err := w.startReplica(r); err != nil {
+			return nil, err
+		}
+	}
+	for i := range daemonCount {
+		if err := w.startDaemon(fmt.Sprintf("front-%d", i+1), store, logTo); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+func (w *platformWorld) startReplica(r *standin.Replica) error {
+	key := platform.ServersTable + "/" + r.Self.ID
+	r.Announce = func(row []byte) { w.rows.Put(key, row) }
+	at, err := w.serve(r)
+	if err != nil {
+		return err
+	}
+	r.Self.Address = at
+	r.Start()
+	return nil
+}
+
+func (w *platformWorld) startDaemon(name, store string, logTo io.Writer) error {
+	var at [4]string
+	for i := range at {
+		var err error
+		if at[i], err = w.freeAddress(); err != nil {
+			return err
+		}
+	}
+	d, err := entry.New(platform.Settings{
+		Node: name, IP: netip.MustParseAddr("127.0.0.1"), FrontAddress: at[0], ReadyAddress: at[1], PeerAddress: at[2], StatusAddress: at[3],
+		StoreAddress: store, MemoryBytes: daemonMemory, Lease: holderGap, GracePeriod: gracePeriod,
+		RepeatRatio: 0.2, RepeatSlack: 54, RepeatWindow: 10 * time.Second,
+	}, w.network, log.NewWithOptions(logTo, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.JSONFormatter}).With("node", name))
+	if err != nil {
+		return err
+	}
+	w.daemons, w.fronts, w.ready = append(w.daemons, d), append(w.fronts, at[0]), append(w.ready, at[1])
+	return d.Start()
+}
+
+// freeAddress returns an address that nobody listens at.
+func (w *platformWorld) freeAddress() (string, error) {
+	ln, err := w.listen(freePort)
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// waitReady waits until every daemon reports itself ready and every engine has
+// an owner.
+func (w *platformWorld) waitReady() error {
+	limit := time.Now().Add(readySoon)
+	for _, at := range w.ready {
+		for !w.isReady(at) {
+			if time.Now().After(limit) {
+				return &Error{Op: "start", Kind: "set-up", Broken: []string{at + " is not ready"}}
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	for len(w.owned()) < replicaCount {
+		if time.Now().After(limit) {
+			return &Error{Op: "start", Kind: "set-up", Broken: []string{"not every engine has an owner"}}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
+func (w *platformWorld) isReady(address string) bool {
+	resp, err := w.client.Get("http://" + address + "/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// owned returns the ownership rows that name an owner.
+func (w *platformWorld) owned() []table.Owner {
+	var owned []table.Owner
+	for _, row := range w.rows.Rows(table.OwnerPrefix) {
+		if o, err := table.DecodeOwner(row); err == nil && o.Node != "" {
+			owned = append(owned, o)
+		}
+	}
+	return owned
+}
+
+// announce names a new version of an adapter.
+func (w *platformWorld) announce(adapter string, version int64) {
+	w.mu.Lock()
+	w.versions[engine.JoinName(baseModel, adapter)] = version
+	w.mu.Unlock()
+	p := platform.EncodeAdapterVersion(platform.AdapterVersion{Model: baseModel, Adapter: adapter, Version: version})
+	w.rows.Put(p.Key, p.Value)
+}
+
+// newest returns the version that a load fetches when it names none.
+func (w *platformWorld) newest(name string) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(1, w.versions[name])
+}
+
+// remove takes a replica's row away.
+func (w *platformWorld) remove(r *standin.Replica) {
+	w.rows.Remove(platform.ServersTable + "/" + r.Self.ID)
+}
+
+func (w *platformWorld) close() {
+	for _, d := range w.daemons {
+		if d != nil {
+			d.Close()
+		}
+	}
+	w.closeListeners()
+	w.client.CloseIdleConnections()
+}
--- a/demo/run.go
+++ b/demo/run.go
@@ -168,20 +168,41 @@
 	return nil
 }
 
-func (r Result) broken() []string {
-	var broken []string
-	check := func(n int, what string) {
-		if n > 0 {
-			broken = append(broken, fmt.Sprintf("%d %s", n, what))
+// count is how often something happened.
+type count struct {
+	n    int
+	what string
+}
+
+// brokenOf names what happened at all.
+func brokenOf(counts ...count) (broken []string) {
+	for _, c := range counts {
+		if c.n > 0 {
+			broken = append(broken, fmt.Sprintf("%d %s", c.n, c.what))
 		}
 	}
-	check(r.WrongAdapter, "answers from the wrong adapter or version")
-	check(r.Cut, "answers cut")
-	check(r.WrongBytes, "answers with wrong bytes")
-	check(r.RanTwice, "orders run twice")
-	check(r.NotRunButRan, "orders reported as not run that ran")
-	check(r.EvictedInUse, "adapters evicted in use")
-	check(r.AfterDrain, "streams started on a drained engine")
+	return broken
+}
+
+func printRefused(w io.Writer, refused map[string]int) {
+	total := 0
+	for _, k := range slices.Sorted(maps.Keys(refused)) {
+		fmt.Fprintf(w, "  refused         %d %s\n", refused[k], k)
+		total += refused[k]
+	}
+	fmt.Fprintf(w, "refused           %d\n", total)
+}
+
+func (r Result) broken() []string {
+	broken := brokenOf(
+		count{r.WrongAdapter, "answers from the wrong adapter or version"},
+		count{r.Cut, "answers cut"},
+		count{r.WrongBytes, "answers with wrong bytes"},
+		count{r.RanTwice, "orders run twice"},
+		count{r.NotRunButRan, "orders reported as not run that ran"},
+		count{r.EvictedInUse, "adapters evicted in use"},
+		count{r.AfterDrain, "streams started on a drained engine"},
+	)
 	if r.Served == 0 {
 		broken = append(broken, "nothing was served")
 	}
@@ -190,12 +211,7 @@
 
 func (r Result) print(w io.Writer) {
 	fmt.Fprintf(w, "requests          %d (%d completions served, %d orders)\n", r.Requests, r.Served, r.Orders)
-	refused := 0
-	for _, k := range slices.Sorted(maps.Keys(r.Refused)) {
-		fmt.Fprintf(w, "  refused         %d %s\n", r.Refused[k], k)
-		refused += r.Refused[k]
-	}
-	fmt.Fprintf(w, "refused           %d\n", refused)
+	printRefused(w, r.Refused)
 	fmt.Fprintf(w, "short answers     p50 %d ms, p99 %d ms\n", r.P50Ms, r.P99Ms)
 	fmt.Fprintf(w, "long answers      p50 %d ms, p99 %d ms\n", r.LongP50Ms, r.LongP99Ms)
 	fmt.Fprintf(w, "adapter loads     %d\n", r.Loads)
--- a/demo/world.go
+++ b/demo/world.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -24,12 +23,11 @@
 	places       = 16
 	baseModel    = "base-7b"
 	inForce      = 4 * time.Second
-
-	headerTimeout = 10 * time.Second
 )
 
 // world is the running system.
 type world struct {
+	listeners
 	table    *standin.Table
 	vms      *standin.VMList
 	engines  []*standin.Engine
@@ -38,7 +36,6 @@
 	nodes    []*runningNode
 	store    *settings.Store // the operator's own view
 	client   *http.Client
-	servers  []*http.Server
 	edits    int
 }
 
@@ -83,29 +80,9 @@
 	return w, w.configure()
 }
 
-// serve runs a handler on a free loopback port.
-func (w *world) serve(h http.Handler) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	w.run(ln, h)
-	return ln.Addr().String(), nil
-}
-
-func (w *world) run(ln net.Listener, h http.Handler) {
-	w.runServer(ln, &http.Server{Handler: h})
-}
-
-func (w *world) runServer(ln net.Listener, srv *http.Server) {
-	srv.ReadHeaderTimeout = headerTimeout
-	w.servers = append(w.servers, srv)
-	go func() { _ = srv.Serve(ln) }() // ends with Close
-}
-
 func (w *world) startNodes(seed uint64, tableURL, objectURL, vmsURL string) error {
 	for i := range nodeCount {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := w.listen(freePort)
 		if err != nil {
 			return err
 		}
@@ -246,7 +223,5 @@
 	for _, n := range w.nodes {
 		n.node.Kill()
 	}
-	for _, s := range w.servers {
-		_ = s.Close() // nothing is left to be saved
-	}
+	w.closeListeners()
 }
--- a/entry/conns.go
+++ b/entry/conns.go
@@ -49,10 +49,27 @@
 	return d.DialContext(ctx, network, address)
 }
 
-// newTransport returns connections of which no request is compressed.
-func newTransport(perHost int, idle time.Duration) *http.Transport {
+// Network is how a daemon reaches others and is reached. The zero value is TCP.
+type Network struct {
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// withDefaults fills in TCP.
+func (n Network) withDefaults() Network {
+	if n.Listen == nil {
+		n.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	if n.Dial == nil {
+		n.Dial = dial
+	}
+	return n
+}
+
+// transport returns connections of which no request is compressed.
+func (n Network) transport(perHost int, idle time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext: dial, DisableCompression: true, MaxConnsPerHost: perHost, MaxIdleConnsPerHost: max(perHost, 16),
+		DialContext: n.Dial, DisableCompression: true, MaxConnsPerHost: perHost, MaxIdleConnsPerHost: max(perHost, 16),
 		IdleConnTimeout: idle, ReadBufferSize: ioBuffer, WriteBufferSize: ioBuffer,
 	}
 }
@@ -60,7 +77,8 @@
 // conns holds the connections to the servers of each pool. The servers' limit
 // on connections is shared by all nodes.
 type conns struct {
-	nodes func() int // that share the limit
+	network Network
+	nodes   func() int // that share the limit
 
 	mu    sync.Mutex
 	pools map[string]*poolConns
@@ -103,7 +121,7 @@
 	if old := c.pools[name]; old != nil {
 		defer old.transport.CloseIdleConnections()
 	}
-	pc := &poolConns{c: c, name: name, transport: newTransport(perHost, idle), perHost: perHost, idle: idle}
+	pc := &poolConns{c: c, name: name, transport: c.network.transport(perHost, idle), perHost: perHost, idle: idle}
 	c.pools[name] = pc
 	return pc
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -75,6 +74,7 @@
 // Daemon is the process of one entry VM.
 type Daemon struct {
 	settings platform.Settings
+	network  Network
 	log      *log.Logger
 	store    *platform.Store
 	node     *node.Node
@@ -101,25 +101,26 @@
 }
 
 // New returns a daemon that has not started. It sets the process's memory limit.
-func New(s platform.Settings, l *log.Logger) (*Daemon, error) {
+func New(s platform.Settings, n Network, l *log.Logger) (*Daemon, error) {
+	n = n.withDefaults()
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	d := &Daemon{settings: s, log: l, budgets: make(map[string]*backend.RepeatBudget)}
+	d := &Daemon{settings: s, network: n, log: l, budgets: make(map[string]*backend.RepeatBudget)}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	d.store = &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: newTransport(0, idleConns)}}
+	d.store = &platform.Store{Address: s.StoreAddress, HTTP: &http.Client{Transport: n.transport(0, idleConns)}}
 	d.state = &state{log: l}
 	ttl, margin, renewEvery := leaseTimes(s.Lease)
 	cfg := node.Config{
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
 		Table: &table.Client{Read: d.readStore, Apply: d.applyStore}, Sequencer: d.sequencer,
 		SettingsPushed: true, HolderGap: s.Lease, LeaseTTL: ttl, LeaseMargin: margin,
-		RenewEvery: renewEvery, PollEvery: membersPace, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: peerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
+		RenewEvery: renewEvery, PollEvery: membersPace, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.peerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
 	}
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
 	d.node = node.New(cfg)
 	d.state.store, d.state.settle = d.node.Store(), d.node.Settle
-	d.conns = &conns{nodes: d.node.LiveNodes}
+	d.conns = &conns{network: n, nodes: d.node.LiveNodes}
 	d.metrics = newMetrics(d.node.Meter())
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.holds, func() bool { return false })
 	d.front = &relay.Front{
@@ -132,10 +133,10 @@
 }
 
 // peerClient returns the client for other nodes.
-func peerClient() *http.Client {
+func (n Network) peerClient() *http.Client {
 	c := peer.NewHTTPClient(nil)
 	t := c.Transport.(*http.Transport)
-	t.DialContext = dial
+	t.DialContext = n.Dial
 	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
 	return c
 }
@@ -230,7 +231,7 @@
 		{d.settings.StatusAddress, &http.Server{Handler: d.node.Operators()}},
 		{d.settings.FrontAddress, &http.Server{Handler: d.front}},
 	} {
-		ln, err := net.Listen("tcp", l.address)
+		ln, err := d.network.Listen(l.address)
 		if err != nil {
 			return err
 		}
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -29,6 +29,6 @@
 
 func TestNewChecksSettings(t *testing.T) {
 	is := is.New(t)
-	_, err := New(platform.Settings{Node: "n", PeerAddress: "nowhere", Lease: 3 * time.Second, MemoryBytes: 1 << 30}, log.New(io.Discard))
+	_, err := New(platform.Settings{Node: "n", PeerAddress: "nowhere", Lease: 3 * time.Second, MemoryBytes: 1 << 30}, Network{}, log.New(io.Discard))
 	is.True(err != nil)
 }
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	s, err := platform.ReadSettings(path)
-//	d, err := entry.New(s, logger)
+//	d, err := entry.New(s, entry.Network{}, logger)
 //	err = d.Start()
 //	...
 //	d.Close(ctx)
