Spread requests that wait over the queues, and let them look again

Cause: requests that come at the same moment all hear the same waits and all join the queue that named the shortest. Seen in the trace of the refusal in TestGracefulShutdownCutsNothing (13 and 11 of 24 requests at two engines; the last was refused as too late while the other engine had a free place), and the same code places requests on the users' platform.

Change: of the engines whose waits are within a quarter of the shortest, the request's id chooses; it accepts a quarter more than the wait that it was told, and if the queue has grown beyond that it asks again, four times at most. TestHerdSpreadsOverQueues plays 24 requests at once on two queues; it fails before (all join one) and passes after. Load answered: bursts, and many engines with long queues.

--- a/caller/trial.go
+++ b/caller/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -9,15 +10,25 @@
 	"github.com/vanilladrift/vanilladrift/engine"
 )
 
+const (
+	// looks is how many times a request looks again before it waits wherever it
+	// is told the shortest wait: each time costs a message to an owner.
+	looks = 4
+	// slackPart is the part of a wait by which another is about as good: a quarter
+	// is less than what the estimates of waits are off by.
+	slackPart = 4
+)
+
 // trial is one round of questions to owners.
 type trial struct {
 	a       *Acquirer
 	work    engine.Work
 	maxWait time.Duration
 	asked   int
-	best    *Refusal // the most hopeful refusal
-	name    string   // of the engine that it came from
-	cold    bool     // some engine would have had to load the adapter
+	best    *Refusal            // the most hopeful refusal
+	name    string              // of the engine that it came from
+	refused map[string]*Refusal // the last refusal of each engine
+	cold    bool                // some engine would have had to load the adapter
 }
 
 var errNone = errors.New("no engine granted the request")
@@ -35,13 +46,25 @@
 			return g, err
 		}
 		t.cold = t.cold || r.Reason == engine.Cold
-		if t.best == nil || better(r, t.best) {
-			t.best, t.name = r, name
-		}
+		t.note(name, r)
 	}
 	return Grant{}, errNone
 }
 
+// note keeps an engine's refusal, and the most hopeful one of all.
+func (t *trial) note(name string, r *Refusal) {
+	if t.refused == nil {
+		t.refused = make(map[string]*Refusal)
+	}
+	t.refused[name] = r
+	t.best, t.name = r, name
+	for other, o := range t.refused {
+		if better(o, t.best) {
+			t.best, t.name = o, other
+		}
+	}
+}
+
 func (t *trial) askOne(ctx context.Context, name string, maxWait time.Duration) (Grant, error) {
 	w := t.work
 	w.ID, w.MaxWait = attemptID(w.ID, t.asked), maxWait
@@ -49,5 +72,35 @@
 	return t.a.ask(ctx, name, w)
 }
 
-// waitAtBest has the request wait at the most hopeful engine.
-func (t *trial) waitAtBest(ctx context.Context) (Grant, error) { return t.askOne(ctx, t.name, 0) }
+// waitAtBest has the request wait at a hopeful engine. Many requests may have
+// been told the same wait before any of them began to wait, so they take
+// different ones of the engines that are about as good, and one whose engine's
+// queue has grown meanwhile looks again.
+func (t *trial) waitAtBest(ctx context.Context) (Grant, error) {
+	for range looks {
+		name := t.nearBest()
+		g, err := t.askOne(ctx, name, t.refused[name].Wait+t.slack())
+		var r *Refusal
+		if !errors.As(err, &r) || hope(r.Reason) < hope(engine.Overflow) {
+			return g, err
+		}
+		t.note(name, r)
+	}
+	return t.askOne(ctx, t.nearBest(), 0)
+}
+
+// slack returns by how much a wait may be longer than the shortest.
+func (t *trial) slack() time.Duration { return max(t.maxWait, t.best.Wait/slackPart) }
+
+// nearBest returns one of the engines whose waits are about the shortest, by
+// the request's id.
+func (t *trial) nearBest() string {
+	var near []string
+	for name, r := range t.refused {
+		if hope(r.Reason) == hope(t.best.Reason) && r.Wait <= t.best.Wait+t.slack() {
+			near = append(near, name)
+		}
+	}
+	slices.Sort(near)
+	return engine.Rendezvous(t.work.ID, near, nil, 1)[0]
+}
