--- a/demo/doc.go
+++ b/demo/doc.go
@@ -2,6 +2,8 @@
 // stand-ins for the outside systems, three nodes, operators and callers. It
 // changes a version, drains a backend server and shuts a node down while
 // requests run, and checks every answer against what the stand-ins did.
+// [RunPlatform] does the same with the daemons of entry VMs on a stand-in of the
+// users' platform.
 //
 // # Usage
 //
@@ -9,5 +11,5 @@
 //
 // # Not covered
 //
-// Crashes and cuts; see the tests of package node.
+// Crashes of nodes and cuts between them; see the tests of package node.
 package demo
--- /dev/null
+++ b/demo/platform_bench_test.go
@@ -0,0 +1,163 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/platform"
+	"github.com/vanilladrift/vanilladrift/relay"
+	"github.com/vanilladrift/vanilladrift/standin"
+)
+
+// benchWorld is one daemon before one engine and one plain server, both of which
+// take no time. Everything runs in this process, so the cost of the daemon is the
+// difference between a call through it and a direct one.
+func benchWorld(b *testing.B) *platformWorld {
+	b.Helper()
+	w := &platformWorld{
+		rows: &standin.Rows{}, versions: map[string]int64{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	b.Cleanup(w.close)
+	store, err := w.serve(w.rows)
+	if err != nil {
+		b.Fatal(err)
+	}
+	w.rows.Put(platform.ConfigKey, platform.ExampleConfig)
+	w.replicas = []*standin.Replica{{
+		Self: backend.Server{ID: "engine-1", Pool: "engines", Places: 64}, Model: baseModel, AdapterSlots: adapterSlots, Queue: 64,
+	}}
+	w.ledgers = []*standin.Replica{{Self: backend.Server{ID: "ledger-1", Pool: "ledger", Places: 64}, Queue: 64}}
+	for _, r := range []*standin.Replica{w.replicas[0], w.ledgers[0]} {
+		if err := w.startReplica(r); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if err := w.startDaemon("front-1", store, io.Discard); err != nil {
+		b.Fatal(err)
+	}
+	w.fronts = append(w.fronts, w.replicas[0].Self.Address, w.ledgers[0].Self.Address)
+	for limit := time.Now().Add(readySoon); benchCall(w, w.fronts[0], "chat", "warm", 1) != nil; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(limit) {
+			b.Fatal("the daemon does not serve")
+		}
+	}
+	return w
+}
+
+func benchCall(w *platformWorld, address, route, id string, events int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+route+"/", strings.NewReader("body"))
+	if err != nil {
+		return err
+	}
+	req.Host = "assist.example"
+	h := relay.Head{ID: id, Patience: 30 * time.Second}
+	if route == "chat" {
+		h.Model, h.Adapter, h.PromptTokens, h.MaxTokens = baseModel, "a1", 100, events
+	}
+	platform.EncodeHead(req.Header, h)
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err == nil && (resp.StatusCode != http.StatusOK || n == 0) {
+		err = fmt.Errorf("status %d, %d bytes", resp.StatusCode, n)
+	}
+	return err
+}
+
+// processorTime returns what this process has used so far.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkEntry compares calls through the daemon with direct ones: latency at
+// p50 and p99, processor time of the whole process, allocations.
+func BenchmarkEntry(b *testing.B) {
+	w := benchWorld(b)
+	for _, tt := range []struct {
+		name, route string
+		events      int
+		address     string
+	}{
+		{"plain/direct", "orders", 0, w.fronts[2]},
+		{"plain/entry", "orders", 0, w.fronts[0]},
+		{"stream-1-event/direct", "chat", 1, w.fronts[1]},
+		{"stream-1-event/entry", "chat", 1, w.fronts[0]},
+		{"stream-201-events/direct", "chat", 201, w.fronts[1]},
+		{"stream-201-events/entry", "chat", 201, w.fronts[0]},
+	} {
+		b.Run(tt.name, func(b *testing.B) {
+			h := hdrhistogram.New(1, 60_000_000, 3) // microseconds
+			b.ReportAllocs()
+			before := processorTime()
+			i := 0
+			for b.Loop() {
+				i++
+				start := time.Now()
+				if err := benchCall(w, tt.address, tt.route, fmt.Sprintf("%s-%d-%d", tt.name, start.UnixNano(), i), tt.events); err != nil {
+					b.Fatal(err)
+				}
+				_ = h.RecordValue(time.Since(start).Microseconds()) // under a minute
+			}
+			b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-us")
+			b.ReportMetric(float64(h.ValueAtQuantile(99)), "p99-us")
+			b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(i), "cpu-us/op")
+		})
+	}
+}
+
+// BenchmarkMemory reports the heap that a daemon keeps for announced versions
+// of many adapters.
+func BenchmarkMemory(b *testing.B) {
+	for _, adapters := range []int{0, 3000, 34000} {
+		b.Run(fmt.Sprint(adapters), func(b *testing.B) {
+			for b.Loop() {
+				rows := &standin.Rows{}
+				for i := range adapters {
+					p := platform.EncodeAdapterVersion(platform.AdapterVersion{Model: baseModel, Adapter: fmt.Sprintf("a%d", i), Version: 2})
+					rows.Put(p.Key, p.Value)
+				}
+				rows.Put(platform.ConfigKey, platform.ExampleConfig)
+				before := liveHeap()
+				w := &platformWorld{rows: rows, versions: map[string]int64{}, client: &http.Client{}}
+				store, err := w.serve(rows)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if err := w.startDaemon("front-1", store, io.Discard); err != nil {
+					b.Fatal(err)
+				}
+				time.Sleep(4 * time.Second) // the whole table is read
+				b.ReportMetric(float64(liveHeap()-before)/(1<<10), "KiB")
+				w.close()
+			}
+		})
+	}
+}
+
+func liveHeap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/engine/sequencer_test.go
+++ b/engine/sequencer_test.go
@@ -176,6 +176,36 @@
 	})
 }
 
+// After a restart the sequence comes by the numbers of lost orders again. The
+// slot that such a load would take must be free when it does.
+func TestSequencerKeepsRoomForLostLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newNumberedEngine(2)
+		s := e.sequencer()
+		ctx := context.Background()
+		_, err := s.Load(ctx, "m/a", 1)
+		is.NoErr(err)
+		_, err = s.Unload(ctx, "m/a", 1)
+		is.NoErr(err)
+		e.lose = func() bool { return len(e.late) == 0 }
+		_, err = s.Load(ctx, "m/lost", 1)
+		is.True(err != nil)
+		e.lose = nil
+		e.restart()
+		time.Sleep(time.Second)
+		_, err = s.Report(ctx)
+		is.NoErr(err)
+		for _, name := range []string{"m/b", "m/c"} {
+			_, err = s.Load(ctx, name, 1)
+			is.NoErr(err)
+		}
+		e.deliverLate()
+		is.Equal(e.crashes, 0)
+		is.True(e.loaded["m/c"])
+	})
+}
+
 // A load takes several orders. The lease may end between them.
 func TestSequencerAsksBeforeEachOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/standin/replica_test.go
@@ -0,0 +1,161 @@
+package standin
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/platform"
+	"github.com/vanilladrift/vanilladrift/relay"
+)
+
+const (
+	testLoad  = 250 * time.Millisecond
+	testDelay = 700 * time.Millisecond
+)
+
+func testReplica() *Replica {
+	r := &Replica{
+		Self: backend.Server{ID: "e", Pool: "engines", Address: "10.0.0.1:1", Places: 2}, Model: "m", AdapterSlots: 2,
+		LoadTime: testLoad, ModelTime: time.Second, EventTime: 10 * time.Millisecond, ReportLag: 300 * time.Millisecond,
+		Announce: func([]byte) {},
+	}
+	r.Start()
+	return r
+}
+
+func (r *Replica) give(load bool, adapter string, expected int64) engine.Reply {
+	return r.order("e", "n1", engine.Command{Load: load, Model: "m", Adapter: adapter, Expected: expected, Token: 1})
+}
+
+// now returns the state without the lag of reports.
+func (r *Replica) now() engine.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+func TestReplicaOrders(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		play func(is *is.I, r *Replica)
+	}{
+		{"a load is carried out and counted", func(is *is.I, r *Replica) {
+			is.Equal(r.give(true, "a1", 0), engine.Accepted)
+			is.Equal(r.give(true, "a1", 1), engine.Accepted) // in transit, not counted again
+			is.Equal(r.now().Sequence, int64(1))
+			time.Sleep(testLoad)
+			synctest.Wait()
+			is.Equal(r.give(true, "a1", 1), engine.Already)
+			is.Equal(r.now().Loaded, map[string]int64{"m/a1": 1})
+		}},
+		{"another sequence does nothing", func(is *is.I, r *Replica) {
+			is.Equal(r.give(true, "a1", 7), engine.Deferred)
+			is.Equal(r.now().Sequence, int64(0))
+		}},
+		{"an order for another instance does nothing", func(is *is.I, r *Replica) {
+			is.Equal(r.order("other", "n1", engine.Command{Load: true, Model: "m", Adapter: "a1", Token: 1}), engine.Elsewhere)
+		}},
+		{"a lost order is carried out late", func(is *is.I, r *Replica) {
+			r.SetFault(ReplicaFault{LoseOrders: 1, OrderDelay: testDelay})
+			is.Equal(r.give(true, "a1", 0), engine.Reply(""))
+			is.Equal(r.now().Sequence, int64(0))
+			time.Sleep(testDelay + testLoad)
+			synctest.Wait()
+			is.Equal(r.now().Loaded["m/a1"], int64(1))
+		}},
+		{"a late order meets its sequence", func(is *is.I, r *Replica) {
+			r.SetFault(ReplicaFault{LoseOrders: 1, OrderDelay: testDelay})
+			r.give(true, "a1", 0)
+			is.Equal(r.give(true, "a2", 0), engine.Accepted)
+			time.Sleep(testDelay + testLoad)
+			synctest.Wait()
+			is.Equal(r.now().Loaded, map[string]int64{"m/a2": 1})
+		}},
+		{"one load too many crashes it", func(is *is.I, r *Replica) {
+			born := r.born
+			r.give(true, "a1", 0)
+			r.give(true, "a2", 1)
+			r.give(true, "a3", 2)
+			is.Equal(r.Record().Crashes, 1)
+			is.True(r.born > born)
+			is.Equal(len(r.now().Models), 0)
+		}},
+		{"what it held lately loads ten times as fast", func(is *is.I, r *Replica) {
+			r.give(true, "a1", 0)
+			time.Sleep(testLoad)
+			synctest.Wait()
+			is.Equal(r.give(false, "a1", 1), engine.Already)
+			r.give(true, "a1", 2)
+			time.Sleep(testLoad / 10)
+			synctest.Wait()
+			is.Equal(r.now().Loaded["m/a1"], int64(1))
+		}},
+		{"reports lag", func(is *is.I, r *Replica) {
+			time.Sleep(time.Second)
+			r.give(true, "a1", 0)
+			_, st := r.report()
+			is.Equal(st.Sequence, int64(0))
+			time.Sleep(r.ReportLag)
+			_, st = r.report()
+			is.Equal(st.Sequence, int64(1))
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { tt.play(is.New(t), testReplica()) })
+		})
+	}
+}
+
+func TestReplicaRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := testReplica()
+		ask := func(id, adapter string, version int64) *httptest.ResponseRecorder {
+			req := httptest.NewRequest(http.MethodPost, "/chat/", nil)
+			w := httptest.NewRecorder()
+			r.serve(w, req, platform.Received{
+				Head: relay.Head{ID: id, Patience: time.Second, Model: "m", Adapter: adapter, MaxTokens: 3}, Instance: "e", Version: version,
+			})
+			return w
+		}
+		is.Equal(ask("1", "a1", 0).Code, http.StatusMisdirectedRequest) // it does not hold it
+		r.give(true, "a1", 0)
+		time.Sleep(testLoad)
+		synctest.Wait()
+		is.Equal(ask("2", "a1", 2).Code, http.StatusMisdirectedRequest) // of another version
+		w := ask("3", "a1", 1)
+		is.Equal(w.Code, http.StatusOK)
+		want := ""
+		for i := 1; i <= 3; i++ {
+			want += "id: " + strconv.Itoa(i) + "\ndata: " + EventData("3", "m/a1@1", i) + "\n\n"
+		}
+		is.Equal(w.Body.String(), want)
+		is.Equal(r.Record().Ran, map[string]int{"3": 1})
+	})
+}
+
+func TestBackAndForth(t *testing.T) {
+	at := func(s float64) time.Time { return time.Unix(0, 0).Add(time.Duration(s * float64(time.Second))) }
+	for _, tt := range []struct {
+		name  string
+		turns []Turn
+		want  int
+	}{
+		{"none", nil, 0},
+		{"one direction", []Turn{{"a", 1, at(0)}, {"b", 2, at(0.1)}, {"c", 3, at(0.2)}}, 0},
+		{"back too soon", []Turn{{"a", 1, at(0)}, {"b", 2, at(1)}, {"a", 3, at(2)}}, 1},
+		{"back after the gap", []Turn{{"a", 1, at(0)}, {"b", 2, at(1)}, {"a", 3, at(4.5)}}, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(ReplicaRecord{Turns: tt.turns}.BackAndForth(3*time.Second), tt.want)
+		})
+	}
+}
--- /dev/null
+++ b/standin/rows_test.go
@@ -0,0 +1,89 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/platform"
+	"github.com/vanilladrift/vanilladrift/table"
+)
+
+// The client of the platform's store against its stand-in: what one writes the
+// other reads, and each failure keeps its kind.
+func TestRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows, w := &Rows{}, &Wire{}
+		ln, err := w.Listen("10.0.0.1:1")
+		is.NoErr(err)
+		srv := &http.Server{Handler: rows}
+		go func() { _ = srv.Serve(ln) }() // ends with Close
+		transport := &http.Transport{DialContext: w.Dial}
+		store := &platform.Store{Address: "10.0.0.1:1", HTTP: &http.Client{Transport: transport}}
+		ctx := context.Background()
+		c := &table.Client{Read: store.Read, Apply: store.Apply}
+
+		_, err = c.Get(ctx, "t/a")
+		is.True(table.IsKind(err, table.NotFound))
+		first, err := c.Commit(ctx, table.Tx{Checks: []table.Check{{Key: "t/a"}}, Puts: []table.Put{{Key: "t/a", Value: []byte("1")}, {Key: "u/b", Value: []byte("2")}}})
+		is.NoErr(err)
+		row, err := c.Get(ctx, "t/a")
+		is.NoErr(err)
+		is.Equal(row, table.Row{Key: "t/a", Value: []byte("1"), Version: first})
+		_, err = c.Commit(ctx, table.Tx{Checks: []table.Check{{Key: "t/a"}}})
+		is.True(table.IsKind(err, table.Conflict))
+
+		heard := make(chan table.Changes)
+		go func() {
+			ch, err := store.Feed(ctx, "t", first, 10*time.Second)
+			is.NoErr(err)
+			heard <- ch
+		}()
+		time.Sleep(time.Second)
+		rows.Put("u/c", nil) // of another table
+		rows.Remove("t/a")
+		ch := <-heard
+		is.Equal(len(ch.Rows), 1)
+		is.True(ch.Rows[0].Removed)
+
+		rows.ForgetHistory()
+		_, err = store.Feed(ctx, "t", first, 0)
+		is.True(table.IsKind(err, table.HistoryLost))
+
+		rows.SetFault(TableFault{Down: true})
+		_, err = c.Get(ctx, "u/b")
+		is.True(table.IsKind(err, table.Unavailable))
+		rows.SetFault(TableFault{LoseAnswer: func(table.Tx) bool { return true }})
+		_, err = c.Commit(ctx, table.Tx{Puts: []table.Put{{Key: "t/d", Value: []byte("4")}}})
+		is.True(table.IsKind(err, table.Unknown))
+		rows.SetFault(TableFault{})
+		row, err = c.Get(ctx, "t/d")
+		is.NoErr(err)
+		is.Equal(row.Value, []byte("4")) // it was applied all the same
+		is.NoErr(srv.Close())
+		transport.CloseIdleConnections()
+	})
+}
+
+// A table of more rows than one answer holds is read whole.
+func TestRowsPages(t *testing.T) {
+	is := is.New(t)
+	rows := &Rows{}
+	const n = pageRows + 20
+	for i := range n {
+		rows.Put("t/"+string(rune('a'+i%26))+time.Duration(i).String(), nil)
+	}
+	p := rows.page(platform.StoreCall{Table: "t"})
+	is.Equal(len(p.Rows), pageRows)
+	is.True(p.More)
+	_, last, _ := strings.Cut(p.Rows[len(p.Rows)-1].Key, "/")
+	p = rows.page(platform.StoreCall{Table: "t", From: last + "\x00"})
+	is.Equal(len(p.Rows), n-pageRows)
+	is.True(!p.More)
+}
