Go on after a question to an engine that was not answered

Cause: an owner asks whether a load has ended by repeating the order. When that got no answer, the load counted as failed, the requests that waited for it were refused, and the engine's state was in doubt, so that nothing was ordered for a second: 600 ms for the answer, then until a report must show it. Such an order changes nothing at the sequence that it names, whenever it arrives.

Change: the load goes on and is asked about again; only a first order without an answer leaves the state in doubt. An order waits 300 ms for its answer, which comes within milliseconds. TestSequencerLostQuestion fails before; 20,000 sequences of TestSequencerNeverOverfills pass.

--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -214,9 +214,14 @@
 	}
 	s.mu.Lock()
 	c.Expected = s.sequence
+	_, held := s.held[JoinName(c.Model, c.Adapter)]
 	s.mu.Unlock()
 	reply, err := s.Send(ctx, c)
 	switch {
+	case err != nil && c.Load && held:
+		// At this sequence the order changes nothing, whenever it arrives.
+		s.noteUnanswered(c)
+		return "", &Error{Op: "ask", Kind: Broken, Err: err}
 	case err != nil:
 		s.doubt()
 		s.noteUnanswered(c)
@@ -334,6 +339,10 @@
 		}
 		reply, err := s.begin(ctx, name, c)
 		s.sending.Release(1)
+		if IsKind(err, Broken) {
+			wait = settlePause
+			continue
+		}
 		if err != nil {
 			return err
 		}
--- a/engine/sequencer_test.go
+++ b/engine/sequencer_test.go
@@ -176,6 +176,32 @@
 	})
 }
 
+// A question whether a load has ended changes nothing at the engine, so one
+// without an answer must neither fail the load nor hold up others.
+func TestSequencerLostQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newNumberedEngine(3)
+		s := e.sequencer()
+		ctx := context.Background()
+		sent := 0
+		e.lose = func() bool {
+			sent++
+			return sent == 2 // the first question
+		}
+		start := time.Now()
+		_, err := s.Load(ctx, "m/a", 1)
+		is.NoErr(err)
+		is.True(time.Since(start) < e.loadTime+stateLag) // the state was not in doubt
+		e.deliverLate()
+		_, err = s.Load(ctx, "m/b", 1)
+		is.NoErr(err)
+		is.True(time.Since(start) < 2*e.loadTime+stateLag)
+		is.Equal(e.sequence, int64(2))
+		is.Equal(e.crashes, 0)
+	})
+}
+
 // After a restart the sequence comes by the numbers of lost orders again. The
 // slot that such a load would take must be free when it does.
 func TestSequencerKeepsRoomForLostLoads(t *testing.T) {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -31,8 +31,10 @@
 	// serversPace is the time between two questions for servers: well under the
 	// time in which a leaving server must get no new request.
 	serversPace = 1200 * time.Millisecond
-	// orderTimeout and reportTimeout bound calls of replicas' own interface.
-	orderTimeout  = 600 * time.Millisecond
+	// orderTimeout and reportTimeout bound calls of replicas' own interface, which
+	// answers within milliseconds. Nothing else can be ordered while an order is
+	// waited for; the time leaves room for a packet that is sent again.
+	orderTimeout  = 300 * time.Millisecond
 	reportTimeout = 500 * time.Millisecond
 
 	// probeAfter and probeTimeout find a node that does not answer within half a
