Apply a changed settings file; ports of the process test; tidy what stood twice

TestProcesses failed once, beside other tests: "listen tcp 127.0.0.1:46139: bind: address already in use", then "requests after recovery: not within 1m0s". Cause: its ports came from the range that the kernel gives to outgoing connections (32768 to 60999 here), so while a process was down another's connection took its port. They now lie below that range.

--- a/backend/budget.go
+++ b/backend/budget.go
@@ -30,11 +30,12 @@
 // budgetSlices is how finely a window is counted.
 const budgetSlices = 20
 
-// SetSlack changes the slack, as the number of nodes that share it changes.
-func (b *RepeatBudget) SetSlack(slack float64) {
+// SetBounds changes what may be spent: the slack follows the number of nodes that
+// share it, the others the settings. What was counted stays.
+func (b *RepeatBudget) SetBounds(ratio, slack float64, window time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.Slack = slack
+	b.Ratio, b.Slack, b.Window = ratio, slack, window
 }
 
 // Request counts a caller's request.
--- a/cmd/vanilladriftd/platform.go
+++ b/cmd/vanilladriftd/platform.go
@@ -52,19 +52,18 @@
 		if sig != syscall.SIGHUP {
 			break
 		}
-		c.reload(s, l)
+		c.reload(d, l)
 	}
 	d.Close()
 	return nil
 }
 
-// reload reads the settings file again. What it may change while a process
-// runs is only checked; the addresses stay those of the start.
-func (c *platformCommand) reload(s platform.Settings, l *log.Logger) {
+// reload reads the settings file again. A file with a fault changes nothing.
+func (c *platformCommand) reload(d *entry.Daemon, l *log.Logger) {
 	next, err := platform.ReadSettings(c.Settings)
 	if err != nil {
 		l.Error("settings file ignored", "err", err)
 		return
 	}
-	l.Info("settings file read again", "changed", next != s)
+	l.Info("settings file read again", "needs-restart", d.Reload(next))
 }
--- a/cmd/vanilladriftd/process_test.go
+++ b/cmd/vanilladriftd/process_test.go
@@ -40,6 +40,7 @@
 	t    *testing.T
 	bin  string
 	addr map[string]string // by name
+	port int               // the next to try
 	cmds map[string]*exec.Cmd
 	args map[string][]string
 
@@ -52,7 +53,7 @@
 
 func startProcesses(t *testing.T) *processes {
 	p := &processes{
-		t: t, bin: t.TempDir(), addr: map[string]string{}, cmds: map[string]*exec.Cmd{},
+		t: t, bin: t.TempDir(), port: firstPort + os.Getpid()%(lastPort-firstPort)/2, addr: map[string]string{}, cmds: map[string]*exec.Cmd{},
 		args: map[string][]string{}, stop: make(chan struct{}),
 	}
 	for _, name := range []string{"standin", "vanilladriftd"} {
@@ -80,18 +81,31 @@
 	return ""
 }
 
+// The ports of the processes lie below those that Linux gives to outgoing
+// connections. While a process is down between two starts, another's connection
+// could take its port otherwise.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
 // address returns the loopback address of a name, the same for every start.
 func (p *processes) address(name string) string {
 	if a, ok := p.addr[name]; ok {
 		return a
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		p.t.Fatal(err)
+	for ; p.port < lastPort; p.port++ {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p.port))
+		if err != nil {
+			continue // in use
+		}
+		ln.Close()
+		p.addr[name] = ln.Addr().String()
+		p.port++
+		return p.addr[name]
 	}
-	defer ln.Close()
-	p.addr[name] = ln.Addr().String()
-	return p.addr[name]
+	p.t.Fatal("no port is free")
+	return ""
 }
 
 func (p *processes) run(name, program string, args ...string) {
--- a/demo/platform.go
+++ b/demo/platform.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -48,7 +47,7 @@
 	say("stopping %s", w.fronts[0])
 	t.stopDaemon(o.Requests - 4*part)
 	t.finish()
-	return t.summary(o)
+	return summarize(o, t.res, t.res.print, t.res.broken())
 }
 
 // changeVersions announces versions of the most used adapters. From the
@@ -107,23 +106,6 @@
 	t.w.daemons[0] = nil
 }
 
-func (t *platformTraffic) summary(o Options) error {
-	r := t.res
-	if o.JSON {
-		enc := json.NewEncoder(o.Out)
-		enc.SetIndent("", "  ")
-		if err := enc.Encode(r); err != nil {
-			return err
-		}
-	} else {
-		r.print(o.Out)
-	}
-	if broken := r.broken(); len(broken) > 0 {
-		return &Error{Op: "run", Kind: "broken-promise", Broken: broken}
-	}
-	return nil
-}
-
 func (r PlatformResult) broken() []string {
 	broken := brokenOf(
 		count{r.WrongBytes, "answers with wrong bytes"},
--- a/demo/run.go
+++ b/demo/run.go
@@ -59,7 +59,7 @@
 	}
 	stop()
 	t.finish(before)
-	return t.summary(o)
+	return summarize(o, t.res, t.res.print, t.res.broken())
 }
 
 func progress(t *traffic, say func(string, ...any)) (stop func()) {
@@ -150,17 +150,17 @@
 	r.LongP50Ms, r.LongP99Ms = t.long.ValueAtQuantile(50), t.long.ValueAtQuantile(99)
 }
 
-func (t *traffic) summary(o Options) error {
-	r := t.res
-	broken := r.broken()
+// summarize prints a result, as JSON or by show, and returns an [Error] when a
+// promise was broken.
+func summarize(o Options, result any, show func(w io.Writer), broken []string) error {
 	if o.JSON {
 		enc := json.NewEncoder(o.Out)
 		enc.SetIndent("", "  ")
-		if err := enc.Encode(r); err != nil {
+		if err := enc.Encode(result); err != nil {
 			return err
 		}
 	} else {
-		r.print(o.Out)
+		show(o.Out)
 	}
 	if len(broken) > 0 {
 		return &Error{Op: "run", Kind: "broken-promise", Broken: broken}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -206,11 +206,11 @@
 	defer d.mu.Unlock()
 	b := d.budgets[pool]
 	if b == nil {
-		b = &backend.RepeatBudget{Ratio: d.settings.RepeatRatio * budgetShare, Window: d.settings.RepeatWindow}
+		b = &backend.RepeatBudget{}
 		d.budgets[pool] = b
 	}
 	nodes := max(fewestNodes, d.node.LiveNodes())
-	b.SetSlack(float64(d.settings.RepeatSlack) * budgetShare / float64(nodes))
+	b.SetBounds(d.settings.RepeatRatio*budgetShare, float64(d.settings.RepeatSlack)*budgetShare/float64(nodes), d.settings.RepeatWindow)
 	return b
 }
 
@@ -287,12 +287,28 @@
 	}
 }
 
+// Reload takes over what may change while the process runs: the budget for
+// sending again and the grace period. It reports whether anything else differs,
+// which holds from the next start.
+func (d *Daemon) Reload(next platform.Settings) (restart bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.settings
+	s.RepeatRatio, s.RepeatSlack, s.RepeatWindow = next.RepeatRatio, next.RepeatSlack, next.RepeatWindow
+	s.GracePeriod = next.GracePeriod
+	d.settings = s
+	return s != next
+}
+
 // Close hands engines over, finishes what is in flight, and stops, within the
 // platform's grace period.
 func (d *Daemon) Close() {
-	d.log.Info("stopping", "grace", d.settings.GracePeriod)
+	d.mu.Lock()
+	grace := d.settings.GracePeriod
+	d.mu.Unlock()
+	d.log.Info("stopping", "grace", grace)
 	d.leaving.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.GracePeriod-exitMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
 	defer cancel()
 	d.tasks.Go(func() { d.node.Leave(ctx) })
 	time.Sleep(listenerOpen)
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -129,21 +129,37 @@
 	return s.resets, s.ups, s.downs
 }
 
+func newFollower(src *source, out *sink) *Follower {
+	return &Follower{
+		Table: "t", All: src.all, Next: src.next, Answer: time.Second, Retry: 100 * time.Millisecond, MaxRetry: time.Second,
+		Reset: out.reset, Apply: out.apply,
+		Down: func(error) { out.count(&out.downs) }, Up: func() { out.count(&out.ups) },
+	}
+}
+
+// run starts a follower; stop ends it.
+func run(f *Follower) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 func TestFollower(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		src := &source{rows: map[string]int64{}}
 		src.put("a")
 		out := &sink{seen: map[string]int64{}}
-		f := &Follower{
-			Table: "t", All: src.all, Next: src.next, Wait: 2 * time.Second, Answer: time.Second,
-			Pace: 100 * time.Millisecond, Retry: 100 * time.Millisecond, MaxRetry: time.Second,
-			Reset: out.reset, Apply: out.apply,
-			Down: func(error) { out.count(&out.downs) }, Up: func() { out.count(&out.ups) },
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() { defer close(done); f.Run(ctx) }()
+		f := newFollower(src, out)
+		f.Wait, f.Pace = 2*time.Second, 100*time.Millisecond
+		stop := run(f)
 		time.Sleep(50 * time.Millisecond)
 		is.Equal(out.version("a"), int64(1))
 		src.set(func() { src.put("b") })
@@ -182,8 +198,7 @@
 		before := calls()
 		time.Sleep(20 * time.Second)
 		is.True(calls()-before <= 11) // a quiet feed costs one call a wait
-		cancel()
-		<-done
+		stop()
 	})
 }
 
@@ -196,14 +211,9 @@
 		src := &source{rows: map[string]int64{}}
 		src.put("a")
 		out := &sink{seen: map[string]int64{}}
-		f := &Follower{
-			Table: "t", All: src.all, Next: src.next, Answer: time.Second, Pace: 1200 * time.Millisecond,
-			Retry: 100 * time.Millisecond, MaxRetry: time.Second, Reset: out.reset, Apply: out.apply,
-			Down: func(error) {}, Up: func() {},
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() { defer close(done); f.Run(ctx) }()
+		f := newFollower(src, out)
+		f.Pace = 1200 * time.Millisecond
+		stop := run(f)
 		time.Sleep(2 * time.Second)
 		src.set(func() {
 			src.put("b")
@@ -211,7 +221,6 @@
 		})
 		time.Sleep(f.Pace)
 		is.Equal(out.version("b"), int64(2))
-		cancel()
-		<-done
+		stop()
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -205,7 +205,7 @@
 	var names []string
 	list := n.vmListNow()
 	for _, b := range n.store.Tree().Backends() {
-		if b.BaseModel == base && !b.Drain && list.State(b.Address) != vmlist.Leaving && list.State(b.Address) != vmlist.Gone {
+		if b.BaseModel == base && !draining(&b, list) {
 			names = append(names, b.Name)
 		}
 	}
@@ -217,7 +217,17 @@
 	if !ok {
 		return nil
 	}
-	return &engine.Client{Name: name, URL: "http://" + b.Address, HTTP: n.cfg.HTTP}
+	return n.clientOf(b)
+}
+
+func (n *Node) clientOf(b *settings.BackendServer) *engine.Client {
+	return &engine.Client{Name: b.Name, URL: "http://" + b.Address, HTTP: n.cfg.HTTP}
+}
+
+// draining reports whether an engine takes no new work.
+func draining(b *settings.BackendServer, list vmlist.List) bool {
+	state := list.State(b.Address)
+	return b.Drain || state == vmlist.Leaving || state == vmlist.Gone
 }
 
 func (n *Node) vmListNow() vmlist.List {
--- a/node/owned.go
+++ b/node/owned.go
@@ -11,7 +11,6 @@
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/table"
-	"github.com/vanilladrift/vanilladrift/vmlist"
 )
 
 const (
@@ -193,10 +192,7 @@
 	return o.n.session.valid(now) && !now.Before(o.quietUntil)
 }
 
-func (o *ownedEngine) draining() bool {
-	state := o.n.vmListNow().State(o.backend().Address)
-	return o.backend().Drain || state == vmlist.Leaving || state == vmlist.Gone
-}
+func (o *ownedEngine) draining() bool { return draining(o.backend(), o.n.vmListNow()) }
 
 // tick moves the scheduler's time on and polls the engine's report.
 func (o *ownedEngine) tick(ctx context.Context, now time.Time) {
@@ -302,9 +298,7 @@
 	return engine.Control{Load: c.Load, Unload: c.Unload, Report: c.Report}
 }
 
-func (o *ownedEngine) client() *engine.Client {
-	return &engine.Client{Name: o.name, URL: "http://" + o.backend().Address, HTTP: o.n.cfg.HTTP}
-}
+func (o *ownedEngine) client() *engine.Client { return o.n.clientOf(o.backend()) }
 
 // beginHandOver refuses new work from now on; it reports false if a hand-over
 // is under way already.
