--- a/caller/trial.go
+++ b/caller/trial.go
@@ -14,8 +14,8 @@
 	// looks is how many times a request looks again before it waits wherever it
 	// is told the shortest wait: each time costs a message to an owner.
 	looks = 4
-	// slackPart is the part of a wait by which another is about as good: a quarter
-	// is less than what the estimates of waits are off by.
+	// slackPart is the part of a wait by which another is about as good. Waits are
+	// estimates that may be off by half, so a difference of a quarter says little.
 	slackPart = 4
 )
 
--- a/cmd/vanilladrift/demo.go
+++ b/cmd/vanilladrift/demo.go
@@ -28,6 +28,9 @@
 	if err != nil {
 		return err
 	}
-	defer f.Close()
-	return demo.RunPlatform(o, f)
+	err = demo.RunPlatform(o, f)
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return err
 }
--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -219,7 +219,8 @@
 	reply, err := s.Send(ctx, c)
 	switch {
 	case err != nil && c.Load && held:
-		// At this sequence the order changes nothing, whenever it arrives.
+		// At this sequence the order changes nothing, whenever it arrives. If it
+		// brings a new version after all, the next order meets another sequence.
 		s.noteUnanswered(c)
 		return "", &Error{Op: "ask", Kind: Broken, Err: err}
 	case err != nil:
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -65,10 +65,6 @@
 	// of its answers' times, and at most what a poll would have waited.
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = time.Second
-	// pingAfter and pingTimeout find a connection between nodes that has gone
-	// silent, within the time in which a lease ends.
-	pingAfter   = 2 * time.Second
-	pingTimeout = time.Second
 	// memoryShare is the part of the memory limit that the collector aims at.
 	memoryShare = 0.7
 )
@@ -134,15 +130,6 @@
 	return d, nil
 }
 
-// peerClient returns the client for other nodes.
-func (n Network) peerClient() *http.Client {
-	c := peer.NewHTTPClient(nil)
-	t := c.Transport.(*http.Transport)
-	t.DialContext = n.Dial
-	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
-	return c
-}
-
 func (d *Daemon) readStore(ctx context.Context, q table.Query) ([]table.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -293,11 +280,10 @@
 func (d *Daemon) Reload(next platform.Settings) (restart bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := d.settings
+	s := &d.settings // field by field: the others are read without the lock
 	s.RepeatRatio, s.RepeatSlack, s.RepeatWindow = next.RepeatRatio, next.RepeatSlack, next.RepeatWindow
 	s.GracePeriod = next.GracePeriod
-	d.settings = s
-	return s != next
+	return *s != next
 }
 
 // Close hands engines over, finishes what is in flight, and stops, within the
