Take all engines of a dead holder together

Cause: the first taking of an engine fences the holder's session, which changes its row; the takings of its other engines, by this node or another, check the row as it was read before, conflict, and waited for the next reading of the sessions: 2 s longer without loads. Ruled out: consent (the holder's session is fenced by then, and nothing is asked).

Change: after a conflict the sessions are read again at once, one time.

--- a/node/members.go
+++ b/node/members.go
@@ -343,14 +343,24 @@
 	return n.store.Install(changes)
 }
 
-// pollMembers reads the sessions and takes or gives up engines.
+// pollMembers reads the sessions and takes or gives up engines. Whoever takes the
+// first engine of a holder that died changes its session; the others are then
+// taken after another reading at once.
 func (n *Node) pollMembers(ctx context.Context) {
-	rows, err := n.table.Scan(ctx, table.SessionPrefix)
-	if err != nil {
-		n.members.unread()
-		return
+	for range takingRounds {
+		rows, err := n.table.Scan(ctx, table.SessionPrefix)
+		if err != nil {
+			n.members.unread()
+			return
+		}
+		n.members.update(rows, time.Now())
+		n.members.reap(ctx, time.Now())
+		if !n.settleOwnership(ctx) {
+			return
+		}
 	}
-	n.members.update(rows, time.Now())
-	n.members.reap(ctx, time.Now())
-	n.settleOwnership(ctx)
 }
+
+// takingRounds bounds the readings in which engines of a dead holder are taken.
+// The first changes its session, the second finds it so.
+const takingRounds = 2
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -195,6 +195,40 @@
 	})
 }
 
+// All engines of an owner that died are taken together: the first taking fences
+// its session, which must not make the others wait for the next reading.
+func TestEnginesOfADeadOwnerAreTakenTogether(t *testing.T) {
+	inCluster(t, 4, 8, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		owned := map[int][]int{}
+		for e := range c.engines {
+			owned[c.ownerOf(e)] = append(owned[c.ownerOf(e)], e)
+		}
+		for owner := range c.nodes {
+			engines := owned[owner]
+			if len(engines) < 2 {
+				continue
+			}
+			c.killNode(owner, false)
+			var first, last time.Time
+			for taken := 0; taken < len(engines); time.Sleep(10 * time.Millisecond) {
+				taken = 0
+				for _, e := range engines {
+					if now := c.ownerOf(e); now >= 0 && now != owner {
+						taken++
+					}
+				}
+				if last = time.Now(); taken > 0 && first.IsZero() {
+					first = last
+				}
+			}
+			is.True(last.Sub(first) < 200*time.Millisecond)
+			return
+		}
+		t.Error("no node owns two engines")
+	})
+}
+
 // The streams of other entry nodes outlive their owner, and its successor
 // evicts nothing under them.
 func TestStreamsOutliveTheirOwner(t *testing.T) {
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -16,14 +16,15 @@
 }
 
 // settleOwnership takes the engines that this node should own and hands over
-// those that another live node should own.
-func (n *Node) settleOwnership(ctx context.Context) {
+// those that another live node should own. It reports whether a taking met a row
+// that has changed since the sessions were read.
+func (n *Node) settleOwnership(ctx context.Context) (changed bool) {
 	if n.settling.Acquire(ctx, 1) != nil {
-		return
+		return false
 	}
 	defer n.settling.Release(1)
 	if !n.session.valid(time.Now()) {
-		return
+		return false
 	}
 	present := make(map[string]bool)
 	fair := n.fairShare()
@@ -35,7 +36,7 @@
 		switch {
 		case (wanted == n.cfg.Name || n.ownedBefore(b.Name)) && mine == nil && !n.session.isLeaving():
 			if !n.ownedElsewhere(b.Name) {
-				n.takeEngine(ctx, b)
+				changed = n.takeEngine(ctx, b) || changed
 			}
 		case wanted != n.cfg.Name && wanted != "" && mine != nil && (owned > fair || n.session.isLeaving()):
 			owned--
@@ -47,6 +48,7 @@
 			n.tasks.Go(func() { n.handOver(ctx, o) })
 		}
 	}
+	return changed
 }
 
 // keepsOwners reports whether engines stay with their owner where that is fair:
@@ -117,18 +119,19 @@
 
 // takeEngine makes this node the owner of an engine if nobody else can still
 // believe to own it. One transaction fences the old session and writes the
-// ownership row with a higher fencing token.
-func (n *Node) takeEngine(ctx context.Context, b settings.BackendServer) {
+// ownership row with a higher fencing token. It reports whether a row has changed
+// since it was read.
+func (n *Node) takeEngine(ctx context.Context, b settings.BackendServer) (changed bool) {
 	row, err := n.table.Get(ctx, table.OwnerPrefix+b.Name)
 	if err != nil && !table.IsKind(err, table.NotFound) {
 		n.log.Info("owner not read", "engine", b.Name, "err", err)
-		return
+		return false
 	}
 	old := table.Owner{Engine: b.Name}
 	if err == nil {
 		if old, err = table.DecodeOwner(row); err != nil {
 			n.log.Error("ownership row cannot be read", "err", err)
-			return
+			return false
 		}
 	}
 	n.session.with(ctx, func(me table.Session, check table.Check) {
@@ -152,6 +155,7 @@
 		if table.IsKind(err, table.Conflict) || table.IsKind(err, table.Unavailable) {
 			n.consents.abandonTaking(old.Process)
 		}
+		changed = table.IsKind(err, table.Conflict)
 		if err != nil {
 			n.log.Info("engine not taken", "engine", b.Name, "from", old.Node, "err", err)
 			return // an unknown outcome shows at the next reading
@@ -162,6 +166,7 @@
 			o.quietFor(n.gapAfter(old))
 		}
 	})
+	return changed
 }
 
 // gapAfter returns how long a new owner gives no orders. Two VMs must not take
