Keep the order of holders that have no owner; derive the best refusal

Found on reading the change again: since requests that wait look again, each refusal was compared with all before it starting from itself, so of equally hopeful ones the last asked won, not the first.

Change: the round of questions keeps its first best as before, and the second part works out the shortest wait from the refusals instead of keeping it.

--- a/caller/trial.go
+++ b/caller/trial.go
@@ -25,7 +25,7 @@
 	work    engine.Work
 	maxWait time.Duration
 	asked   int
-	best    *Refusal            // the most hopeful refusal
+	best    *Refusal            // the first of the most hopeful refusals while asking in turn
 	name    string              // of the engine that it came from
 	refused map[string]*Refusal // the last refusal of each engine
 	cold    bool                // some engine would have had to load the adapter
@@ -47,22 +47,19 @@
 		}
 		t.cold = t.cold || r.Reason == engine.Cold
 		t.note(name, r)
+		if t.best == nil || better(r, t.best) {
+			t.best, t.name = r, name
+		}
 	}
 	return Grant{}, errNone
 }
 
-// note keeps an engine's refusal, and the most hopeful one of all.
+// note keeps an engine's refusal.
 func (t *trial) note(name string, r *Refusal) {
 	if t.refused == nil {
 		t.refused = make(map[string]*Refusal)
 	}
 	t.refused[name] = r
-	t.best, t.name = r, name
-	for other, o := range t.refused {
-		if better(o, t.best) {
-			t.best, t.name = o, other
-		}
-	}
 }
 
 func (t *trial) askOne(ctx context.Context, name string, maxWait time.Duration) (Grant, error) {
@@ -78,29 +75,35 @@
 // queue has grown meanwhile looks again.
 func (t *trial) waitAtBest(ctx context.Context) (Grant, error) {
 	for range looks {
-		name := t.nearBest()
-		g, err := t.askOne(ctx, name, t.refused[name].Wait+t.slack())
+		name, limit := t.nearBest()
+		g, err := t.askOne(ctx, name, limit)
 		var r *Refusal
 		if !errors.As(err, &r) || hope(r.Reason) < hope(engine.Overflow) {
 			return g, err
 		}
 		t.note(name, r)
 	}
-	return t.askOne(ctx, t.nearBest(), 0)
+	name, _ := t.nearBest()
+	return t.askOne(ctx, name, 0)
 }
 
-// slack returns by how much a wait may be longer than the shortest.
-func (t *trial) slack() time.Duration { return max(t.maxWait, t.best.Wait/slackPart) }
-
 // nearBest returns one of the engines whose waits are about the shortest, by
-// the request's id.
-func (t *trial) nearBest() string {
+// the request's id, and the wait to accept there.
+func (t *trial) nearBest() (name string, limit time.Duration) {
+	var best *Refusal
+	for _, r := range t.refused {
+		if best == nil || better(r, best) {
+			best = r
+		}
+	}
+	slack := max(t.maxWait, best.Wait/slackPart)
 	var near []string
-	for name, r := range t.refused {
-		if hope(r.Reason) == hope(t.best.Reason) && r.Wait <= t.best.Wait+t.slack() {
-			near = append(near, name)
+	for other, r := range t.refused {
+		if hope(r.Reason) == hope(best.Reason) && r.Wait <= best.Wait+slack {
+			near = append(near, other)
 		}
 	}
 	slices.Sort(near)
-	return engine.Rendezvous(t.work.ID, near, nil, 1)[0]
+	name = engine.Rendezvous(t.work.ID, near, nil, 1)[0]
+	return name, t.refused[name].Wait + slack
 }
--- a/caller/trial_test.go
+++ b/caller/trial_test.go
@@ -64,3 +64,24 @@
 		})
 	}
 }
+
+// While no holder has an owner, the request goes to the holder that came first in
+// the order of their waits, not to the last that was asked.
+func TestOwnerlessHoldersKeepTheirOrder(t *testing.T) {
+	is := is.New(t)
+	var asked []string
+	a := &Acquirer{
+		Router: engine.NewRouter(engine.RouterConfig{}), Mu: &sync.Mutex{}, SpendRetry: func() bool { return false },
+		Holds: func(string, string) bool { return true }, Release: func(Grant) {},
+		Ask: func(_ context.Context, name string, _ engine.Work) (Grant, error) {
+			asked = append(asked, name)
+			return Grant{}, &Refusal{Reason: engine.Moved}
+		},
+	}
+	g, err := a.Acquire(t.Context(), Search{
+		Work: engine.Work{ID: "1", Adapter: "m/a", Deadline: time.Now().Add(time.Second)}, Names: []string{"e0", "e1", "e2"},
+	})
+	is.NoErr(err)
+	is.Equal(len(asked), 3)
+	is.Equal(g.Engine, asked[0])
+}
