Judge the platform's demo in one pass, and by all promises of "not run"

The servers' records were read twice; one loop serves. A refusal with 408 or 421 promises "not run" as well, and is now held to it like 429 and 503.

--- a/demo/platform_traffic.go
+++ b/demo/platform_traffic.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -60,7 +61,7 @@
 func newPlatformTraffic(w *platformWorld, seed uint64) *platformTraffic {
 	t := &platformTraffic{
 		w: w, rng: rand.New(rand.NewPCG(seed, 3)),
-		first: hdrhistogram.New(1, maxLatencyMs, 3), fronts: append([]string(nil), w.fronts...),
+		first: hdrhistogram.New(1, maxLatencyMs, 3), fronts: slices.Clone(w.fronts),
 		forced: map[string]int64{}, once: map[string]bool{}, denied: map[string]bool{},
 	}
 	t.res.Refused = map[string]int{}
@@ -158,9 +159,14 @@
 	return false, 0
 }
 
+// promisesNotRun lists the statuses that promise that a request has not run.
+var promisesNotRun = []int{
+	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+}
+
 // refused notes a refusal, and reports whether and when the caller comes back.
 func (t *platformTraffic) refused(c call, resp *http.Response) (again bool, pause time.Duration) {
-	notRun := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	notRun := slices.Contains(promisesNotRun, resp.StatusCode)
 	t.mu.Lock()
 	t.res.Refused[fmt.Sprintf("%d %s", resp.StatusCode, c.route)]++
 	if notRun {
@@ -226,14 +232,12 @@
 // finish judges by what the replicas saw.
 func (t *platformTraffic) finish() {
 	r := &t.res
-	for _, s := range append(append([]*standin.Replica(nil), t.w.replicas...), t.w.ledgers...) {
+	ran := map[string]int{}
+	for _, s := range slices.Concat(t.w.replicas, t.w.ledgers) {
 		rec := s.Record()
 		r.Crashes += rec.Crashes
 		r.BackAndForth += rec.BackAndForth(holderGap)
-	}
-	ran := map[string]int{}
-	for _, s := range append(append([]*standin.Replica(nil), t.w.replicas...), t.w.ledgers...) {
-		for id, n := range s.Record().Ran {
+		for id, n := range rec.Ran {
 			ran[id] += n
 		}
 	}
