Extend leases by witnesses that the store names

Cause: an owner that cannot reach the store extended its lease by the consent of every member that it knew, and any member that the store knows could take over.

Ruled out: the reaper and the check of the session row; the row had expired in the store as it should. Weighed: the version of the owner's view in its row, which needs every member of that view to be reachable; a majority of members, which costs nodes squared in an outage.

Change: each node names up to five witnesses in a row that is written with its session. It extends its lease by the consent of all but one of them; whoever replaces it needs the promises of two, or knows that their sessions ended a lease ago. A witness agrees only under its own lease. Fencing a session is a transaction of its own, checked against both rows. An extension without the store lasts a minute at most.

--- /dev/null
+++ b/membership/doc.go
@@ -0,0 +1,32 @@
+// Package membership decides how a node's lease is extended by other nodes while the
+// table cannot be reached, and when a node that seems to have ended may be replaced.
+//
+// Every owner names a few witnesses in the table. An owner that cannot renew its
+// session asks them for their consent, and restarts its lease if enough of them agree. A
+// node that wants to replace the owner needs the promises of enough of these witnesses
+// that they will agree no more. The two numbers are chosen so that a witness would have
+// to do both. A witness promises only when its last consent is older than a lease, so
+// the lease of the owner has ended by then. It does not matter which members the owner
+// knows: whoever joins later reads the witnesses in the table. The model is
+// model/extension.pml.
+//
+// The number of messages per node does not depend on the number of nodes.
+//
+// # Usage
+//
+//	set := membership.Choose(name, current, candidates)  // at the owner, written with its session
+//	round := membership.NewRound(sets)                    // at the owner, for each extension
+//	round.Add(witness.Session)                            // for each consent
+//	ok := round.Enough()
+//
+//	ok = promises.Consent(process, version, now)          // at the witness
+//	ok = promises.Promise(process, version, now)
+//
+//	ok = membership.MayReplace(set, promised)             // at the node that replaces it
+//
+// # Not covered
+//
+// The package sends no messages and reads no clock. Witnesses keep their promises in
+// memory: a witness whose session has ended gives no consent under that session again,
+// and counts as having promised once that was known for longer than a lease.
+package membership
--- a/node/expiry.go
+++ b/node/expiry.go
@@ -3,67 +3,71 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/juju/errors"
-
+	"github.com/vanilladrift/vanilladrift/membership"
 	"github.com/vanilladrift/vanilladrift/table"
 )
 
-// extendLeaseByPeers extends the lease while the table cannot be reached, if every
-// other member agrees not to take over this node's engines.
-func (m *members) extendLeaseByPeers(ctx context.Context) {
+// extendLeaseByWitnesses extends the lease while the table cannot be reached, if enough of
+// this node's witnesses agree.
+func (m *members) extendLeaseByWitnesses(ctx context.Context) {
 	now := time.Now()
-	left := m.n.session.leaseLeft(now)
-	if left <= 0 || left > (m.n.cfg.LeaseTTL-m.n.cfg.LeaseMargin)/2 || len(m.n.ownedEngines()) == 0 {
+	version, sets, ok := m.n.session.extensionTerms(now)
+	if !ok || m.n.session.leaseLeft(now) > (m.n.cfg.LeaseTTL-m.n.cfg.LeaseMargin)/2 {
 		return
 	}
-	var wg sync.WaitGroup
-	var refused atomic.Bool
-	for _, other := range m.all() {
-		if other.Process == m.n.process {
-			continue
+	addresses := make(map[string]string) // of the witnesses, by session
+	for _, set := range sets {
+		for _, w := range set {
+			addresses[w.Session] = w.Address
 		}
-		// A member whose session seems to have expired may have renewed it since, so it
-		// must agree too. Only a process that has ended need not: its successor is in
-		// contact with this node before it can take over anything.
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	round := &membership.Round{}
+	for session, address := range addresses {
 		wg.Go(func() {
-			resp, _, err := m.sendHeartbeat(ctx, other.Address, true)
-			ended := errors.Is(err, syscall.ECONNREFUSED)
-			if err != nil && !ended || err == nil && !resp.Msg.GetAgreed() {
-				refused.Store(true)
+			resp, _, err := m.sendHeartbeat(ctx, address, version)
+			if err == nil && resp.Msg.GetAgreed() && resp.Msg.GetSession() == session {
+				mu.Lock()
+				defer mu.Unlock()
+				round.Add(session)
 			}
 		})
 	}
 	wg.Wait()
-	if !refused.Load() {
-		m.n.session.extendLease(now)
-	}
+	m.n.session.extendLease(round, version, now)
 }
 
 // expiredSessionRetention is how long an expired session keeps its row: longer than an
 // ordinary restart takes.
 const expiredSessionRetention = 6 * time.Second
 
-// removeExpiredSessions removes the rows of sessions that expired long ago, such as
-// those of VMs that no longer exist. A single node, chosen by rendezvous hashing, does
-// so for all.
+// removeExpiredSessions fences the sessions that have expired, and removes the rows of
+// those that expired long ago, such as of VMs that no longer exist. A single node, chosen
+// by rendezvous hashing, does so for all.
 func (m *members) removeExpiredSessions(ctx context.Context, now time.Time) {
 	if !m.n.stickyOwnership() || m.preferredOwner("reaper", "") != m.n.cfg.Name {
 		return
 	}
 	for _, other := range m.all() {
+		if !other.expired {
+			continue
+		}
+		if !other.Fenced {
+			m.fence(ctx, other)
+			continue
+		}
 		m.mu.Lock()
-		old := other.expired && m.monitor.UnchangedFor(other.Key(), now) > m.n.cfg.LeaseTTL+expiredSessionRetention
+		old := m.monitor.UnchangedFor(other.Key(), now) > m.n.cfg.LeaseTTL+expiredSessionRetention
 		m.mu.Unlock()
-		if !old || !m.n.takeoverGuard.beginTakeover(other.Process, now) {
+		if !old {
 			continue
 		}
 		_, err := m.n.table.Commit(ctx, table.Tx{
 			Checks:  []table.Check{{Key: other.Key(), Version: other.version}},
-			Deletes: []string{other.Key()},
+			Deletes: []string{other.Key(), table.WitnessKey(other.Node)},
 		})
 		m.n.log.Info("removal of an expired session row finished", "of", other.Node, "process", other.Process, "err", err)
 	}
--- /dev/null
+++ b/node/joined_test.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/standin"
+	"github.com/vanilladrift/vanilladrift/table"
+)
+
+// leaseCluster is a set of nodes with the timings of the users' platform, and engines
+// without a listener: only the ownership is of interest.
+type leaseCluster struct {
+	net   *standin.Network
+	table *standin.Table
+	nodes []*Node
+	docs  []settings.Document
+}
+
+func newLeaseCluster(nodes, engines int) *leaseCluster {
+	c := &leaseCluster{net: standin.NewNetwork(), table: &standin.Table{}}
+	c.net.Listen(platformProcess, "10.9.0.1:1", c.table)
+	for i := range engines {
+		c.docs = append(c.docs, settings.Document{Kind: settings.Backend, Name: fmt.Sprintf("e%d", i), Fields: map[string]string{
+			"address": fmt.Sprintf("10.1.0.%d:1", i+1), "base-model": "m", "slots": "2", "places": "2", "unload-waits": "on",
+		}})
+	}
+	for range nodes {
+		c.join()
+	}
+	return c
+}
+
+// join starts one more node.
+func (c *leaseCluster) join() *Node {
+	c.nodes = append(c.nodes, nil)
+	return c.start(len(c.nodes) - 1)
+}
+
+// start starts a node of the cluster, or a new process of it after a kill.
+func (c *leaseCluster) start(i int) *Node {
+	name := fmt.Sprintf("n%d", i)
+	n := New(Config{
+		Name: name, Address: fmt.Sprintf("10.0.0.%d:1", i+1), TableURL: tableURL, HTTP: c.net.Client(name), SettingsPushed: true,
+		OwnerAlternationGap: 3 * time.Second, LeaseTTL: 2500 * time.Millisecond, LeaseMargin: 300 * time.Millisecond,
+		RenewEvery: time.Second, PollEvery: 2 * time.Second, ProbeAfter: 100 * time.Millisecond, ProbeTimeout: 200 * time.Millisecond, Seed: uint64(i),
+	})
+	n.store.InstallSnapshot(1, c.docs)
+	c.net.Listen(name, n.cfg.Address, n.Peers())
+	c.nodes[i] = n
+	n.Start()
+	return n
+}
+
+func (c *leaseCluster) kill(n *Node) {
+	c.net.Kill(n.Name())
+	n.Kill()
+}
+
+func (c *leaseCluster) close() {
+	for _, n := range c.nodes {
+		c.kill(n)
+	}
+}
+
+// cutFromStore blocks or unblocks both directions between a node and the store.
+func (c *leaseCluster) cutFromStore(n *Node, cut bool) {
+	c.net.SetBlocked(n.Name(), platformProcess, cut)
+	c.net.SetBlocked(platformProcess, n.Name(), cut)
+}
+
+// owners returns the names of the nodes that own an engine and hold a valid lease.
+func (c *leaseCluster) owners(engine string) (names []string) {
+	for _, n := range c.nodes {
+		if n.ownedEngine(engine) != nil && n.session.leaseValid(time.Now()) {
+			names = append(names, n.Name())
+		}
+	}
+	return names
+}
+
+// watch waits for d and returns a violation if two nodes own an engine at any time.
+func (c *leaseCluster) watch(d time.Duration) (violation string) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, doc := range c.docs {
+			if names := c.owners(doc.Name); len(names) > 1 {
+				violation = fmt.Sprintf("%v own %s", names, doc.Name)
+			}
+		}
+	}
+	return violation
+}
+
+// Guards against two owners of one engine. A node that joined after an owner's last
+// read of the members is unknown to that owner, which is then cut from the store and
+// extends its lease without the store. The new node must not take over its engines.
+func TestJoinedNodeHonoursExtendedLease(t *testing.T) {
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 250 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newLeaseCluster(4, 24)
+				defer c.close()
+				time.Sleep(10*time.Second + offset)
+				joined := c.join()
+				time.Sleep(50 * time.Millisecond)
+				is.Equal(len(c.table.Rows(table.Session{Node: joined.Name()}.Key())), 1)
+				c.cutFromStore(c.nodes[0], true)
+				c.cutFromStore(c.nodes[1], true)
+				is.Equal(c.watch(9500*time.Millisecond), "")
+				c.cutFromStore(c.nodes[0], false)
+				c.cutFromStore(c.nodes[1], false)
+				is.Equal(c.watch(10*time.Second), "")
+			})
+		})
+	}
+}
--- a/node/members.go
+++ b/node/members.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/membership"
 	"github.com/vanilladrift/vanilladrift/peer"
 	"github.com/vanilladrift/vanilladrift/peer/peerpb"
 	"github.com/vanilladrift/vanilladrift/peer/peerpb/peerpbconnect"
@@ -30,6 +31,8 @@
 	table.Session
 	version int64
 	expired bool
+	// fenceRefused is set after its witnesses did not promise to support it no more.
+	fenceRefused bool
 }
 
 // live reports whether the member may own engines.
@@ -46,6 +49,8 @@
 	readFailed bool // the last read of the rows failed
 	list       []member
 	links      map[string]*link // by address
+	// endedSessions counts the witnesses whose sessions have ended.
+	endedSessions membership.EndedSessions
 	// candidates are the nodes that may own engines. preferredOwners caches the results
 	// of preferredOwner until the candidates change.
 	candidates      []candidate
@@ -75,6 +80,8 @@
 		n:       n,
 		monitor: table.SessionMonitor{TTL: n.cfg.LeaseTTL, Margin: n.cfg.LeaseMargin},
 		links:   make(map[string]*link),
+
+		endedSessions: membership.EndedSessions{LeaseTime: n.leaseTime()},
 	}
 }
 
@@ -104,7 +111,7 @@
 		m.monitor.Observe(row.Key, row.Version, now)
 		m.list = append(m.list, member{Session: s, version: row.Version, expired: m.monitor.Expired(row.Key, now)})
 	}
-	m.n.takeoverGuard.expire(now)
+	m.n.promises.Expire(now)
 	var candidates []candidate
 	for _, mem := range m.list {
 		if mem.live() && !mem.Leaving {
@@ -123,6 +130,16 @@
 	return slices.Clone(m.list)
 }
 
+// witnessCandidates returns the other nodes that can be witnesses of this one.
+func (m *members) witnessCandidates() (list []table.Witness) {
+	for _, mem := range m.all() {
+		if mem.live() && !mem.Leaving && mem.Process != m.n.process {
+			list = append(list, table.Witness{Session: mem.ID(), Address: mem.Address})
+		}
+	}
+	return list
+}
+
 // countLive returns the number of members that may own engines.
 func (m *members) countLive() (live int) {
 	m.mu.Lock()
@@ -268,24 +285,27 @@
 
 func (m *members) heartbeatPeer(ctx context.Context, address string) {
 	sent := time.Now()
-	resp, l, err := m.sendHeartbeat(ctx, address, false)
+	resp, l, err := m.sendHeartbeat(ctx, address, 0)
 	if err != nil {
 		return
 	}
 	if resp.Msg.GetHolding() {
-		m.n.takeoverGuard.recordContact(resp.Msg.GetProcess(), sent)
+		m.n.promises.RecordContact(resp.Msg.GetProcess(), sent)
 	}
 	if !m.n.cfg.SettingsPushed {
 		m.n.syncSettingsFrom(ctx, l.client, resp.Msg.GetRevision(), sent)
 	}
 }
 
-func (m *members) sendHeartbeat(ctx context.Context, address string, hold bool) (*connect.Response[peerpb.HeartbeatResponse], *link, error) {
+// sendHeartbeat sends a heartbeat. With a session version it asks the peer, as a
+// witness, for consent to extend the lease of that session.
+func (m *members) sendHeartbeat(ctx context.Context, address string, sessionVersion int64) (*connect.Response[peerpb.HeartbeatResponse], *link, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.n.cfg.ProbeTimeout)
 	defer cancel()
 	l := m.link(address)
 	resp, err := l.client.Heartbeat(ctx, connect.NewRequest(&peerpb.HeartbeatRequest{
-		Node: m.n.cfg.Name, Process: m.n.process, Revision: m.n.store.Tree().Rev(), Hold: hold,
+		Node: m.n.cfg.Name, Process: m.n.process, Revision: m.n.store.Tree().Rev(),
+		Hold: sessionVersion > 0, SessionVersion: sessionVersion,
 	}))
 	if err != nil {
 		m.recordHeartbeat(l, false, "")
@@ -346,9 +366,8 @@
 	return n.store.Install(changes)
 }
 
-// pollMembers reads the session rows, then takes over or hands over engines. The
-// takeover of a dead owner's first engine changes its session row, so the rows are read
-// again at once before the owner's other engines are taken over.
+// pollMembers reads the session rows, then takes over or hands over engines. Another
+// node may have fenced a dead owner since; the rows are then read again at once.
 func (n *Node) pollMembers(ctx context.Context) {
 	for range takeoverRounds {
 		rows, err := n.table.Scan(ctx, table.SessionPrefix)
@@ -364,6 +383,5 @@
 	}
 }
 
-// takeoverRounds bounds the reads of the session rows in one poll. The first takeover
-// changes the dead owner's session row; the second round reads the changed row.
+// takeoverRounds bounds the reads of the session rows in one poll.
 const takeoverRounds = 2
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/membership"
 	"github.com/vanilladrift/vanilladrift/object"
 	"github.com/vanilladrift/vanilladrift/peer"
 	"github.com/vanilladrift/vanilladrift/service"
@@ -37,7 +38,7 @@
 	session       *session
 	members       *members
 	loadBudget    *loadBudget
-	takeoverGuard *takeoverGuard
+	promises      *membership.Promises
 	metrics       *metrics
 	log           *log.Logger
 
@@ -92,7 +93,7 @@
 	n.session = newSession(n)
 	n.members = newMembers(n)
 	n.loadBudget = newLoadBudget(n)
-	n.takeoverGuard = &takeoverGuard{TTL: cfg.LeaseTTL, Margin: cfg.LeaseMargin}
+	n.promises = &membership.Promises{LeaseTime: n.leaseTime(), Retention: maxExtension + n.leaseTime()}
 	n.callerHandler = &caller.Handler{
 		Tree: n.store.Tree, Ready: n.checkAdmission, Engines: n.servingBackends, EngineClient: n.engineClient,
 		RequestGrant: n.acquireGrant, Release: n.releaseGrant, Ledger: n.ledger, Services: newServiceClient(cfg),
@@ -118,7 +119,7 @@
 		n.runEvery(n.cfg.PollEvery, n.pollMembers)
 	})
 	n.runEvery(n.cfg.PollEvery, n.members.heartbeat)
-	n.runEvery(n.cfg.RenewEvery/3, n.members.extendLeaseByPeers)
+	n.runEvery(n.cfg.RenewEvery/3, n.members.extendLeaseByWitnesses)
 	if n.cfg.ProbeAfter < defaultProbeAfter {
 		n.runEvery(n.cfg.ProbeAfter, n.members.probe)
 	}
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -119,8 +119,8 @@
 }
 
 // takeOver makes this node the owner of an engine, unless another node may still
-// believe that it is the owner. One transaction fences the old owner's session and
-// writes the ownership row with a higher fencing token. It returns true if a row had
+// believe that it is the owner. The old owner's session is fenced first; one transaction
+// then writes the ownership row with a higher fencing token. It returns true if a row had
 // changed since it was read.
 func (n *Node) takeOver(ctx context.Context, b settings.BackendServer) (changed bool) {
 	row, err := n.table.Get(ctx, table.OwnerPrefix+b.Name)
@@ -135,28 +135,25 @@
 			return false
 		}
 	}
+	if m, ok := n.members.get(old.Node); ok && m.expired && !n.ownerSessionEnded(old) && n.members.fence(ctx, m) {
+		return true
+	}
 	n.session.withRow(ctx, func(self table.Session, check table.Check) {
 		if old.Process == self.Process && old.Epoch == self.Epoch && old.Node == self.Node {
 			// This session wrote the row in a commit that got no response.
 			n.startOwnership(b, old, row.Version).delayCommands(n.cfg.OwnerAlternationGap)
 			return
 		}
-		tx, ok := n.fenceOwnerSession(old)
+		tx, ok := n.checkOwnerSessionEnded(old)
 		if !ok {
 			n.setOwnerHint(b.Name, old.Node)
 			n.log.Debug("engine has a live owner; not taking it over", "engine", b.Name, "owner", old.Node, "process", old.Process)
 			return
 		}
-		if !n.ownerSessionEnded(old) && !n.takeoverGuard.beginTakeover(old.Process, time.Now()) {
-			return // it cannot reach the table, but has sent heartbeats
-		}
 		next := newOwnerRow(old, self, b.ChecksFencing || b.UnloadWaitsForRequests)
 		tx.Checks = append(tx.Checks, check, table.Check{Key: next.Key(), Version: row.Version})
 		tx.Puts = append(tx.Puts, table.Put{Key: next.Key(), Value: next.Encode()})
 		ver, err := n.table.Commit(ctx, tx)
-		if table.IsKind(err, table.Conflict) || table.IsKind(err, table.Unavailable) {
-			n.takeoverGuard.cancelTakeover(old.Process)
-		}
 		changed = table.IsKind(err, table.Conflict)
 		if err != nil {
 			n.log.Info("engine takeover failed; retrying with the next poll", "engine", b.Name, "from", old.Node, "err", err)
@@ -202,9 +199,9 @@
 	return next
 }
 
-// fenceOwnerSession returns a transaction that ends the owner's session, or false while
-// the owner's lease may still be valid.
-func (n *Node) fenceOwnerSession(old table.Owner) (table.Tx, bool) {
+// checkOwnerSessionEnded returns a transaction that requires that the owner's session has
+// ended, or false while the owner's lease may still be valid.
+func (n *Node) checkOwnerSessionEnded(old table.Owner) (table.Tx, bool) {
 	if old.Node == "" {
 		return table.Tx{}, true // the engine was released
 	}
@@ -215,20 +212,11 @@
 	}
 	m, ok := n.members.get(old.Node)
 	if !ok {
-		// The row is removed only long after the session has expired.
+		// Only rows of sessions that have ended are removed.
 		key := table.Session{Node: old.Node}.Key()
 		return table.Tx{Checks: []table.Check{{Key: key}}}, true
 	}
-	check := table.Check{Key: m.Key(), Version: m.version}
-	if m.Process != old.Process || m.Epoch != old.Epoch || m.Fenced {
-		return table.Tx{Checks: []table.Check{check}}, true // the owner's session has ended
-	}
-	if !m.expired {
-		return table.Tx{}, false
-	}
-	fenced := m.Session
-	fenced.Fenced = true
-	return table.Tx{Checks: []table.Check{check}, Puts: []table.Put{{Key: fenced.Key(), Value: fenced.Encode()}}}, true
+	return table.Tx{Checks: []table.Check{{Key: m.Key(), Version: m.version}}}, n.ownerSessionEnded(old)
 }
 
 // ownerSessionEnded reports whether the owner's lease is known to have ended: it
--- a/node/peers.go
+++ b/node/peers.go
@@ -31,9 +31,21 @@
 // Heartbeat implements the Peer service.
 func (s *peerServer) Heartbeat(_ context.Context, req *connect.Request[peerpb.HeartbeatRequest]) (*connect.Response[peerpb.HeartbeatResponse], error) {
 	now := time.Now()
+	id, holding := s.n.session.identity(now)
 	return connect.NewResponse(&peerpb.HeartbeatResponse{
-		Node: s.n.cfg.Name, Process: s.n.process, Revision: s.n.store.Tree().Rev(), Holding: s.n.session.leaseValid(now),
-		Agreed: req.Msg.GetHold() && s.n.takeoverGuard.recordContact(req.Msg.GetProcess(), now),
+		Node: s.n.cfg.Name, Process: s.n.process, Revision: s.n.store.Tree().Rev(), Holding: holding, Session: id,
+		// A witness without a lease may have been fenced, and then counts as having promised
+		// not to agree.
+		Agreed: req.Msg.GetHold() && holding && s.n.promises.Consent(req.Msg.GetProcess(), req.Msg.GetSessionVersion(), now),
+	}), nil
+}
+
+// Promise implements the Peer service.
+func (s *peerServer) Promise(_ context.Context, req *connect.Request[peerpb.PromiseRequest]) (*connect.Response[peerpb.PromiseResponse], error) {
+	now := time.Now()
+	id, _ := s.n.session.identity(now)
+	return connect.NewResponse(&peerpb.PromiseResponse{
+		Session: id, Promised: s.n.promises.Promise(req.Msg.GetProcess(), req.Msg.GetSessionVersion(), now),
 	}), nil
 }
 
--- a/node/session.go
+++ b/node/session.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/semaphore"
 
+	"github.com/vanilladrift/vanilladrift/membership"
 	"github.com/vanilladrift/vanilladrift/table"
 )
 
@@ -14,24 +16,42 @@
 type session struct {
 	n *Node
 
-	rowLock *semaphore.Weighted // held while the row is read or written
+	rowLock *semaphore.Weighted // held while the rows are read or written
 	row     table.Session
 	version int64 // of the row; 0 before the first write
+	// witnesses is the last confirmed witness row; witnessesKnown is false while a write
+	// of it got no response.
+	witnesses      []table.Witness
+	witnessesKnown bool
 
-	mu      sync.Mutex // guards lease and leaving
+	mu      sync.Mutex // guards the fields below
 	lease   table.Lease
 	leaving bool
+	id      string    // of the session; see [table.Session.ID]
+	renewed time.Time // when the last confirmed renewal was sent
+	// confirmed is the version of the session row by the last confirmed renewal. possibleSets
+	// holds the witnesses of that renewal, and those of later writes without a
+	// response.
+	confirmed    int64
+	possibleSets [][]table.Witness
 }
 
+// maxExtension is how long after its last confirmed renewal a lease can be extended by
+// witnesses. It bounds how long engines have no owner after most witnesses of their owner
+// ended together with it.
+const maxExtension = time.Minute
+
 func newSession(n *Node) *session {
-	return &session{
-		n: n, rowLock: semaphore.NewWeighted(1),
+	s := &session{
+		n: n, rowLock: semaphore.NewWeighted(1), witnessesKnown: true,
 		row: table.Session{
 			Node: n.cfg.Name, Process: n.process, Epoch: 1, Address: n.cfg.Address,
 			Region: n.cfg.Region, DataCenter: n.cfg.DataCenter,
 		},
 		lease: table.Lease{TTL: n.cfg.LeaseTTL, Margin: n.cfg.LeaseMargin},
 	}
+	s.id = s.row.ID()
+	return s
 }
 
 // leaseValid reports whether the node may act as the owner of its engines.
@@ -71,44 +91,80 @@
 	next := s.row
 	next.Counter++
 	next.Leaving = s.isLeaving()
-	sent := time.Now()
-	ver, err := s.n.table.Commit(ctx, table.Tx{
+	tx := table.Tx{
 		Checks: []table.Check{{Key: next.Key(), Version: s.version}},
 		Puts:   []table.Put{{Key: next.Key(), Value: next.Encode()}},
-	})
+	}
+	witnesses := membership.Choose(next.Node, s.witnesses, s.n.members.witnessCandidates())
+	if !s.witnessesKnown || !slices.Equal(witnesses, s.witnesses) {
+		row := table.Witnesses{Node: next.Node, Session: next.ID(), List: witnesses}
+		tx.Puts = append(tx.Puts, table.Put{Key: table.WitnessKey(next.Node), Value: row.Encode()})
+		s.beginWitnessWrite(witnesses)
+	}
+	sent := time.Now()
+	ver, err := s.n.table.Commit(ctx, tx)
 	switch {
 	case err == nil:
-		s.recordRenewal(next, ver, sent)
+		s.recordRenewal(next, witnesses, ver, sent)
 		if !s.n.tokensKnown.Load() {
 			s.n.readFencingTokens(ctx)
 		}
 	case table.IsKind(err, table.Conflict), table.IsKind(err, table.Unknown):
-		s.readBack(ctx, next, sent)
+		s.readBack(ctx, next, witnesses, sent)
 	}
 }
 
-func (s *session) recordRenewal(row table.Session, ver int64, sent time.Time) {
+// beginWitnessWrite records that the witnesses are about to be written. Until the
+// write is confirmed, either set may be in force.
+func (s *session) beginWitnessWrite(set []table.Witness) {
+	s.witnessesKnown = false
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.ContainsFunc(s.possibleSets, func(other []table.Witness) bool { return slices.Equal(set, other) }) {
+		s.possibleSets = append(s.possibleSets, set)
+	}
+}
+
+func (s *session) recordRenewal(row table.Session, witnesses []table.Witness, ver int64, sent time.Time) {
 	if s.row.Counter == 0 {
 		s.n.log.Info("session registered", "epoch", row.Epoch, "row-version", ver)
 	}
 	s.row, s.version = row, ver
+	s.witnesses, s.witnessesKnown = witnesses, true
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.lease.RecordRenewal(sent)
-	s.mu.Unlock()
+	s.renewed, s.confirmed, s.possibleSets = sent, ver, [][]table.Witness{witnesses}
+}
+
+// extensionTerms returns the version of the confirmed session row and the possible sets of
+// witnesses, or false if the lease cannot be extended.
+func (s *session) extensionTerms(now time.Time) (version int64, sets [][]table.Witness, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmed, slices.Clone(s.possibleSets), s.lease.Valid(now) && now.Sub(s.renewed) < maxExtension
 }
 
-// extendLease restarts the lease at sent, unless it has expired. The caller must have
-// the agreement of every other member not to take over this node's engines.
-func (s *session) extendLease(sent time.Time) {
+// extendLease restarts the lease at sent, when the round began, if enough witnesses have
+// agreed and the lease has not expired. The sets of witnesses may have changed
+// during the round.
+func (s *session) extendLease(round *membership.Round, version int64, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lease.Valid(time.Now()) {
+	if s.lease.Valid(time.Now()) && s.confirmed == version && round.Enough(s.possibleSets) {
 		s.lease.RecordRenewal(sent)
 	}
 }
 
+// identity returns the ID of the session, and whether its lease is valid.
+func (s *session) identity(now time.Time) (id string, valid bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id, s.lease.Valid(now)
+}
+
 // readBack reads the row after a renewal that conflicted or got no response.
-func (s *session) readBack(ctx context.Context, next table.Session, sent time.Time) {
+func (s *session) readBack(ctx context.Context, next table.Session, witnesses []table.Witness, sent time.Time) {
 	row, err := s.n.table.Get(ctx, next.Key())
 	if table.IsKind(err, table.NotFound) {
 		s.startNewEpoch(table.Session{}, 0) // removed because it had expired, or by an operator
@@ -124,7 +180,7 @@
 	}
 	switch {
 	case current == next:
-		s.recordRenewal(next, row.Version, sent)
+		s.recordRenewal(next, witnesses, row.Version, sent)
 	case current.Process == next.Process && current.Epoch == next.Epoch && !current.Fenced:
 		s.row, s.version = current, row.Version // an earlier renewal was applied; retry with the next one
 	default:
@@ -147,6 +203,10 @@
 	}
 	s.row.Epoch = max(s.row.Epoch, row.Epoch)
 	s.row.Counter, s.version = 0, ver
+	s.witnesses, s.witnessesKnown = nil, false // the row is that of an earlier session
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.id, s.possibleSets = s.row.ID(), nil
 }
 
 // removeRow removes the session row, so that other nodes need not wait for the lease to
@@ -161,7 +221,7 @@
 	}
 	_, err := s.n.table.Commit(ctx, table.Tx{
 		Checks:  []table.Check{{Key: s.row.Key(), Version: s.version}},
-		Deletes: []string{s.row.Key()},
+		Deletes: []string{s.row.Key(), table.WitnessKey(s.row.Node)},
 	})
 	if err != nil {
 		s.n.log.Warn("cannot remove the session row; other nodes wait until it expires", "err", err)
--- a/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/peer/peerpb/peerpbconnect/peer.connect.go
@@ -35,6 +35,8 @@
 const (
 	// PeerHeartbeatProcedure is the fully-qualified name of the Peer's Heartbeat RPC.
 	PeerHeartbeatProcedure = "/vanilladrift.peer.v1.Peer/Heartbeat"
+	// PeerPromiseProcedure is the fully-qualified name of the Peer's Promise RPC.
+	PeerPromiseProcedure = "/vanilladrift.peer.v1.Peer/Promise"
 	// PeerAdmitProcedure is the fully-qualified name of the Peer's Admit RPC.
 	PeerAdmitProcedure = "/vanilladrift.peer.v1.Peer/Admit"
 	// PeerReleaseProcedure is the fully-qualified name of the Peer's Release RPC.
@@ -56,8 +58,11 @@
 // PeerClient is a client for the vanilladrift.peer.v1.Peer service.
 type PeerClient interface {
 	// Heartbeat exchanges the settings revisions of two nodes. It may ask the
-	// receiver not to take over the sender's engines.
+	// receiver for consent to extend the sender's lease.
 	Heartbeat(context.Context, *connect.Request[peerpb.HeartbeatRequest]) (*connect.Response[peerpb.HeartbeatResponse], error)
+	// Promise asks a witness to give no more consent to extend the lease of a
+	// session.
+	Promise(context.Context, *connect.Request[peerpb.PromiseRequest]) (*connect.Response[peerpb.PromiseResponse], error)
 	// Admit requests a grant from the owner of an engine. It blocks while the
 	// request is in the owner's queue; cancelling the call withdraws the request.
 	Admit(context.Context, *connect.Request[peerpb.AdmitRequest]) (*connect.Response[peerpb.AdmitResponse], error)
@@ -99,6 +104,12 @@
 			connect.WithSchema(peerMethods.ByName("Heartbeat")),
 			connect.WithClientOptions(opts...),
 		),
+		promise: connect.NewClient[peerpb.PromiseRequest, peerpb.PromiseResponse](
+			httpClient,
+			baseURL+PeerPromiseProcedure,
+			connect.WithSchema(peerMethods.ByName("Promise")),
+			connect.WithClientOptions(opts...),
+		),
 		admit: connect.NewClient[peerpb.AdmitRequest, peerpb.AdmitResponse](
 			httpClient,
 			baseURL+PeerAdmitProcedure,
@@ -153,6 +164,7 @@
 // peerClient implements PeerClient.
 type peerClient struct {
 	heartbeat   *connect.Client[peerpb.HeartbeatRequest, peerpb.HeartbeatResponse]
+	promise     *connect.Client[peerpb.PromiseRequest, peerpb.PromiseResponse]
 	admit       *connect.Client[peerpb.AdmitRequest, peerpb.AdmitResponse]
 	release     *connect.Client[peerpb.ReleaseRequest, peerpb.ReleaseResponse]
 	bar         *connect.Client[peerpb.BarRequest, peerpb.BarResponse]
@@ -168,6 +180,11 @@
 	return c.heartbeat.CallUnary(ctx, req)
 }
 
+// Promise calls vanilladrift.peer.v1.Peer.Promise.
+func (c *peerClient) Promise(ctx context.Context, req *connect.Request[peerpb.PromiseRequest]) (*connect.Response[peerpb.PromiseResponse], error) {
+	return c.promise.CallUnary(ctx, req)
+}
+
 // Admit calls vanilladrift.peer.v1.Peer.Admit.
 func (c *peerClient) Admit(ctx context.Context, req *connect.Request[peerpb.AdmitRequest]) (*connect.Response[peerpb.AdmitResponse], error) {
 	return c.admit.CallUnary(ctx, req)
@@ -211,8 +228,11 @@
 // PeerHandler is an implementation of the vanilladrift.peer.v1.Peer service.
 type PeerHandler interface {
 	// Heartbeat exchanges the settings revisions of two nodes. It may ask the
-	// receiver not to take over the sender's engines.
+	// receiver for consent to extend the sender's lease.
 	Heartbeat(context.Context, *connect.Request[peerpb.HeartbeatRequest]) (*connect.Response[peerpb.HeartbeatResponse], error)
+	// Promise asks a witness to give no more consent to extend the lease of a
+	// session.
+	Promise(context.Context, *connect.Request[peerpb.PromiseRequest]) (*connect.Response[peerpb.PromiseResponse], error)
 	// Admit requests a grant from the owner of an engine. It blocks while the
 	// request is in the owner's queue; cancelling the call withdraws the request.
 	Admit(context.Context, *connect.Request[peerpb.AdmitRequest]) (*connect.Response[peerpb.AdmitResponse], error)
@@ -250,6 +270,12 @@
 		connect.WithSchema(peerMethods.ByName("Heartbeat")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerPromiseHandler := connect.NewUnaryHandler(
+		PeerPromiseProcedure,
+		svc.Promise,
+		connect.WithSchema(peerMethods.ByName("Promise")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerAdmitHandler := connect.NewUnaryHandler(
 		PeerAdmitProcedure,
 		svc.Admit,
@@ -302,6 +328,8 @@
 		switch r.URL.Path {
 		case PeerHeartbeatProcedure:
 			peerHeartbeatHandler.ServeHTTP(w, r)
+		case PeerPromiseProcedure:
+			peerPromiseHandler.ServeHTTP(w, r)
 		case PeerAdmitProcedure:
 			peerAdmitHandler.ServeHTTP(w, r)
 		case PeerReleaseProcedure:
@@ -331,6 +359,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.Heartbeat is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Promise(context.Context, *connect.Request[peerpb.PromiseRequest]) (*connect.Response[peerpb.PromiseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.Promise is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Admit(context.Context, *connect.Request[peerpb.AdmitRequest]) (*connect.Response[peerpb.AdmitResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.Admit is not implemented"))
 }
--- a/table/session.go
+++ b/table/session.go
@@ -1,6 +1,9 @@
 package table
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"strconv"
+)
 
 // SessionPrefix is the key prefix of session rows.
 const SessionPrefix = "session/"
@@ -21,6 +24,9 @@
 // Key returns the key of the row.
 func (s Session) Key() string { return SessionPrefix + s.Node }
 
+// ID identifies the session among all sessions of all nodes.
+func (s Session) ID() string { return s.Process + "." + strconv.FormatInt(s.Epoch, 10) }
+
 // Encode returns the row's value.
 func (s Session) Encode() []byte { return encode(s) }
 
