Bound what a server or a caller can make a node hold

A refusal whose body dripped held the request until its deadline. Replies of store, replicas and object store ended at their limits without a sign. A caller that dripped its body held a connection for good.

Change: 64 KiB of a response are buffered, the rest is passed on as it comes; if it breaks off, so does the caller's connection. Events are bounded while they are read, at 64 KiB. Heads of responses are bounded at 64 KiB. A body that does not end before the deadline is answered 408.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -68,6 +68,8 @@
 	// anyway.
 	minStoreRetryDelay = 200 * time.Millisecond
 	maxStoreRetryDelay = time.Second
+	// headTimeout bounds the time in which a caller sends the head of a request.
+	headTimeout = 30 * time.Second
 	// memoryLimitShare is the soft limit of the Go runtime as a share of the memory
 	// limit of the process.
 	memoryLimitShare = 0.7
@@ -223,7 +225,7 @@
 		{d.settings.ReadinessAddress, &http.Server{Handler: http.HandlerFunc(d.serveReadiness)}},
 		{d.settings.PeerAddress, peer.NewHTTPServer(d.node.Peers(), nil)},
 		{d.settings.OperatorAddress, &http.Server{Handler: d.node.Operators()}},
-		{d.settings.CallerAddress, &http.Server{Handler: d.relayHandler}},
+		{d.settings.CallerAddress, &http.Server{Handler: d.relayHandler, ReadHeaderTimeout: headTimeout}},
 	} {
 		ln, err := d.network.Listen(l.address)
 		if err != nil {
--- a/entry/network.go
+++ b/entry/network.go
@@ -25,6 +25,9 @@
 	keepAliveCount    = 3
 	// ioBufferBytes is the size of a connection's read and write buffers.
 	ioBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of a response, including all informational ones
+	// before it.
+	maxHeadBytes = 64 << 10
 	// pingAfter and pingTimeout are the HTTP/2 ping settings. They detect a dead
 	// connection between nodes before a lease expires.
 	pingAfter   = 2 * time.Second
@@ -52,7 +55,7 @@
 func (n Network) newTransport(maxPerHost int, idleTimeout time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext: n.Dial, DisableCompression: true, MaxConnsPerHost: maxPerHost, MaxIdleConnsPerHost: max(maxPerHost, 16),
-		IdleConnTimeout: idleTimeout, ReadBufferSize: ioBufferBytes, WriteBufferSize: ioBufferBytes,
+		IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadBytes, ReadBufferSize: ioBufferBytes, WriteBufferSize: ioBufferBytes,
 	}
 }
 
@@ -61,6 +64,7 @@
 	c := peer.NewHTTPClient(nil)
 	t := c.Transport.(*http.Transport)
 	t.DialContext = n.Dial
+	t.MaxResponseHeaderBytes = maxHeadBytes
 	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
 	return c
 }
--- a/node/lease_fuzz_test.go
+++ b/node/lease_fuzz_test.go
@@ -87,7 +87,7 @@
 
 func runLeasePlan(t *testing.T, plan []step) (violations []string) {
 	defer limitProcessors()()
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(_ *testing.T) {
 		c := newLeaseCluster(5, 16)
 		defer c.close()
 		var faults sync.WaitGroup
--- a/object/client.go
+++ b/object/client.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
+
+	"github.com/vanilladrift/vanilladrift/transport"
 )
 
 const (
@@ -89,7 +90,7 @@
 	default:
 		return nil, &Error{Op: op, Kind: Unavailable, Key: key, Err: errors.Errorf("the object store responded with status %d", resp.StatusCode)}
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxObjectBytes))
+	b, err := transport.ReadBody(resp.Body, maxObjectBytes)
 	if err != nil {
 		return nil, &Error{Op: op, Kind: Unavailable, Key: key, Err: err}
 	}
--- a/relay/error.go
+++ b/relay/error.go
@@ -14,6 +14,7 @@
 const (
 	BadRequest         ErrorKind = "bad-request"      // the request header or body cannot be read
 	BodyTooLarge       ErrorKind = "body-too-large"   // the body exceeds the configured limit
+	BodyTimedOut       ErrorKind = "body-timeout"     // the body did not end before the deadline; not run
 	NoRoute            ErrorKind = "no-such-route"    // no route of the host matches the path
 	NotReady           ErrorKind = "not-ready"        // the node has no configuration yet, or is shutting down
 	Busy               ErrorKind = "busy"             // no server can take the request in time; not run
@@ -51,6 +52,8 @@
 	switch e.Kind {
 	case BadRequest:
 		return http.StatusBadRequest
+	case BodyTimedOut:
+		return http.StatusRequestTimeout
 	case BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case NoRoute:
@@ -64,7 +67,9 @@
 }
 
 // NotRun reports whether the response guarantees that the request has not run.
-func (e *Error) NotRun() bool { return e.Status() == http.StatusServiceUnavailable }
+func (e *Error) NotRun() bool {
+	return e.Status() == http.StatusServiceUnavailable || e.Status() == http.StatusRequestTimeout
+}
 
 // retryAfter formats RetryAfter in seconds, with three decimals.
 func (e *Error) retryAfter() string { return strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64) }
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -31,8 +32,12 @@
 	// defaultMaxBodyBytes limits request bodies if the configuration sets no
 	// limit.
 	defaultMaxBodyBytes = 4 << 20
-	// maxResponseBytes limits responses that are buffered in full.
-	maxResponseBytes = 16 << 20
+	// maxBufferedResponse is how much of a response is read before any of it is
+	// sent to the caller. A server that fails within it can be replaced by another.
+	maxBufferedResponse = 64 << 10
+	// refusalBodyWait is how long the rest of a refusal is awaited, so that its
+	// connection can be reused.
+	refusalBodyWait = 20 * time.Millisecond
 )
 
 // Handler serves callers. Set the fields before the first use; only those
@@ -135,13 +140,13 @@
 	if x.pool, ok = x.table.Pool(x.route.PoolFor(x.head.ID)); !ok {
 		return &Error{Op: op, Kind: NoServer, Reason: "the route leads to no pool", RetryAfter: notReadyRetryAfter}
 	}
-	if err := x.readBody(); err != nil {
-		return err
-	}
 	x.deadline = x.start.Add(x.route.Timeout)
 	if x.head.Timeout > 0 && x.head.Timeout < x.route.Timeout {
 		x.deadline = x.start.Add(x.head.Timeout)
 	}
+	if err := x.readBody(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.handler.RetryBudget(x.pool.Name).CountRequest(x.start)
@@ -157,7 +162,15 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	c := http.NewResponseController(x.w)
+	canTimeOut := c.SetReadDeadline(x.deadline) == nil // not in tests without a connection
 	body, err := io.ReadAll(io.LimitReader(x.r.Body, int64(limit)+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &Error{Op: op, Kind: BodyTimedOut, Reason: "the body did not end before the deadline", Err: err}
+	}
+	if err == nil && canTimeOut {
+		err = c.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
 		return &Error{Op: op, Kind: BadRequest, Reason: "the body was cut short", Err: err}
 	}
@@ -202,30 +215,66 @@
 		return nil, head, &result{failed: true, reason: err.Error()}
 	case head.NotRun:
 		discardBody(resp.Body)
-		resp.Body.Close()
 		return nil, head, &result{failed: !head.Misdirected, notRun: true, reason: "the server refused it", head: head}
 	}
 	x.mayHaveRun = true
 	return resp, head, nil
 }
 
-// relayResponse buffers a response and forwards it, unless the server failed
-// the request or the response is incomplete.
+// relayResponse forwards a response. If the server failed the request, or the response
+// breaks off before it was longer than the buffer, nothing has been sent yet.
 func (x *exchange) relayResponse(head ResponseHead, body io.Reader) result {
-	content, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
-	if err != nil {
+	content, err := io.ReadAll(io.LimitReader(body, maxBufferedResponse+1))
+	complete := len(content) <= maxBufferedResponse
+	switch {
+	case err != nil:
 		return result{failed: true, reason: err.Error()}
-	}
-	if head.Status >= http.StatusInternalServerError {
+	case head.Status >= http.StatusInternalServerError && !complete:
+		return result{failed: true, reason: "the server failed it, and its error response is too long"}
+	case head.Status >= http.StatusInternalServerError:
 		return result{failed: true, reason: "the server failed it", head: head, body: content}
-	}
-	if x.headerWritten {
+	case x.headerWritten:
 		return result{done: true, err: &Error{Op: "resume", Kind: StreamInterrupted, Reason: "the server does not resume it"}}
 	}
 	x.writeResponse(head, content)
+	if complete || x.event.Kind != "" {
+		return result{done: true}
+	}
+	return x.relayRest(body)
+}
+
+// relayRest forwards the part of a response that was not buffered. An error then ends the
+// caller's connection.
+func (x *exchange) relayRest(body io.Reader) result {
+	source := &failingReader{r: body}
+	_, err := io.CopyBuffer(struct{ io.Writer }{x.w}, source, make([]byte, copyBufferBytes))
+	switch {
+	case source.err != nil:
+		return result{done: true, failed: true, err: &Error{Op: "serve", Kind: StreamInterrupted, Reason: source.err.Error()}}
+	case err != nil:
+		return result{done: true, err: &Error{Op: "serve", Kind: CallerDisconnected, Reason: err.Error()}}
+	}
 	return result{done: true}
 }
 
+// copyBufferBytes is the size of the buffer for the rest of a long response.
+const copyBufferBytes = 16 << 10
+
+// failingReader remembers the error that its reader returned, other than io.EOF.
+type failingReader struct {
+	r   io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (f *failingReader) Read(p []byte) (int, error) {
+	n, err := f.r.Read(p)
+	if err != nil && err != io.EOF {
+		f.err = err
+	}
+	return n, err
+}
+
 // spendRetry reports whether the request may be retried, and takes the retry
 // from the budget.
 func (x *exchange) spendRetry() bool {
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -84,8 +84,11 @@
 	return &Error{Op: op, Kind: NoServer, Reason: "the pool has no server", RetryAfter: busyRetryAfter}
 }
 
-// discardBody reads the rest of a short response, so that its connection can
-// be reused.
-func discardBody(r io.Reader) {
-	_, _ = io.CopyN(io.Discard, r, 64<<10) // on an error the connection is closed
+// discardBody reads the rest of a short response, so that its connection can be reused,
+// and closes it. A response that is long, or slow to end, costs its connection.
+func discardBody(body io.ReadCloser) {
+	stop := time.AfterFunc(refusalBodyWait, func() { body.Close() })
+	_, _ = io.CopyN(io.Discard, body, maxBufferedResponse) // on an error the connection is closed
+	stop.Stop()
+	body.Close()
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,8 +9,11 @@
 	"github.com/juju/errors"
 )
 
-// maxEventBytes limits the size of one stream event.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits the size of one stream event. Every open stream may hold that
+// much.
+const maxEventBytes = 64 << 10
+
+var errEventTooLong = errors.New("an event of the stream is too long")
 
 // streamEvent is one complete event, with the bytes as the server sent them.
 type streamEvent struct {
@@ -38,18 +41,25 @@
 func (r *eventReader) next() (streamEvent, error) {
 	var ev streamEvent
 	for {
-		line, err := r.r.ReadBytes('\n')
-		if err == io.EOF && len(line)+len(ev.raw) > 0 {
+		lineStart := len(ev.raw)
+		part, err := r.r.ReadSlice('\n')
+		for ; err == bufio.ErrBufferFull; part, err = r.r.ReadSlice('\n') {
+			ev.raw = append(ev.raw, part...)
+			if len(ev.raw) > maxEventBytes {
+				return streamEvent{}, errEventTooLong
+			}
+		}
+		ev.raw = append(ev.raw, part...)
+		if err == io.EOF && len(ev.raw) > 0 {
 			return streamEvent{}, io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return streamEvent{}, err
 		}
-		ev.raw = append(ev.raw, line...)
 		if len(ev.raw) > maxEventBytes {
-			return streamEvent{}, errors.New("an event of the stream is too long")
+			return streamEvent{}, errEventTooLong
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(ev.raw[lineStart:], "\r\n")
 		if len(line) == 0 {
 			return ev, nil
 		}
--- a/service/client.go
+++ b/service/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/dghubble/sling"
@@ -86,12 +85,9 @@
 		// The call was sent, and a 503 does not prove that no part of it ran.
 		return Response{}, &Error{Op: op, Kind: Unknown, Err: errors.New("the service responded with status 503")}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	switch {
-	case err != nil:
+	body, err := transport.ReadBody(resp.Body, maxResponseBytes)
+	if err != nil {
 		return Response{}, &Error{Op: op, Kind: Unknown, Err: err}
-	case len(body) > maxResponseBytes:
-		return Response{}, &Error{Op: op, Kind: Unknown, Err: errors.Errorf("the response body is longer than %d bytes", maxResponseBytes)}
 	}
 	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
--- a/table/client.go
+++ b/table/client.go
@@ -1,10 +1,8 @@
 package table
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -128,9 +126,8 @@
 		return Unknown, errors.Trace(err)
 	}
 	defer resp.Body.Close()
-	var buf bytes.Buffer
-	n, err := io.Copy(&buf, io.LimitReader(resp.Body, maxResponseBytes))
-	c.bodyBytes.Add(n)
+	body, err := transport.ReadBody(resp.Body, maxResponseBytes)
+	c.bodyBytes.Add(int64(len(body)))
 	switch {
 	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusTooManyRequests:
 		return Unavailable, errors.Errorf("status %d", resp.StatusCode)
@@ -139,7 +136,7 @@
 	case err != nil:
 		return Unknown, errors.Trace(err)
 	}
-	if err := json.Unmarshal(buf.Bytes(), out); err != nil {
+	if err := json.Unmarshal(body, out); err != nil {
 		return Unknown, errors.Trace(err)
 	}
 	return "", nil
