Send nothing to a server that began to drain while a request waited

Ruled out: connection set-up, which is bounded at 400 ms.

Change: the engine's state is checked again once the grant has come, and a request that is turned away by that costs no retry. The limit on connections is a queue of our own in front of the transport; whoever waited there asks again before it sends. So a request leaves at most one poll interval after its server began to drain, and the interval follows from the drain period: at most 2 s, and a connection set-up with its reserve less than the period.

Rows of servers that change together are put into the registry together.

--- a/backend/registry.go
+++ b/backend/registry.go
@@ -26,11 +26,16 @@
 	view             atomic.Pointer[View]
 }
 
-// Put adds or updates a server from its row.
-func (r *Registry) Put(s Server) {
+// Put adds or updates servers from their rows.
+func (r *Registry) Put(servers ...Server) {
+	if len(servers) == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.put(s)
+	for _, s := range servers {
+		r.put(s)
+	}
 	r.updateView()
 }
 
@@ -138,6 +143,16 @@
 	pools map[string][]*Server
 }
 
+// IsDraining reports whether a server at the address is draining.
+func (v *View) IsDraining(address string) bool {
+	for _, s := range v.byID {
+		if s.Address == address && s.Draining {
+			return true
+		}
+	}
+	return false
+}
+
 // Server returns the server with the given ID.
 func (v *View) Server(id string) (*Server, bool) {
 	if v == nil {
--- a/demo/platform_system.go
+++ b/demo/platform_system.go
@@ -108,7 +108,7 @@
 	}
 	d, err := entry.New(platform.Settings{
 		Node: name, IP: netip.MustParseAddr("127.0.0.1"), CallerAddress: addrs[0], ReadinessAddress: addrs[1], PeerAddress: addrs[2], OperatorAddress: addrs[3],
-		StoreAddress: storeAddr, MemoryBytes: daemonMemoryBytes, OwnerAlternationGap: ownerAlternationGap, GracePeriod: gracePeriod,
+		StoreAddress: storeAddr, MemoryBytes: daemonMemoryBytes, OwnerAlternationGap: ownerAlternationGap, GracePeriod: gracePeriod, DrainPeriod: drainPeriod,
 		RetryRatio: 0.2, RetrySlack: 54, RetryWindow: 10 * time.Second,
 	}, sys.network, log.NewWithOptions(logOut, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.JSONFormatter}).With("node", name))
 	if err != nil {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -28,9 +28,12 @@
 	// operatorPollWait is how long the store holds a poll for configuration open. TCP
 	// keep-alive closes a dead connection sooner.
 	operatorPollWait = 4 * time.Second
-	// serversPollInterval is the time between two polls for servers. It is well under
-	// the time after which a draining server must get no new requests.
-	serversPollInterval = 1200 * time.Millisecond
+	// maxServersPollInterval is the longest time between two polls for servers. Their rows
+	// also tell which adapters they have loaded.
+	maxServersPollInterval = 2 * time.Second
+	// serversPollReserve is the part of the drain period in which the last request that
+	// was sent in ignorance reaches a draining server: it may first need a connection.
+	serversPollReserve = 2 * dialTimeout
 	// commandTimeout and reportTimeout bound calls of the replicas' control interface,
 	// which responds within milliseconds. A command blocks the next one to the same
 	// engine, so the timeout only leaves room for one TCP retransmission.
@@ -104,6 +107,13 @@
 	return ttl, margin, time.Duration(float64(ttl-margin) / renewalsPerLease)
 }
 
+// serversPollInterval returns the time between two polls for servers. A server's draining
+// is known one interval after it began at the latest, and requests that were queued
+// before are not sent to it then.
+func serversPollInterval(drainPeriod time.Duration) time.Duration {
+	return min(maxServersPollInterval, max(drainPeriod-serversPollReserve, drainPeriod/2))
+}
+
 // New returns a daemon that is not started yet. It sets the soft memory limit of the
 // process.
 func New(s platform.Settings, n Network, l *log.Logger) (*Daemon, error) {
@@ -125,7 +135,7 @@
 	}
 	d.node = node.New(cfg)
 	d.state.store, d.state.enginesChanged = d.node.Store(), d.node.ReconcileOwnership
-	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes}
+	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, draining: d.state.isDraining}
 	d.metrics = newMetrics(d.node.Meter())
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
 	d.relayHandler = &relay.Handler{
@@ -236,7 +246,7 @@
 	}
 	d.node.Start()
 	d.followTable(platform.OperatorTable, operatorPollWait, 0, d.state.replaceOperatorRows, d.state.applyOperatorChanges)
-	d.followTable(platform.ServersTable, 0, serversPollInterval, d.state.replaceServerRows, d.state.applyServerChanges)
+	d.followTable(platform.ServersTable, 0, serversPollInterval(d.settings.DrainPeriod), d.state.replaceServerRows, d.state.applyServerChanges)
 	d.tasks.Go(func() {
 		t := time.NewTicker(removalInterval)
 		defer t.Stop()
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -38,7 +38,7 @@
 func TestReload(t *testing.T) {
 	is := is.New(t)
 	current := platform.Settings{
-		Node: "n", PeerAddress: "10.0.0.1:1", StoreAddress: "10.0.0.2:1", OwnerAlternationGap: 3 * time.Second, GracePeriod: 8 * time.Second, MemoryBytes: 1 << 30,
+		Node: "n", PeerAddress: "10.0.0.1:1", StoreAddress: "10.0.0.2:1", OwnerAlternationGap: 3 * time.Second, GracePeriod: 8 * time.Second, DrainPeriod: 2 * time.Second, MemoryBytes: 1 << 30,
 		RetryRatio: 0.2, RetrySlack: 54, RetryWindow: 10 * time.Second,
 	}
 	d, err := New(current, Network{}, log.New(io.Discard))
--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -1,10 +1,14 @@
 package entry
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/route"
 )
@@ -18,18 +22,24 @@
 type poolTransports struct {
 	network   Network
 	nodeCount func() int // number of nodes that share the limits
+	// draining, which is optional, reports whether the server at an address must get no
+	// new requests. It is asked again when a request had to wait for a connection.
+	draining func(address string) bool
 
 	mu    sync.Mutex
 	pools map[string]*poolTransport
 }
 
-// poolTransport is the HTTP transport to the servers of one pool.
+// poolTransport is the HTTP transport to the servers of one pool. It outlives changes of
+// the number of nodes, since new connections are expensive: only the limit changes.
 type poolTransport struct {
-	parent      *poolTransports
-	name        string
+	parent *poolTransports
+
+	mu          sync.Mutex
 	transport   *http.Transport
-	maxPerHost  int
 	idleTimeout time.Duration
+	maxPerHost  int
+	hosts       map[string]*hostLimit
 }
 
 // minConnsPerHost is the smallest limit on a node's connections per server, whatever
@@ -41,48 +51,103 @@
 	maxPerHost := max(minConnsPerHost, p.MaxConns/max(1, c.nodeCount()))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	old := c.pools[p.Name]
-	if old != nil && old.maxPerHost == maxPerHost {
-		return old
-	}
-	idleTimeout := defaultIdleTimeout
-	if old != nil {
-		idleTimeout = old.idleTimeout
+	t := c.pools[p.Name]
+	if t == nil {
+		t = &poolTransport{parent: c, hosts: make(map[string]*hostLimit)}
+		t.setIdleTimeout(defaultIdleTimeout)
+		if c.pools == nil {
+			c.pools = make(map[string]*poolTransport)
+		}
+		c.pools[p.Name] = t
 	}
-	return c.replaceTransport(p.Name, maxPerHost, idleTimeout)
+	t.setLimit(maxPerHost)
+	return t
 }
 
-// replaceTransport gives a pool a new transport. The connections of the old one are
-// closed when their requests end. The caller holds c.mu.
-func (c *poolTransports) replaceTransport(pool string, maxPerHost int, idleTimeout time.Duration) *poolTransport {
-	if c.pools == nil {
-		c.pools = make(map[string]*poolTransport)
+func (t *poolTransport) setLimit(maxPerHost int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.maxPerHost == maxPerHost {
+		return
 	}
-	if old := c.pools[pool]; old != nil {
-		defer old.transport.CloseIdleConnections()
+	t.maxPerHost = maxPerHost
+	for _, h := range t.hosts {
+		h.setLimit(maxPerHost)
 	}
-	t := &poolTransport{parent: c, name: pool, transport: c.network.newTransport(maxPerHost, idleTimeout), maxPerHost: maxPerHost, idleTimeout: idleTimeout}
-	c.pools[pool] = t
-	return t
 }
 
-// RoundTrip implements http.RoundTripper.
+func (t *poolTransport) host(address string) *hostLimit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.hosts[address]
+	if h == nil {
+		h = &hostLimit{limit: t.maxPerHost}
+		t.hosts[address] = h
+	}
+	return h
+}
+
+// RoundTrip implements http.RoundTripper. An error before the request was sent is a dial
+// error.
 func (t *poolTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.transport.RoundTrip(r)
-	if err == nil {
-		t.parent.setIdleTimeout(t.name, platform.KeepAliveTimeout(resp.Header))
+	h := t.host(r.URL.Host)
+	waited, err := h.acquire(r.Context())
+	if err == nil && waited && t.parent.draining != nil && t.parent.draining(r.URL.Host) {
+		h.release()
+		err = errors.New("the server is draining")
+	}
+	if err != nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
+	}
+	t.mu.Lock()
+	transport := t.transport
+	t.mu.Unlock()
+	resp, err := transport.RoundTrip(r)
+	if err != nil {
+		h.release()
+		return nil, err
 	}
-	return resp, err
+	if keepAlive := platform.KeepAliveTimeout(resp.Header); keepAlive > 0 {
+		t.lowerIdleTimeout(keepAlive * 4 / 5)
+	}
+	resp.Body = &limitedBody{ReadCloser: resp.Body, release: sync.OnceFunc(h.release)}
+	return resp, nil
 }
 
-// setIdleTimeout sets the idle timeout of a pool to four fifths of the Keep-Alive
-// timeout that one of its servers announced, so that idle connections are closed on
-// this side first.
-func (c *poolTransports) setIdleTimeout(pool string, keepAlive time.Duration) {
-	idleTimeout := keepAlive * 4 / 5
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if t := c.pools[pool]; t != nil && idleTimeout > 0 && t.idleTimeout != idleTimeout {
-		c.replaceTransport(pool, t.maxPerHost, idleTimeout)
+// lowerIdleTimeout sets the idle timeout to a part of the shortest Keep-Alive timeout that
+// any server of the pool has announced, so that idle connections are closed on this
+// side first.
+func (t *poolTransport) lowerIdleTimeout(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if d < t.idleTimeout {
+		t.setIdleTimeout(d)
+	}
+}
+
+// setIdleTimeout replaces the HTTP transport. The connections of the old one are closed
+// when their requests end.
+func (t *poolTransport) setIdleTimeout(d time.Duration) {
+	if old := t.transport; old != nil {
+		defer old.CloseIdleConnections()
 	}
+	t.idleTimeout = d
+	t.transport = t.parent.network.newTransport(0, d)
+	t.transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
+}
+
+// maxIdleConnsPerHost bounds the idle connections to one server. The limit on requests
+// in flight bounds them further.
+const maxIdleConnsPerHost = 64
+
+// limitedBody ends a request's use of its connection when the body is closed.
+type limitedBody struct {
+	io.ReadCloser
+	release func()
+}
+
+// Close implements io.Closer.
+func (b *limitedBody) Close() error {
+	defer b.release()
+	return b.ReadCloser.Close()
 }
--- a/entry/state.go
+++ b/entry/state.go
@@ -129,17 +129,21 @@
 
 func (s *platformState) applyServerChanges(changes table.Changes) {
 	now := time.Now()
+	var changed []backend.Server
 	for _, row := range changes.Rows {
 		if row.Removed {
+			s.servers.Put(changed...) // in the order of the changes
+			changed = nil
 			id := strings.TrimPrefix(row.Key, platform.ServersTable+"/")
 			s.log.Info("server row removed", "server", id)
 			s.servers.Remove(now, id)
 			continue
 		}
 		if srv, ok := s.decodeServer(row.Row); ok {
-			s.servers.Put(srv)
+			changed = append(changed, srv)
 		}
 	}
+	s.servers.Put(changed...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.installEngines()
@@ -212,6 +216,12 @@
 	}}
 }
 
+// isDraining reports whether the server at an address must get no new requests.
+func (s *platformState) isDraining(address string) bool {
+	view := s.servers.View()
+	return view != nil && view.IsDraining(address)
+}
+
 // hasLoaded reports whether an engine has an adapter loaded, by its latest row.
 func (s *platformState) hasLoaded(engineName, adapter string) bool {
 	srv, ok := s.servers.View().Server(engineName)
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -47,7 +47,7 @@
 			excluded = g.Engine // it failed, or lacks the adapter that it was believed to hold
 		}
 		canRetry := res.notRun || x.route.Resumable && possibleRuns < x.route.MaxAttempts
-		if attempts >= maxAttempts || !canRetry || !x.spendRetry() {
+		if attempts >= maxAttempts || !canRetry || !res.unsent && !x.spendRetry() {
 			return x.finishFailedStream(res)
 		}
 		x.observeRetry(ServerFailed, res.head.Status, res.reason)
@@ -93,7 +93,10 @@
 	defer func() { x.handler.Release(g, adapterMissing, tokenTime) }()
 	s, ok := x.handler.Servers().Server(g.Engine)
 	if !ok {
-		return result{notRun: true, reason: "the engine is gone"}
+		return result{notRun: true, unsent: true, reason: "the engine is gone"}
+	}
+	if s.Draining {
+		return result{notRun: true, unsent: true, reason: "the engine began to drain while the request was queued"}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,8 @@
 	"github.com/juju/errors"
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/route"
 )
 
@@ -240,3 +243,21 @@
 	is.True(time.Since(start) < 3*time.Second)
 	is.Equal(len(f.servers.requests), 0)
 }
+
+// Guards against requests that reach a leaving engine too late, since they were queued for
+// it when it began to drain.
+func TestGrantOfDrainingEngineIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(route.Route{Kind: route.Stream, MaxAttempts: 1}, enginePool(), reply{head: testHead(200, "stream"), body: events(1, 2)})
+	granted := []string{"i-3", "i-1"} // i-3 is draining
+	f.handler.Acquire = func(_ context.Context, _ []string, w engine.Work) (caller.Grant, error) {
+		g := caller.Grant{Engine: granted[0], ID: w.ID}
+		granted = granted[1:]
+		return g, nil
+	}
+	w, cut := f.serve("/p/x", "r1", "")
+	is.True(!cut)
+	is.Equal(w.Body.String(), events(1, 2))
+	is.Equal(len(f.servers.requests), 1)
+	is.Equal(f.servers.requests[0].Server.ID, "i-1")
+}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -46,6 +46,7 @@
 	err    error
 	failed bool // the failure counts against the server
 	notRun bool // the server did not run the request
+	unsent bool // nothing was sent, so the attempt costs no retry
 	reason string
 	head   ResponseHead // set with body if the server returned a complete error response
 	body   []byte
