Renew sessions in the store every five seconds, and extend leases in between

Change: while its witnesses extend its lease, a node renews every five seconds; the renewal is back at once when they don't. A session then counts as expired after a longer time, or after a lease if its node does not respond; whoever found a member down fences it, so the engines of a dead owner do not wait. From 60 nodes on, the sessions are read every four seconds while no member is down.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -57,6 +57,10 @@
 	// sessionPollInterval is the time between two reads of the nodes' sessions. A
 	// change of owner waits longer than that in any case.
 	sessionPollInterval = 2 * time.Second
+	// sessionRenewInterval is the time between two renewals of a session in the store while
+	// its witnesses extend the lease. A session that ends without being found down
+	// by others keeps its engines for that much longer.
+	sessionRenewInterval = 5 * time.Second
 	// acceptAfterSIGTERM is how long new requests are accepted after SIGTERM. By then the
 	// load balancer, which checks readiness once a second, has removed the node. A
 	// request accepted later might not end within the grace period.
@@ -128,7 +132,7 @@
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
 		Table: &table.Client{Read: d.readStore, Apply: d.applyStore}, Sequencer: d.sequencer,
 		SettingsPushed: true, OwnerAlternationGap: s.OwnerAlternationGap, LeaseTTL: ttl, LeaseMargin: margin,
-		RenewEvery: renewEvery, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
+		RenewEvery: renewEvery, TableRenewEvery: sessionRenewInterval, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
 	}
 	if err := cfg.Check(); err != nil {
 		return nil, err
--- a/node/config.go
+++ b/node/config.go
@@ -41,11 +41,14 @@
 	Operators operator.Credentials
 	Profile   bool // serve pprof at the operator address
 
-	LeaseTTL       time.Duration // default 6 s
-	LeaseMargin    time.Duration // default 1 s
-	RenewEvery     time.Duration // default 1.5 s
-	PollEvery      time.Duration // of the table, the VM list and heartbeats; default 1 s
-	MaxSettingsAge time.Duration // with older settings the node admits no requests; default 4 s
+	LeaseTTL    time.Duration // default 6 s
+	LeaseMargin time.Duration // default 1 s
+	RenewEvery  time.Duration // default 1.5 s
+	// TableRenewEvery, if it is longer than RenewEvery, is the time between two renewals in
+	// the table while the node's witnesses agree to extend its lease in between.
+	TableRenewEvery time.Duration
+	PollEvery       time.Duration // of the table, the VM list and heartbeats; default 1 s
+	MaxSettingsAge  time.Duration // with older settings the node admits no requests; default 4 s
 	// ProbeAfter is the age at which an unanswered call makes the node probe its peer;
 	// default 300 ms. With a lower value, peers are also probed between polls.
 	// ProbeTimeout bounds a heartbeat; default 1 s.
@@ -77,6 +80,7 @@
 	setDefault(&c.LeaseTTL, 6*time.Second)
 	setDefault(&c.LeaseMargin, time.Second)
 	setDefault(&c.RenewEvery, 1500*time.Millisecond)
+	c.TableRenewEvery = max(c.TableRenewEvery, c.RenewEvery)
 	setDefault(&c.PollEvery, time.Second)
 	setDefault(&c.MaxSettingsAge, 4*time.Second)
 	setDefault(&c.ProbeAfter, defaultProbeAfter)
@@ -112,6 +116,8 @@
 		return &Error{Op: op, Kind: Invalid, Reason: "lease margin must be less than half of the lease TTL"}
 	case d.RenewEvery*2 >= d.LeaseTTL-d.LeaseMargin:
 		return &Error{Op: op, Kind: Invalid, Reason: "lease TTL less the margin must exceed two renewal intervals"}
+	case d.TableRenewEvery >= maxExtension:
+		return &Error{Op: op, Kind: Invalid, Reason: "the table renewal interval must be below the longest extension by witnesses"}
 	case d.PollEvery*2 > d.MaxSettingsAge:
 		return &Error{Op: op, Kind: Invalid, Reason: "maximum settings age must be at least two poll intervals"}
 	}
--- a/node/expiry.go
+++ b/node/expiry.go
@@ -14,7 +14,7 @@
 func (m *members) extendLeaseByWitnesses(ctx context.Context) {
 	now := time.Now()
 	version, sets, ok := m.n.session.extensionTerms(now)
-	if !ok || m.n.session.leaseLeft(now) > (m.n.cfg.LeaseTTL-m.n.cfg.LeaseMargin)/2 {
+	if !ok || m.n.session.leaseLeft(now) > m.n.cfg.RenewEvery+m.n.cfg.RenewEvery/2 {
 		return
 	}
 	addresses := make(map[string]string) // of the witnesses, by session
@@ -46,17 +46,19 @@
 
 // removeExpiredSessions fences the sessions that have expired, and removes the rows of
 // those that expired long ago, such as of VMs that no longer exist. A single node, chosen
-// by rendezvous hashing, does so for all.
+// by rendezvous hashing, does so for all; the few nodes that found a member down fence
+// it as well.
 func (m *members) removeExpiredSessions(ctx context.Context, now time.Time) {
-	if !m.n.stickyOwnership() || m.preferredOwner("reaper", "") != m.n.cfg.Name {
+	if !m.n.stickyOwnership() {
 		return
 	}
+	reaper := m.preferredOwner("reaper", "") == m.n.cfg.Name
 	for _, other := range m.all() {
-		if !other.expired {
+		if other.expired && !other.Fenced && (reaper || m.isDown(other.Address)) {
+			m.fence(ctx, other)
 			continue
 		}
-		if !other.Fenced {
-			m.fence(ctx, other)
+		if !reaper || !other.expired || !other.Fenced {
 			continue
 		}
 		m.mu.Lock()
--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -48,7 +48,7 @@
 	n := New(Config{
 		Name: name, Address: fmt.Sprintf("10.0.0.%d:1", i+1), TableURL: tableURL, HTTP: c.net.Client(name), SettingsPushed: true,
 		OwnerAlternationGap: 3 * time.Second, LeaseTTL: 2500 * time.Millisecond, LeaseMargin: 300 * time.Millisecond,
-		RenewEvery: time.Second, PollEvery: 2 * time.Second, ProbeAfter: 100 * time.Millisecond, ProbeTimeout: 200 * time.Millisecond, Seed: uint64(i),
+		RenewEvery: time.Second, TableRenewEvery: 5 * time.Second, PollEvery: 2 * time.Second, ProbeAfter: 100 * time.Millisecond, ProbeTimeout: 200 * time.Millisecond, Seed: uint64(i),
 	})
 	n.store.InstallSnapshot(1, c.docs)
 	c.net.Listen(name, n.cfg.Address, n.Peers())
--- a/node/members.go
+++ b/node/members.go
@@ -47,8 +47,10 @@
 	mu         sync.Mutex
 	monitor    table.SessionMonitor
 	readFailed bool // the last read of the rows failed
-	list       []member
-	links      map[string]*link // by address
+	// pollSkipped is set if the last poll was left out.
+	pollSkipped bool
+	list        []member
+	links       map[string]*link // by address
 	// endedSessions counts the witnesses whose sessions have ended.
 	endedSessions membership.EndedSessions
 	// candidates are the nodes that may own engines. preferredOwners caches the results
@@ -109,7 +111,7 @@
 			continue
 		}
 		m.monitor.Observe(row.Key, row.Version, now)
-		m.list = append(m.list, member{Session: s, version: row.Version, expired: m.monitor.Expired(row.Key, now)})
+		m.list = append(m.list, member{Session: s, version: row.Version, expired: m.expired(row.Key, s.Address, now)})
 	}
 	m.n.promises.Expire(now)
 	var candidates []candidate
@@ -123,6 +125,24 @@
 	}
 }
 
+// expired reports whether a session has expired: its row is unchanged for longer than a
+// lease, although it was due to be renewed or its node does not respond. The caller holds
+// m.mu.
+func (m *members) expired(key, address string, now time.Time) bool {
+	if !m.monitor.Expired(key, now) {
+		return false
+	}
+	l := m.links[address]
+	return l != nil && l.isDown || m.monitor.UnchangedFor(key, now) > m.n.leaseTime()+m.n.cfg.TableRenewEvery-m.n.cfg.RenewEvery
+}
+
+func (m *members) isDown(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.links[address]
+	return l != nil && l.isDown
+}
+
 // all returns the members of the last update, sorted by name.
 func (m *members) all() []member {
 	m.mu.Lock()
@@ -366,6 +386,36 @@
 	return n.store.Install(changes)
 }
 
+// pollMembersIfDue reads the session rows, in a large system only every second time
+// while no member is known to be down.
+func (n *Node) pollMembersIfDue(ctx context.Context) {
+	if !n.members.skipPoll() {
+		n.pollMembers(ctx)
+	}
+}
+
+// relaxedPollNodes is the number of nodes from which the session rows are read half as
+// often. Each of so many nodes owns few engines, and the store's calls are shared.
+const relaxedPollNodes = 60
+
+func (m *members) skipPoll() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pollSkipped = !m.pollSkipped && len(m.candidates) >= relaxedPollNodes && !m.anyDown()
+	return m.pollSkipped
+}
+
+// anyDown reports whether a member that has not ended does not respond. The caller holds
+// m.mu.
+func (m *members) anyDown() bool {
+	for _, mem := range m.list {
+		if l := m.links[mem.Address]; l != nil && l.isDown && mem.live() {
+			return true
+		}
+	}
+	return false
+}
+
 // pollMembers reads the session rows, then takes over or hands over engines. Another
 // node may have fenced a dead owner since; the rows are then read again at once.
 func (n *Node) pollMembers(ctx context.Context) {
--- a/node/node.go
+++ b/node/node.go
@@ -115,8 +115,8 @@
 func (n *Node) Start() {
 	n.tasks.Go(func() {
 		n.join()
-		n.runEvery(n.cfg.RenewEvery, n.session.renew)
-		n.runEvery(n.cfg.PollEvery, n.pollMembers)
+		n.runEvery(n.cfg.RenewEvery, n.session.renewIfDue)
+		n.runEvery(n.cfg.PollEvery, n.pollMembersIfDue)
 	})
 	n.runEvery(n.cfg.PollEvery, n.members.heartbeat)
 	n.runEvery(n.cfg.RenewEvery/3, n.members.extendLeaseByWitnesses)
--- a/node/session.go
+++ b/node/session.go
@@ -81,6 +81,28 @@
 	return s.leaving
 }
 
+// renewIfDue renews the session, unless its lease was extended by its witnesses and there
+// is nothing else to write.
+func (s *session) renewIfDue(ctx context.Context) {
+	if s.renewalDue(time.Now()) {
+		s.renew(ctx)
+	}
+}
+
+func (s *session) renewalDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cfg := s.n.cfg
+	switch {
+	case cfg.TableRenewEvery <= cfg.RenewEvery, now.Sub(s.renewed) >= cfg.TableRenewEvery-cfg.RenewEvery/2:
+		return true
+	case s.leaving, len(s.possibleSets) != 1, len(s.possibleSets[0]) == 0:
+		return true
+	}
+	// The witnesses were asked with more than a renewal interval left.
+	return s.lease.Remaining(now) < cfg.RenewEvery
+}
+
 // renew writes the session row once. The lease counts from before the confirmed write
 // was sent. If the write gets no response, the row is read to learn the outcome.
 func (s *session) renew(ctx context.Context) {
