Take a refusal or a reply only for the request that it names

Cause: a server may send a second copy of an answer late, where the answer to the next request on that connection is due. The ID of a refusal was not looked at, so a late refusal of one request was taken for that of the next: a call that must not repeat was sent to another server although it ran.

Change: a refusal counts only with the ID of the request, otherwise the request may have run.

Shown: TestPlain/refusal_of_another_request fails on the parent (200 from a second server instead of 502).

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -193,9 +193,9 @@
 		return nil, ResponseHead{}, err
 	}
 	head := x.handler.DecodeResponse(resp)
-	if !head.NotRun && (head.RequestID != x.head.ID || head.Status < 300 && !head.Signed) {
+	if head.RequestID != x.head.ID || !head.NotRun && head.Status < 300 && !head.Signed {
 		// A late response to another request, or one without the server's
-		// signature.
+		// signature. A refusal of another request tells nothing of this one.
 		resp.Body.Close()
 		return nil, head, errors.Errorf("the answer is to request %q", head.RequestID)
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -181,6 +181,8 @@
 		{"idempotent: the last error response is forwarded", route.Idempotent, 2, []reply{failed, failed}, 500, 2},
 		{"idempotent: reset, then rejected: the request may have run", route.Idempotent, 2, []reply{reset, rejected}, 502, 2},
 		{"response to another request", route.NonIdempotent, 2, []reply{{head: testHead(200, "other"), body: "x"}}, 502, 1},
+		{"refusal of another request", route.NonIdempotent, 2, []reply{{head: testHead(503, "notrun other")}, ok}, 502, 1},
+		{"idempotent: refusal of another request", route.Idempotent, 2, []reply{{head: testHead(503, "notrun other")}, ok}, 200, 2},
 		{"incomplete response", route.NonIdempotent, 2, []reply{{head: testHead(200, ""), body: "wh", truncated: true}}, 502, 1},
 		{"idempotent: an incomplete response is retried", route.Idempotent, 2, []reply{{head: testHead(200, ""), body: "wh", truncated: true}, ok}, 200, 2},
 		{"deadline exceeded", route.NonIdempotent, 1, []reply{{delay: time.Hour}}, 504, 1},
