--- a/node/store_calls_test.go
+++ b/node/store_calls_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 )
 
-// In calm, a node's calls to the store and to other nodes must not grow with the number
+// In calm, a node's calls to the store must not grow with the number
 // of nodes, since the store's calls are shared by all. The race detector cannot follow so
 // many goroutines, so .ci/run plays this test without it.
 func TestStoreCallsPerNode(t *testing.T) {
