--- a/membership/doc.go
+++ b/membership/doc.go
@@ -1,8 +1,9 @@
-// Package membership decides how a node's lease is extended by other nodes while the
-// table cannot be reached, and when a node that seems to have ended may be replaced.
+// Package membership decides how a node's lease is extended by other nodes, between two
+// renewals in the table and while the table cannot be reached, and when a node that seems
+// to have ended may be replaced.
 //
-// Every owner names a few witnesses in the table. An owner that cannot renew its
-// session asks them for their consent, and restarts its lease if enough of them agree. A
+// Every node names a few witnesses in the table. To extend its lease, it asks them for
+// their consent, and restarts the lease if enough of them agree. A
 // node that wants to replace the owner needs the promises of enough of these witnesses
 // that they will agree no more. The two numbers are chosen so that a witness would have
 // to do both. A witness promises only when its last consent is older than a lease, so
--- a/node/expiry.go
+++ b/node/expiry.go
@@ -9,8 +9,8 @@
 	"github.com/vanilladrift/vanilladrift/table"
 )
 
-// extendLeaseByWitnesses extends the lease while the table cannot be reached, if enough of
-// this node's witnesses agree.
+// extendLeaseByWitnesses extends the lease between two renewals in the table, and while the
+// table cannot be reached, if enough of this node's witnesses agree.
 func (m *members) extendLeaseByWitnesses(ctx context.Context) {
 	now := time.Now()
 	version, sets, ok := m.n.session.extensionTerms(now)
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -252,7 +252,9 @@
 	}
 	n.log.Info("released the engine", "engine", o.name)
 	n.endOwnership(o)
-	n.members.announceRelease(ctx, o.backend())
+	if b, ok := n.store.Tree().Backend(o.name); ok { // otherwise nobody should own it
+		n.members.announceRelease(ctx, b)
+	}
 }
 
 // takeOverReleased takes over an engine that its owner has released, if it is
