--- a/node/members.go
+++ b/node/members.go
@@ -8,7 +8,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/membership"
 	"github.com/vanilladrift/vanilladrift/peer"
 	"github.com/vanilladrift/vanilladrift/peer/peerpb"
@@ -59,12 +58,6 @@
 	preferredOwners map[string]string
 }
 
-// candidate is a node that may own engines.
-type candidate struct {
-	name       string
-	dataCenter string
-}
-
 // link is the connection to one peer address.
 type link struct {
 	client  peerpbconnect.PeerClient
@@ -182,76 +175,6 @@
 	return member{}, false
 }
 
-// preferredOwner returns the node that should own an engine or perform another named
-// task: the first choice of rendezvous hashing over the live nodes that are not
-// leaving. Nodes in the given data centre take precedence.
-func (m *members) preferredOwner(name, dataCenter string) string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if owner, ok := m.preferredOwners[name]; ok {
-		return owner
-	}
-	var sameDataCenter, all []string
-	for _, c := range m.candidates {
-		all = append(all, c.name)
-		if c.dataCenter == dataCenter {
-			sameDataCenter = append(sameDataCenter, c.name)
-		}
-	}
-	if len(sameDataCenter) > 0 {
-		all = sameDataCenter
-	}
-	owner := ""
-	if first := engine.Rendezvous(name, all, nil, 1); len(first) > 0 {
-		owner = first[0]
-		m.preferredOwners[name] = owner
-	}
-	return owner
-}
-
-// nextOwner returns the member that should own an engine after this node released it.
-func (m *members) nextOwner(name, dataCenter string) (member, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var sameDataCenter, all []string
-	for _, c := range m.candidates {
-		if c.name == m.n.cfg.Name {
-			continue
-		}
-		all = append(all, c.name)
-		if c.dataCenter == dataCenter {
-			sameDataCenter = append(sameDataCenter, c.name)
-		}
-	}
-	if len(sameDataCenter) > 0 {
-		all = sameDataCenter
-	}
-	first := engine.Rendezvous(name, all, nil, 1)
-	for _, mem := range m.list {
-		if len(first) > 0 && mem.Node == first[0] {
-			return mem, true
-		}
-	}
-	return member{}, false
-}
-
-// announceRelease tells the next owner of an engine that it was released. If the message is
-// lost, the next owner finds out by itself.
-func (m *members) announceRelease(ctx context.Context, b *settings.BackendServer) {
-	next, ok := m.nextOwner(b.Name, b.DataCenter)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, m.n.cfg.ProbeTimeout)
-	defer cancel()
-	_, err := m.link(next.Address).client.Heartbeat(ctx, connect.NewRequest(&peerpb.HeartbeatRequest{
-		Node: m.n.cfg.Name, Process: m.n.process, Revision: m.n.store.Tree().Rev(), Released: b.Name,
-	}))
-	if err != nil {
-		m.n.log.Info("cannot tell the next owner that an engine was released; it will find out", "engine", b.Name, "node", next.Node, "err", err)
-	}
-}
-
 // link returns the connection to the peer at an address.
 func (m *members) link(address string) *link {
 	m.mu.Lock()
@@ -428,53 +351,3 @@
 	}
 	return n.store.Install(changes)
 }
-
-// pollMembersIfDue reads the session rows, in a large system only every second time
-// while no member is known to be down.
-func (n *Node) pollMembersIfDue(ctx context.Context) {
-	if !n.members.skipPoll() {
-		n.pollMembers(ctx)
-	}
-}
-
-// relaxedPollNodes is the number of nodes from which the session rows are read half as
-// often. Each of so many nodes owns few engines, and the store's calls are shared.
-const relaxedPollNodes = 60
-
-func (m *members) skipPoll() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.pollSkipped = !m.pollSkipped && len(m.candidates) >= relaxedPollNodes && !m.anyDown()
-	return m.pollSkipped
-}
-
-// anyDown reports whether a member that has not ended does not respond. The caller holds
-// m.mu.
-func (m *members) anyDown() bool {
-	for _, mem := range m.list {
-		if l := m.links[mem.Address]; l != nil && l.isDown && mem.live() {
-			return true
-		}
-	}
-	return false
-}
-
-// pollMembers reads the session rows, then takes over or hands over engines. Another
-// node may have fenced a dead owner since; the rows are then read again at once.
-func (n *Node) pollMembers(ctx context.Context) {
-	for range takeoverRounds {
-		rows, err := n.table.Scan(ctx, table.SessionPrefix)
-		if err != nil {
-			n.members.recordReadFailure()
-			return
-		}
-		n.members.update(rows, time.Now())
-		n.members.removeExpiredSessions(ctx, time.Now())
-		if !n.reconcileOwnership(ctx) {
-			return
-		}
-	}
-}
-
-// takeoverRounds bounds the reads of the session rows in one poll.
-const takeoverRounds = 2
--- /dev/null
+++ b/node/placement.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/peer/peerpb"
+	"github.com/vanilladrift/vanilladrift/settings"
+)
+
+// candidate is a node that may own engines.
+type candidate struct {
+	name       string
+	dataCenter string
+}
+
+// preferredOwner returns the node that should own an engine or perform another named
+// task: the first choice of rendezvous hashing over the live nodes that are not
+// leaving. Nodes in the given data centre take precedence.
+func (m *members) preferredOwner(name, dataCenter string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if owner, ok := m.preferredOwners[name]; ok {
+		return owner
+	}
+	owner := chooseOwner(m.candidates, name, dataCenter, "")
+	if owner != "" {
+		m.preferredOwners[name] = owner
+	}
+	return owner
+}
+
+// chooseOwner returns the first choice of rendezvous hashing over the candidates other than
+// the excluded one, or "" if there is none.
+func chooseOwner(candidates []candidate, name, dataCenter, excluded string) string {
+	var sameDataCenter, all []string
+	for _, c := range candidates {
+		if c.name == excluded {
+			continue
+		}
+		all = append(all, c.name)
+		if c.dataCenter == dataCenter {
+			sameDataCenter = append(sameDataCenter, c.name)
+		}
+	}
+	if len(sameDataCenter) > 0 {
+		all = sameDataCenter
+	}
+	if first := engine.Rendezvous(name, all, nil, 1); len(first) > 0 {
+		return first[0]
+	}
+	return ""
+}
+
+// nextOwner returns the member that should own an engine after this node released it.
+func (m *members) nextOwner(name, dataCenter string) (member, bool) {
+	m.mu.Lock()
+	owner := chooseOwner(m.candidates, name, dataCenter, m.n.cfg.Name)
+	m.mu.Unlock()
+	return m.get(owner)
+}
+
+// announceRelease tells the next owner of an engine that it was released. If the message is
+// lost, the next owner finds out by itself.
+func (m *members) announceRelease(ctx context.Context, b *settings.BackendServer) {
+	next, ok := m.nextOwner(b.Name, b.DataCenter)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.n.cfg.ProbeTimeout)
+	defer cancel()
+	_, err := m.link(next.Address).client.Heartbeat(ctx, connect.NewRequest(&peerpb.HeartbeatRequest{
+		Node: m.n.cfg.Name, Process: m.n.process, Revision: m.n.store.Tree().Rev(), Released: b.Name,
+	}))
+	if err != nil {
+		m.n.log.Info("cannot tell the next owner that an engine was released; it will find out", "engine", b.Name, "node", next.Node, "err", err)
+	}
+}
