--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -74,22 +74,26 @@
 	c.net.SetBlocked(platformProcess, n.Name(), cut)
 }
 
-// owners returns the names of the nodes that own an engine and hold a valid lease.
-func (c *leaseCluster) owners(engine string) (names []string) {
+// owners returns, by engine, the names of the nodes that own it and hold a valid lease.
+func (c *leaseCluster) owners() map[string][]string {
+	byEngine := make(map[string][]string)
 	for _, n := range c.nodes {
-		if n.ownedEngine(engine) != nil && n.session.leaseValid(time.Now()) {
-			names = append(names, n.Name())
+		if !n.session.leaseValid(time.Now()) {
+			continue
+		}
+		for _, o := range n.ownedEngines() {
+			byEngine[o.name] = append(byEngine[o.name], n.Name())
 		}
 	}
-	return names
+	return byEngine
 }
 
 // watch waits for d and returns a violation if two nodes own an engine at any time.
 func (c *leaseCluster) watch(d time.Duration) (violation string) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		for _, doc := range c.docs {
-			if names := c.owners(doc.Name); len(names) > 1 {
-				violation = fmt.Sprintf("%v own %s", names, doc.Name)
+		for engine, names := range c.owners() {
+			if len(names) > 1 {
+				violation = fmt.Sprintf("%v own %s", names, engine)
 			}
 		}
 	}
--- a/node/lease_fuzz_test.go
+++ b/node/lease_fuzz_test.go
@@ -109,7 +109,7 @@
 		}
 		report(c.watch(30 * time.Second))
 		for _, d := range c.docs {
-			if len(c.owners(d.Name)) != 1 {
+			if len(c.owners()[d.Name]) != 1 {
 				report(d.Name + " has no owner")
 			}
 		}
@@ -158,7 +158,7 @@
 		c.nodes[1].HandOverEngines(t.Context())
 		time.Sleep(100 * time.Millisecond)
 		for _, d := range c.docs {
-			is.Equal(len(c.owners(d.Name)), 1)
+			is.Equal(len(c.owners()[d.Name]), 1)
 		}
 	})
 }
