--- a/node/store_calls_test.go
+++ b/node/store_calls_test.go
@@ -12,8 +12,8 @@
 )
 
 // In calm, a node's calls to the store must not grow with the number
-// of nodes, since the store's calls are shared by all. The race detector cannot follow so
-// many goroutines, so .ci/run plays this test without it.
+// of nodes, since the store's calls are shared by all. Built without the race
+// detector, whose runtime does not survive so many events; .ci/run plays it apart.
 func TestStoreCallsPerNode(t *testing.T) {
 	const (
 		seconds          = 20
