Count a witness as ended by reads of the sessions only

Cause: whether a witness's session had ended was noted when promises were gathered, by the time of that moment. A view that does not list a witness yet, since it joined after the read, made it look ended; the note was kept until the next gathering, however long, and then outwaited a lease at once. A witness that had agreed just before could so be counted as having promised: two owners.

Change: EndedSessions is told of each read, counts from read to read, and forgets what a read lists again.

Shown: TestEndedSessionsCountReadsOnly fails on the code before. TestEndedSessions has the same six checks by the new calls.

--- a/membership/quorum_test.go
+++ b/membership/quorum_test.go
@@ -82,10 +82,29 @@
 func TestEndedSessions(t *testing.T) {
 	is := is.New(t)
 	e := EndedSessions{LeaseTime: time.Second}
-	is.True(!e.Observe("s", true, t0))
-	is.True(!e.Observe("s", false, t0)) // it may have agreed just before
-	is.True(!e.Observe("s", false, t0.Add(time.Second)))
-	is.True(e.Observe("s", false, t0.Add(time.Second+1)))
-	is.True(!e.Observe("s", true, t0.Add(2*time.Second)))
-	is.True(!e.Observe("s", false, t0.Add(3*time.Second)))
+	observe := func(inForce bool, now time.Time) bool {
+		e.Read(map[string]bool{"s": inForce}, now)
+		return e.Ended("s")
+	}
+	is.True(!observe(true, t0))
+	is.True(!observe(false, t0)) // it may have agreed just before
+	is.True(!observe(false, t0.Add(time.Second)))
+	is.True(observe(false, t0.Add(time.Second+1)))
+	is.True(!observe(true, t0.Add(2*time.Second)))
+	is.True(!observe(false, t0.Add(3*time.Second)))
+}
+
+// Guards against a witness that is taken for ended since a stale view does not list it:
+// the time counts between reads of the sessions, and starts anew once it was listed.
+func TestEndedSessionsCountReadsOnly(t *testing.T) {
+	is := is.New(t)
+	e := EndedSessions{LeaseTime: time.Second}
+	e.Read(map[string]bool{"other": true}, t0)
+	is.True(!e.Ended("s")) // it joined after this read
+	is.True(!e.Ended("s")) // asked again, for another member, without a new read
+	e.Read(map[string]bool{"s": true}, t0.Add(5*time.Second))
+	e.Read(map[string]bool{}, t0.Add(10*time.Second))
+	is.True(!e.Ended("s")) // it was listed since, and may have agreed until just now
+	e.Read(map[string]bool{}, t0.Add(11*time.Second+1))
+	is.True(e.Ended("s"))
 }
--- a/node/fence.go
+++ b/node/fence.go
@@ -82,16 +82,12 @@
 // gatherPromises asks the witnesses of a member to support its session no more. The
 // result has those that promised and those whose own sessions ended a lease ago.
 func (m *members) gatherPromises(ctx context.Context, other member, witnesses []table.Witness) map[string]bool {
-	inForce := make(map[string]bool)
-	for _, mem := range m.all() {
-		inForce[mem.ID()] = !mem.Fenced
-	}
 	promised := make(map[string]bool)
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, w := range witnesses {
 		m.mu.Lock()
-		ended := m.endedSessions.Observe(w.Session, inForce[w.Session], time.Now())
+		ended := m.endedSessions.Ended(w.Session)
 		m.mu.Unlock()
 		if ended {
 			promised[w.Session] = true
--- a/node/members.go
+++ b/node/members.go
@@ -106,6 +106,11 @@
 		m.monitor.Observe(row.Key, row.Version, now)
 		m.list = append(m.list, member{Session: s, version: row.Version, expired: m.expired(row.Key, s.Address, now)})
 	}
+	inForce := make(map[string]bool, len(m.list))
+	for _, mem := range m.list {
+		inForce[mem.ID()] = !mem.Fenced
+	}
+	m.endedSessions.Read(inForce, now)
 	m.n.promises.Expire(now)
 	var candidates []candidate
 	for _, mem := range m.list {
