Observe the generation of the store; log it with each change of owner

The users' store may come back from a copy that lacks its last writes. Nothing in the logs told that this had happened, so the hypotheses on two owners of one engine could not be told apart. The client now reads the store's generation from every response, reports each new one once, and does not use a response of an earlier one. The log has a line for it, and a change of owner names the versions of the ownership row. The stand-in can be restored from a copy: versions go back, what operators and replicas wrote is written again, and a poll from a version that no longer exists fails.

No decision rests on the generation yet.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -126,6 +126,9 @@
 	d := &Daemon{settings: s, network: n, log: l, retryBudgets: make(map[string]*backend.RetryBudget)}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.store = &platform.StoreClient{Address: s.StoreAddress, HTTP: &http.Client{Transport: n.newTransport(0, defaultIdleTimeout)}}
+	d.store.OnGeneration = func(generation int64) {
+		l.Warn("generation of the store; a rise means that it was restored from a copy and lacks its last writes", "generation", generation)
+	}
 	d.state = &platformState{log: l}
 	ttl, margin, renewEvery := leaseTimings(s.OwnerAlternationGap)
 	cfg := node.Config{
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -141,6 +141,7 @@
 	n.session.withRow(ctx, func(self table.Session, check table.Check) {
 		if old.Process == self.Process && old.Epoch == self.Epoch && old.Node == self.Node {
 			// This session wrote the row in a commit that got no response.
+			n.log.Info("owns the engine by a row that was not known to be written", "engine", b.Name, "token", old.FencingToken, "row-version", row.Version)
 			n.startOwnership(b, old, row.Version).delayCommands(n.cfg.OwnerAlternationGap)
 			return
 		}
@@ -159,7 +160,7 @@
 			n.log.Info("engine takeover failed; retrying with the next poll", "engine", b.Name, "from", old.Node, "err", err)
 			return // the next read shows whether the commit was applied
 		}
-		n.log.Info("took over the engine", "engine", b.Name, "token", next.FencingToken, "from", old.Node)
+		n.log.Info("took over the engine", "engine", b.Name, "token", next.FencingToken, "from", old.Node, "former-row-version", row.Version, "row-version", ver)
 		o := n.startOwnership(b, next, ver)
 		if old.LastNode != self.Node {
 			o.delayCommands(n.commandDelayAfter(old))
--- a/standin/store.go
+++ b/standin/store.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +30,7 @@
 	version        int64
 	changed        chan struct{} // closed at the next change
 	fault          TableFault
+	restores       int64
 }
 
 // ServeHTTP implements http.Handler.
@@ -55,6 +58,63 @@
 	s.commit(table.Tx{Puts: []table.Put{{Key: key, Value: value}}})
 }
 
+// Copy returns a copy of the store, for [Store.Restore].
+func (s *Store) Copy() *StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &StoreCopy{rows: s.table.Rows(""), history: slices.Clone(s.history), droppedVersion: s.droppedVersion, version: s.version}
+}
+
+// Restore replaces the contents by those of a copy, including the version, and begins a
+// new generation. What operators and replicas wrote since is written again.
+func (s *Store) Restore(c *StoreCopy) {
+	s.mu.Lock()
+	lost := s.table.Rows("")
+	s.table.reset(c.rows, c.version)
+	s.history, s.droppedVersion, s.version = slices.Clone(c.history), c.droppedVersion, c.version
+	s.restores++
+	s.wake()
+	s.mu.Unlock()
+	s.writeAgain(lost, c.rows)
+}
+
+// writeAgain writes the rows of operators and replicas that differ between the lost rows
+// and those in force.
+func (s *Store) writeAgain(lost, rows []table.Row) {
+	current := make(map[string][]byte)
+	for _, row := range rows {
+		current[row.Key] = row.Value
+	}
+	var tx table.Tx
+	for _, row := range lost {
+		if value, ok := current[row.Key]; isOutsideRow(row.Key) && (!ok || !bytes.Equal(value, row.Value)) {
+			tx.Puts = append(tx.Puts, table.Put{Key: row.Key, Value: row.Value})
+		}
+		delete(current, row.Key)
+	}
+	for key := range current {
+		if isOutsideRow(key) {
+			tx.Deletes = append(tx.Deletes, key)
+		}
+	}
+	if len(tx.Puts)+len(tx.Deletes) > 0 {
+		s.commit(tx)
+	}
+}
+
+// isOutsideRow reports whether operators or replicas write the row.
+func isOutsideRow(key string) bool {
+	return strings.HasPrefix(key, platform.OperatorTable+"/") || strings.HasPrefix(key, platform.ServersTable+"/")
+}
+
+// StoreCopy is what a [Store] held at some time.
+type StoreCopy struct {
+	rows           []table.Row
+	history        []table.ChangedRow
+	droppedVersion int64
+	version        int64
+}
+
 // Rows returns the rows whose keys start with prefix.
 func (s *Store) Rows(prefix string) []table.Row { return s.table.Rows(prefix) }
 
@@ -80,14 +140,36 @@
 		s.droppedVersion = s.history[over-1].Version
 		s.history = append([]table.ChangedRow(nil), s.history[over:]...)
 	}
+	s.wake()
+	return s.version, true
+}
+
+// wake wakes the requests that wait for changes. s.mu must be held.
+func (s *Store) wake() {
 	if s.changed != nil {
 		close(s.changed)
 		s.changed = nil
 	}
-	return s.version, true
 }
 
+// handle processes a request. A restore breaks the connections of requests in progress.
 func (s *Store) handle(ctx context.Context, req platform.StoreRequest) (platform.StoreResponse, error) {
+	before := s.restoreCount()
+	resp, err := s.process(ctx, req)
+	if s.restoreCount() != before {
+		return platform.StoreResponse{}, &table.Error{Op: "stand-in", Kind: table.Unknown}
+	}
+	resp.Restores = before
+	return resp, err
+}
+
+func (s *Store) restoreCount() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restores
+}
+
+func (s *Store) process(ctx context.Context, req platform.StoreRequest) (platform.StoreResponse, error) {
 	const op = "stand-in"
 	s.mu.Lock()
 	fault := s.fault
@@ -139,7 +221,7 @@
 func (s *Store) changesSince(req platform.StoreRequest) (ch table.Changes, changed <-chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if req.After < s.droppedVersion {
+	if req.After < s.droppedVersion || req.After > s.version {
 		return ch, nil, &table.Error{Op: "stand-in", Kind: table.HistoryLost, Key: req.Table}
 	}
 	ch.Version = s.version
--- a/standin/store_test.go
+++ b/standin/store_test.go
@@ -87,3 +87,51 @@
 	is.Equal(len(p.Rows), n-maxPageRows)
 	is.True(!p.MorePages)
 }
+
+// After a restore, versions are given out again, what operators and replicas wrote is
+// there, and a poll from a version that no longer exists fails.
+func TestStoreRestore(t *testing.T) {
+	is := is.New(t)
+	st := &Store{}
+	st.Put("owner/e", []byte("1"))
+	c := st.Copy()
+	st.Put("owner/e", []byte("2"))
+	st.Put("owner/f", []byte("2"))
+	st.Put(platform.ServersTable+"/s", []byte("2"))
+	lost := st.version
+	st.Restore(c)
+	is.Equal(len(st.Rows("owner/")), 1)
+	is.Equal(st.Rows("owner/")[0].Value, []byte("1"))
+	is.Equal(st.Rows(platform.ServersTable + "/")[0].Value, []byte("2"))
+	_, _, err := st.changesSince(platform.StoreRequest{Table: "owner", After: lost})
+	is.True(table.IsKind(err, table.HistoryLost))
+	resp, err := st.handle(t.Context(), platform.StoreRequest{Table: "owner"})
+	is.NoErr(err)
+	is.Equal(resp.Restores, int64(1))
+}
+
+// A client reports each new generation once, and does not use a response of an earlier one.
+func TestStoreClientObservesGeneration(t *testing.T) {
+	is := is.New(t)
+	st, stale := &Store{}, &Store{}
+	network := NewNetwork()
+	network.Listen("store", "10.0.0.1:1", st)
+	var seen []int64
+	store := &platform.StoreClient{
+		Address: "10.0.0.1:1", HTTP: network.Client("node"),
+		OnGeneration: func(g int64) { seen = append(seen, g) },
+	}
+	read := func() error {
+		_, err := store.Read(t.Context(), table.Query{Key: "t/a"})
+		return err
+	}
+	is.NoErr(read())
+	first := store.Generation()
+	st.Restore(st.Copy())
+	is.NoErr(read())
+	is.NoErr(read())
+	is.Equal(store.Generation(), first+1)
+	is.Equal(seen, []int64{first, first + 1})
+	network.Listen("store", "10.0.0.1:1", stale)
+	is.True(table.IsKind(read(), table.Unavailable))
+}
--- a/standin/table.go
+++ b/standin/table.go
@@ -145,6 +145,17 @@
 	return table.TxResult{Version: t.version}
 }
 
+// reset replaces the rows and the version.
+func (t *Table) reset(rows []table.Row, version int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows, t.keys, t.version = make(map[string]table.Row, len(rows)), nil, version
+	for _, row := range rows {
+		t.rows[row.Key] = row
+		t.keys = append(t.keys, row.Key)
+	}
+}
+
 func (t *Table) put(p table.Put) {
 	if t.rows == nil {
 		t.rows = make(map[string]table.Row)
