Show a fencing token that is given out twice after a restore of the store

The former owner sends commands under the lower token again, or a third node takes the engine over with the token that is in use.

--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -8,23 +8,39 @@
 
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
 	"github.com/vanilladrift/vanilladrift/table"
 )
 
+const tableAddress = "10.9.0.1:1"
+
 // leaseCluster is a set of nodes with the timings of the users' platform, and engines
 // without a listener: only the ownership is of interest.
 type leaseCluster struct {
 	net   *standin.Network
 	table *standin.Table
+	store *standin.Store // used instead of the table if it is set
 	nodes []*Node
 	docs  []settings.Document
 }
 
 func newLeaseCluster(nodes, engines int) *leaseCluster {
-	c := &leaseCluster{net: standin.NewNetwork(), table: &standin.Table{}}
-	c.net.Listen(platformProcess, "10.9.0.1:1", c.table)
+	return startLeaseCluster(&leaseCluster{table: &standin.Table{}}, nodes, engines)
+}
+
+// newStoreCluster returns a cluster on the stand-in of the platform's store.
+func newStoreCluster(nodes, engines int) *leaseCluster {
+	return startLeaseCluster(&leaseCluster{table: &standin.Table{}, store: &standin.Store{}}, nodes, engines)
+}
+
+func startLeaseCluster(c *leaseCluster, nodes, engines int) *leaseCluster {
+	c.net = standin.NewNetwork()
+	c.net.Listen(platformProcess, tableAddress, c.table)
+	if c.store != nil {
+		c.net.Listen(platformProcess, tableAddress, c.store)
+	}
 	for i := range engines {
 		c.docs = append(c.docs, settings.Document{Kind: settings.Backend, Name: fmt.Sprintf("e%d", i), Fields: map[string]string{
 			"address": fmt.Sprintf("10.1.0.%d:1", i+1), "base-model": "m", "slots": "2", "places": "2", "unload-waits": "on",
@@ -45,11 +61,16 @@
 // start starts a node of the cluster, or a new process of it after a kill.
 func (c *leaseCluster) start(i int) *Node {
 	name := fmt.Sprintf("n%d", i)
-	n := New(Config{
+	cfg := Config{
 		Name: name, Address: fmt.Sprintf("10.0.0.%d:1", i+1), TableURL: tableURL, HTTP: c.net.Client(name), SettingsPushed: true,
 		OwnerAlternationGap: 3 * time.Second, LeaseTTL: 2500 * time.Millisecond, LeaseMargin: 300 * time.Millisecond,
 		RenewEvery: time.Second, TableRenewEvery: 5 * time.Second, PollEvery: 2 * time.Second, ProbeAfter: 100 * time.Millisecond, ProbeTimeout: 200 * time.Millisecond, Seed: uint64(i),
-	})
+	}
+	if c.store != nil {
+		store := &platform.StoreClient{Address: tableAddress, HTTP: cfg.HTTP}
+		cfg.Table = &table.Client{Read: store.Read, Apply: store.Apply}
+	}
+	n := New(cfg)
 	n.store.InstallSnapshot(1, c.docs)
 	c.net.Listen(name, n.cfg.Address, n.Peers())
 	c.nodes[i] = n
