Pair versions of rows with the generation of the store; follow a restored table anew

Callers see stale routes and servers when the store comes back from a copy: it gives out versions again, and a follower that polls from its own version misses every row that was written up to it. The same holds for a transaction whose checks were read before: they can meet versions that mean other contents now.

A row now carries the generation in which it was read, and a check that of its version. A transaction is not sent in another generation; if the restore came between, its outcome counts as unknown (table.Restored). A follower reads its table again when the generation differs. TestRestoredTableIsReadAgain fails without the comparison (row b is not seen).

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -7,7 +7,7 @@
 //
 // A follower reads the complete table first, and then polls for changes since
 // that version. It reads the complete table again if the store no longer has
-// those changes. Every call has a timeout, since a connection may hang without
+// those changes, or was restored from a copy and gives out versions again. Every call has a timeout, since a connection may hang without
 // an error.
 //
 // # Not covered
@@ -28,7 +28,7 @@
 	Table string
 	// ReadAll reads the complete table. ReadChanges waits for changes after a
 	// version.
-	ReadAll     func(ctx context.Context, name string) ([]table.Row, int64, error)
+	ReadAll     func(ctx context.Context, name string) (table.Snapshot, error)
 	ReadChanges func(ctx context.Context, name string, after int64, wait time.Duration) (table.Changes, error)
 	// Reset is called with the complete table, and Apply with the changes
 	// since the last call of either. They run in the goroutine of Run.
@@ -49,9 +49,10 @@
 	RetryDelay    time.Duration
 	MaxRetryDelay time.Duration
 
-	version int64
-	synced  bool
-	down    bool
+	version    int64
+	generation int64 // in which the version was read
+	synced     bool
+	down       bool
 }
 
 // Run follows the table until ctx is done.
@@ -82,12 +83,12 @@
 	if !f.synced {
 		ctx, cancel := context.WithTimeout(ctx, f.ResponseTimeout)
 		defer cancel()
-		rows, version, err := f.ReadAll(ctx, f.Table)
+		snapshot, err := f.ReadAll(ctx, f.Table)
 		if err != nil {
 			return err
 		}
-		f.version, f.synced = version, true
-		f.Reset(rows)
+		f.version, f.generation, f.synced = snapshot.Version, snapshot.Generation, true
+		f.Reset(snapshot.Rows)
 		return nil
 	}
 	wait := f.PollWait
@@ -97,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+f.ResponseTimeout)
 	defer cancel()
 	changes, err := f.ReadChanges(ctx, f.Table, f.version, wait)
-	if table.IsKind(err, table.HistoryLost) || err == nil && changes.Version < f.version {
+	if table.IsKind(err, table.HistoryLost) || err == nil && (changes.Version < f.version || changes.Generation != f.generation) {
 		f.synced = false // the changes are incomplete, so read the table again
 		return f.poll(ctx)
 	}
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -17,6 +17,7 @@
 type stubTable struct {
 	mu           sync.Mutex // guards all fields
 	version      int64
+	generation   int64
 	rows         map[string]int64
 	changes      []table.ChangedRow
 	historyStart int64 // changes after this version are available
@@ -39,18 +40,18 @@
 	s.changes = append(s.changes, table.ChangedRow{Row: table.Row{Key: key, Version: s.version}})
 }
 
-func (s *stubTable) readAll(context.Context, string) ([]table.Row, int64, error) {
+func (s *stubTable) readAll(context.Context, string) (table.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
-		return nil, 0, errors.New("down")
+		return table.Snapshot{}, errors.New("down")
 	}
-	var rows []table.Row
+	all := table.Snapshot{Version: s.version, Generation: s.generation}
 	for key, v := range s.rows {
-		rows = append(rows, table.Row{Key: key, Version: v})
+		all.Rows = append(all.Rows, table.Row{Key: key, Version: v})
 	}
-	return rows, s.version, nil
+	return all, nil
 }
 
 func (s *stubTable) readChanges(ctx context.Context, _ string, after int64, wait time.Duration) (table.Changes, error) {
@@ -78,7 +79,7 @@
 	case after < s.historyStart:
 		return table.Changes{}, &table.Error{Op: "feed", Kind: table.HistoryLost}
 	}
-	ch := table.Changes{Version: s.version}
+	ch := table.Changes{Version: s.version, Generation: s.generation}
 	for _, r := range s.changes {
 		if r.Version > after {
 			ch.Rows = append(ch.Rows, r)
@@ -224,3 +225,32 @@
 		stop()
 	})
 }
+
+// Guards against rows of before a restore that stay in use. The store gives out versions
+// again, so a follower that was away meanwhile finds its own version in use by others.
+func TestRestoredTableIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tbl := &stubTable{rows: map[string]int64{}}
+		tbl.putRow("a")
+		tbl.putRow("lost")
+		rec := &recorder{versions: map[string]int64{}}
+		f := newFollower(tbl, rec)
+		f.MinInterval = 100 * time.Millisecond
+		stop := run(f)
+		time.Sleep(time.Second)
+		tbl.update(func() {
+			tbl.version, tbl.changes = 1, tbl.changes[:1]
+			delete(tbl.rows, "lost")
+			tbl.putRow("b")
+			tbl.putRow("c")
+			tbl.generation++
+		})
+		time.Sleep(time.Second)
+		is.Equal(rec.version("b"), int64(2))
+		is.Equal(rec.version("c"), int64(3))
+		resets, _, _ := rec.counts()
+		is.Equal(resets, 2)
+		stop()
+	})
+}
--- a/standin/store_test.go
+++ b/standin/store_test.go
@@ -35,7 +35,7 @@
 		is.NoErr(err)
 		row, err := c.Get(ctx, "t/a")
 		is.NoErr(err)
-		is.Equal(row, table.Row{Key: "t/a", Value: []byte("1"), Version: first})
+		is.Equal(row, table.Row{Key: "t/a", Value: []byte("1"), Version: first, Generation: store.Generation()})
 		_, err = c.Commit(ctx, table.Tx{Checks: []table.Check{{Key: "t/a"}}})
 		is.True(table.IsKind(err, table.Conflict))
 
@@ -132,6 +132,12 @@
 	is.NoErr(read())
 	is.Equal(store.Generation(), first+1)
 	is.Equal(seen, []int64{first, first + 1})
+
+	c := &table.Client{Read: store.Read, Apply: store.Apply}
+	_, err := c.Commit(t.Context(), table.Tx{Checks: []table.Check{{Key: "t/a", Generation: first}}})
+	is.True(table.IsKind(err, table.Restored))
+	_, err = c.Commit(t.Context(), table.Tx{Checks: []table.Check{{Key: "t/a", Generation: first + 1}}})
+	is.NoErr(err)
 	network.Listen("store", "10.0.0.1:1", stale)
 	is.True(table.IsKind(read(), table.Unavailable))
 }
--- a/table/client.go
+++ b/table/client.go
@@ -89,7 +89,7 @@
 
 // Commit applies the transaction and returns the version of the rows that it
 // wrote. After an error of kind [Conflict] or [Unavailable] it was not applied;
-// after one of kind [Unknown] it may have been.
+// after one of kind [Unknown] or [Restored] it may have been.
 func (c *Client) Commit(ctx context.Context, tx Tx) (int64, error) {
 	const op = "commit"
 	c.writes.Add(1)
