Let no owner act on an ownership row that a restore of the store brought back

What callers saw: two nodes sent commands to one engine, one of them under a lower fencing token than the engine had received; adapters were loaded and unloaded against each other.

Cause: the ownership rests on the row alone. When the store comes back from a copy some seconds old, the row names an owner that was replaced since. (1) Its node finds its own session in the row and takes it for a write without a response: it owns the engine again with the old token. (2) A third node takes over with the row's token plus one, which was given out already. In both cases the last owner still holds its lease.

Fix: sessions and ownership rows name the generation of the store in which they were written, and a fencing token begins with that generation, so that it is higher than all tokens of before. A node that learns of a restore, from the store or from a peer, ends its ownerships and registers again. It takes the engines that it owned under a valid lease over at once; nobody else can have owned them. All others wait until no lease of before can be left (membership.Generations): a lease after all nodes but one have confirmed that they know of the restore, as witnesses that know of it consent to no older lease, or the longest extension. Promises of before are void, as they name versions that are given out again. A new owner waits for commands of its own former ownership.

A cold start on a store that states its generation takes up engines after about three to five seconds instead of at once.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -126,9 +126,6 @@
 	d := &Daemon{settings: s, network: n, log: l, retryBudgets: make(map[string]*backend.RetryBudget)}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.store = &platform.StoreClient{Address: s.StoreAddress, HTTP: &http.Client{Transport: n.newTransport(0, defaultIdleTimeout)}}
-	d.store.OnGeneration = func(generation int64) {
-		l.Warn("generation of the store; a rise means that it was restored from a copy and lacks its last writes", "generation", generation)
-	}
 	d.state = &platformState{log: l}
 	ttl, margin, renewEvery := leaseTimings(s.OwnerAlternationGap)
 	cfg := node.Config{
@@ -141,6 +138,7 @@
 		return nil, err
 	}
 	d.node = node.New(cfg)
+	d.store.OnGeneration = d.node.ObserveGeneration
 	d.state.store, d.state.enginesChanged = d.node.Store(), d.node.ReconcileOwnership
 	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, draining: d.state.isDraining}
 	d.metrics = newMetrics(d.node.Meter())
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -11,6 +11,9 @@
 // knows: whoever joins later reads the witnesses in the table. The model is
 // model/extension.pml.
 //
+// A table that is restored from a copy has lost its last writes, and gives out versions
+// again. [Generations] decides from when no lease of before the restore is left.
+//
 // The number of messages per node does not depend on the number of nodes.
 //
 // # Usage
@@ -25,6 +28,9 @@
 //
 //	ok = membership.MayReplace(set, promised)             // at the node that replaces it
 //
+//	generations.Advance(generation, now)                  // once the table was restored
+//	ok = generations.Settled(now)                         // at a node that takes over by a row of the copy
+//
 // # Not covered
 //
 // The package sends no messages and reads no clock. Witnesses keep their promises in
--- a/membership/promises.go
+++ b/membership/promises.go
@@ -82,6 +82,14 @@
 	return true
 }
 
+// ForgetPromises deletes all promises, since a restored table gives out versions again. The
+// contacts stay.
+func (p *Promises) ForgetPromises() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.promised)
+}
+
 // Expire deletes records that are too old to affect a decision.
 func (p *Promises) Expire(now time.Time) {
 	p.mu.Lock()
--- a/node/commands.go
+++ b/node/commands.go
@@ -149,7 +149,7 @@
 	next := change(o.row)
 	for range rowWriteAttempts {
 		ver, err := o.n.table.Commit(ctx, table.Tx{
-			Checks: []table.Check{{Key: next.Key(), Version: o.version}},
+			Checks: []table.Check{{Key: next.Key(), Version: o.version, Generation: o.row.Generation}},
 			Puts:   []table.Put{{Key: next.Key(), Value: next.Encode()}},
 		})
 		if err == nil {
--- a/node/expiry.go
+++ b/node/expiry.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		_, err := m.n.table.Commit(ctx, table.Tx{
-			Checks:  []table.Check{{Key: other.Key(), Version: other.version}},
+			Checks:  []table.Check{{Key: other.Key(), Version: other.version, Generation: other.readIn}},
 			Deletes: []string{other.Key(), table.WitnessKey(other.Node)},
 		})
 		m.n.log.Info("removal of an expired session row finished", "of", other.Node, "process", other.Process, "err", err)
--- a/node/fence.go
+++ b/node/fence.go
@@ -36,12 +36,12 @@
 	fenced.Fenced = true
 	m.n.session.withRow(ctx, func(_ table.Session, self table.Check) {
 		ver, err := m.n.table.Commit(ctx, table.Tx{
-			Checks: []table.Check{self, check, {Key: other.Key(), Version: other.version}},
+			Checks: []table.Check{self, check, {Key: other.Key(), Version: other.version, Generation: other.readIn}},
 			Puts:   []table.Put{{Key: fenced.Key(), Value: fenced.Encode()}},
 		})
 		m.n.log.Info("fencing of an expired session finished", "of", other.Node, "process", other.Process, "err", err)
 		if err == nil {
-			m.recordFenced(fenced, ver)
+			m.recordFenced(fenced, ver, other.readIn)
 		}
 		changed = table.IsKind(err, table.Conflict)
 	})
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, table.Check{}, false
 	}
-	check := table.Check{Key: key, Version: row.Version}
+	check := table.Check{Key: key, Version: row.Version, Generation: row.Generation}
 	w, err := table.DecodeWitnesses(row)
 	if err != nil {
 		m.n.log.Error("cannot decode a witness row; not replacing its node", "of", other.Node, "err", err)
@@ -112,18 +112,18 @@
 	ctx, cancel := context.WithTimeout(ctx, m.n.cfg.ProbeTimeout)
 	defer cancel()
 	resp, err := m.link(w.Address).client.Promise(ctx, connect.NewRequest(&peerpb.PromiseRequest{
-		Process: other.Process, SessionVersion: other.version,
+		Process: other.Process, SessionVersion: other.version, Generation: other.readIn,
 	}))
 	return err == nil && resp.Msg.GetPromised() && resp.Msg.GetSession() == w.Session
 }
 
 // recordFenced updates the local view after a member was fenced.
-func (m *members) recordFenced(s table.Session, version int64) {
+func (m *members) recordFenced(s table.Session, version, generation int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for i, mem := range m.list {
 		if mem.Node == s.Node {
-			m.list[i] = member{Session: s, version: version, expired: true}
+			m.list[i] = member{Session: s, version: version, readIn: generation, expired: true}
 		}
 	}
 	m.monitor.Observe(s.Key(), version, time.Now())
--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -24,6 +24,8 @@
 	store *standin.Store // used instead of the table if it is set
 	nodes []*Node
 	docs  []settings.Document
+
+	senders map[string]sender // by engine: the last one that might send commands
 }
 
 func newLeaseCluster(nodes, engines int) *leaseCluster {
@@ -66,11 +68,14 @@
 		OwnerAlternationGap: 3 * time.Second, LeaseTTL: 2500 * time.Millisecond, LeaseMargin: 300 * time.Millisecond,
 		RenewEvery: time.Second, TableRenewEvery: 5 * time.Second, PollEvery: 2 * time.Second, ProbeAfter: 100 * time.Millisecond, ProbeTimeout: 200 * time.Millisecond, Seed: uint64(i),
 	}
+	store := &platform.StoreClient{Address: tableAddress, HTTP: cfg.HTTP}
 	if c.store != nil {
-		store := &platform.StoreClient{Address: tableAddress, HTTP: cfg.HTTP}
 		cfg.Table = &table.Client{Read: store.Read, Apply: store.Apply}
 	}
 	n := New(cfg)
+	if c.store != nil {
+		store.OnGeneration = n.ObserveGeneration
+	}
 	n.store.InstallSnapshot(1, c.docs)
 	c.net.Listen(name, n.cfg.Address, n.Peers())
 	c.nodes[i] = n
@@ -109,9 +114,22 @@
 	return byEngine
 }
 
-// watch waits for d and returns a violation if two nodes own an engine at any time.
+// setFault replaces the injected failures of the store.
+func (c *leaseCluster) setFault(f standin.TableFault) {
+	if c.store != nil {
+		c.store.SetFault(f)
+		return
+	}
+	c.table.SetFault(f)
+}
+
+// watch waits for d and returns a violation if two nodes own an engine at any time, or
+// may send commands under tokens that do not grow.
 func (c *leaseCluster) watch(d time.Duration) (violation string) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if v := c.checkSenders(); v != "" {
+			violation = v
+		}
 		for engine, names := range c.owners() {
 			if len(names) > 1 {
 				violation = fmt.Sprintf("%v own %s", names, engine)
--- a/node/lease_fuzz_test.go
+++ b/node/lease_fuzz_test.go
@@ -25,16 +25,26 @@
 	maxLeaseFault = 12 * time.Second
 )
 
-var leaseStepGen = rapid.Custom(func(t *rapid.T) step {
-	return step{
-		kind:  rapid.SampledFrom(leaseSteps).Draw(t, "kind"),
-		node:  rapid.IntRange(0, maxLeaseNodes-1).Draw(t, "node"),
-		other: rapid.IntRange(0, maxLeaseNodes-1).Draw(t, "other"),
-		num:   rapid.IntRange(0, 1000).Draw(t, "num"),
-		span:  time.Duration(rapid.IntRange(100, int(maxLeaseFault.Milliseconds())).Draw(t, "span")) * time.Millisecond,
-		pause: time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond,
-	}
-})
+// restoreSteps lists the actions of a plan on the platform's store.
+var restoreSteps = append([]string{"restore", "restore", "restore", "roll"}, leaseSteps...)
+
+var (
+	leaseStepGen   = leaseStepsFrom(leaseSteps)
+	restoreStepGen = leaseStepsFrom(restoreSteps)
+)
+
+func leaseStepsFrom(kinds []string) *rapid.Generator[step] {
+	return rapid.Custom(func(t *rapid.T) step {
+		return step{
+			kind:  rapid.SampledFrom(kinds).Draw(t, "kind"),
+			node:  rapid.IntRange(0, maxLeaseNodes-1).Draw(t, "node"),
+			other: rapid.IntRange(0, maxLeaseNodes-1).Draw(t, "other"),
+			num:   rapid.IntRange(0, 1000).Draw(t, "num"),
+			span:  time.Duration(rapid.IntRange(100, int(maxLeaseFault.Milliseconds())).Draw(t, "span")) * time.Millisecond,
+			pause: time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond,
+		}
+	})
+}
 
 // runStep carries out a step and returns a violation that it saw meanwhile.
 func (c *leaseCluster) runStep(s step, faults *sync.WaitGroup) (violation string) {
@@ -54,10 +64,21 @@
 	case "cut-store":
 		during(func() { c.cutFromStore(node, true) }, func() { c.cutFromStore(node, false) })
 	case "store-down":
-		during(func() { c.table.SetFault(standin.TableFault{Down: true}) }, func() { c.table.SetFault(standin.TableFault{}) })
+		during(func() { c.setFault(standin.TableFault{Down: true}) }, func() { c.setFault(standin.TableFault{}) })
 	case "lose-answers":
 		lose := func(table.Tx) bool { return true }
-		during(func() { c.table.SetFault(standin.TableFault{LoseResponse: lose}) }, func() { c.table.SetFault(standin.TableFault{}) })
+		during(func() { c.setFault(standin.TableFault{LoseResponse: lose}) }, func() { c.setFault(standin.TableFault{}) })
+	case "restore":
+		before := c.store.Copy()
+		faults.Go(func() {
+			time.Sleep(s.span)
+			c.restore(before, time.Duration(s.num)*time.Millisecond)
+		})
+	case "roll":
+		faults.Go(func() { node.HandOverEngines(node.ctx) })
+		violation = c.watch(s.span / 10)
+		c.kill(node)
+		c.start(s.node % len(c.nodes))
 	case "kill":
 		c.kill(node)
 	case "restart":
@@ -82,16 +103,31 @@
 	}
 	rapid.Check(t, func(rt *rapid.T) {
 		plan := rapid.SliceOfN(leaseStepGen, 3, 25).Draw(rt, "plan")
-		if v := runLeasePlan(t, plan); len(v) > 0 {
+		if v := runLeasePlan(t, newLeaseCluster, plan); len(v) > 0 {
+			rt.Fatal(v, plan)
+		}
+	})
+}
+
+// At no time may a node be able to send commands to an engine under a fencing token that
+// another node had, or a lower one, also while the store comes back from copies some
+// seconds old.
+func TestTokensGrowWhileStoreIsRestored(t *testing.T) {
+	if !*randomSeeds {
+		fixSeed(t)
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := rapid.SliceOfN(restoreStepGen, 3, 25).Draw(rt, "plan")
+		if v := runLeasePlan(t, newStoreCluster, plan); len(v) > 0 {
 			rt.Fatal(v, plan)
 		}
 	})
 }
 
-func runLeasePlan(t *testing.T, plan []step) (violations []string) {
+func runLeasePlan(t *testing.T, newCluster func(nodes, engines int) *leaseCluster, plan []step) (violations []string) {
 	defer limitProcessors()()
 	synctest.Test(t, func(_ *testing.T) {
-		c := newLeaseCluster(5, 8)
+		c := newCluster(5, 8)
 		defer c.close()
 		var faults sync.WaitGroup
 		report := func(v string) {
--- a/node/members.go
+++ b/node/members.go
@@ -29,6 +29,7 @@
 type member struct {
 	table.Session
 	version int64
+	readIn  int64 // generation of the table in which the version was read
 	expired bool
 	// fenceRefused is set after its witnesses did not promise to support it no more.
 	fenceRefused bool
@@ -92,6 +93,9 @@
 func (m *members) update(rows []table.Row, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.isStale(rows) {
+		return
+	}
 	m.list = m.list[:0:0]
 	if m.readFailed {
 		m.monitor.RestartTimers(now)
@@ -104,13 +108,14 @@
 			continue
 		}
 		m.monitor.Observe(row.Key, row.Version, now)
-		m.list = append(m.list, member{Session: s, version: row.Version, expired: m.expired(row.Key, s.Address, now)})
+		m.list = append(m.list, member{Session: s, version: row.Version, readIn: row.Generation, expired: m.expired(row.Key, s.Address, now)})
 	}
 	inForce := make(map[string]bool, len(m.list))
 	for _, mem := range m.list {
 		inForce[mem.ID()] = !mem.Fenced
 	}
 	m.endedSessions.Read(inForce, now)
+	m.confirmGenerations()
 	m.n.promises.Expire(now)
 	var candidates []candidate
 	for _, mem := range m.list {
@@ -151,7 +156,7 @@
 // witnessCandidates returns the other nodes that can be witnesses of this one.
 func (m *members) witnessCandidates() (list []table.Witness) {
 	for _, mem := range m.all() {
-		if mem.live() && !mem.Leaving && mem.Process != m.n.process {
+		if mem.live() && !mem.Leaving && mem.Process != m.n.process && mem.Generation == m.n.generations.Current() {
 			list = append(list, table.Witness{Session: mem.ID(), Address: mem.Address})
 		}
 	}
@@ -227,6 +232,11 @@
 func (m *members) heartbeat(ctx context.Context) {
 	set := m.overduePeers(time.Now())
 	m.addGossipTargets(set)
+	if !m.n.generations.Settled(time.Now()) {
+		for _, address := range m.n.generations.Unconfirmed() {
+			set[address] = true
+		}
+	}
 	m.heartbeatAll(ctx, set)
 }
 
@@ -296,12 +306,14 @@
 	l := m.link(address)
 	resp, err := l.client.Heartbeat(ctx, connect.NewRequest(&peerpb.HeartbeatRequest{
 		Node: m.n.cfg.Name, Process: m.n.process, Revision: m.n.store.Tree().Rev(),
-		Hold: sessionVersion > 0, SessionVersion: sessionVersion,
+		Hold: sessionVersion > 0, SessionVersion: sessionVersion, Generation: m.n.generations.Current(),
 	}))
 	if err != nil {
 		m.recordHeartbeat(l, false, "")
 		return nil, l, err
 	}
+	m.n.ObserveGeneration(resp.Msg.GetGeneration())
+	m.n.generations.Observe(resp.Msg.GetNode(), address, resp.Msg.GetGeneration(), time.Now())
 	m.recordHeartbeat(l, true, resp.Msg.GetProcess())
 	return resp, l, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,7 @@
 	members       *members
 	loadBudget    *loadBudget
 	promises      *membership.Promises
+	generations   *membership.Generations
 	metrics       *metrics
 	log           *log.Logger
 
@@ -47,6 +48,7 @@
 	formerlyOwned map[string][]*ownedEngine // no longer owned, but commands may be in flight
 	ownerHints    map[string]string         // engine to the node that is believed to own it
 	ownerChecks   map[string]time.Time      // engine to the last check of its ownership row
+	claims        map[string]bool           // engines owned when the table was last restored
 	vmList        vmlist.List
 	freshness     settings.Freshness
 	rng           *rand.Rand
@@ -93,6 +95,7 @@
 	n.session = newSession(n)
 	n.members = newMembers(n)
 	n.loadBudget = newLoadBudget(n)
+	n.generations = &membership.Generations{LeaseTime: n.leaseTime(), MaxExtension: maxExtension}
 	n.promises = &membership.Promises{LeaseTime: n.leaseTime(), Retention: maxExtension + n.leaseTime()}
 	n.callerHandler = &caller.Handler{
 		Tree: n.store.Tree, Ready: n.checkAdmission, Engines: n.servingBackends, EngineClient: n.engineClient,
@@ -134,6 +137,7 @@
 // join registers the session. After a restart it first has to replace the row of the
 // earlier process, which takes more than one write.
 func (n *Node) join() {
+	_, _ = n.table.Get(n.ctx, table.Session{Node: n.cfg.Name}.Key()) // its response states the generation
 	for range joinAttempts {
 		n.session.renew(n.ctx)
 		if n.session.leaseValid(time.Now()) || n.ctx.Err() != nil {
--- a/node/owned.go
+++ b/node/owned.go
@@ -315,6 +315,20 @@
 	return true
 }
 
+// isEnding reports whether the ownership has ended or may have been released.
+func (o *ownedEngine) isEnding() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.stopped || o.handingOver
+}
+
+// hasCommandsInFlight reports whether commands are without a response.
+func (o *ownedEngine) hasCommandsInFlight() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.commandsInFlight > 0
+}
+
 func (o *ownedEngine) abortHandover() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -325,10 +339,7 @@
 // handover.
 func (o *ownedEngine) awaitCommands(ctx context.Context) bool {
 	for {
-		o.mu.Lock()
-		idle := o.commandsInFlight == 0
-		o.mu.Unlock()
-		if idle {
+		if !o.hasCommandsInFlight() {
 			return true
 		}
 		select {
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -34,7 +34,7 @@
 		preferred := n.members.preferredOwner(b.Name, b.DataCenter)
 		own := n.ownedEngine(b.Name)
 		switch {
-		case (preferred == n.cfg.Name || n.ownedByEarlierProcess(b.Name)) && own == nil && !n.session.isLeaving():
+		case (preferred == n.cfg.Name || n.ownedByEarlierProcess(b.Name) || n.hasClaim(b.Name)) && own == nil && !n.session.isLeaving():
 			if !n.hasOtherOwner(b.Name) {
 				changed = n.takeOver(ctx, b) || changed
 			}
@@ -135,10 +135,18 @@
 			return false
 		}
 	}
+	if n.hasCommandsInFlight(b.Name) {
+		return false // they must not arrive after those under a later token
+	}
 	if m, ok := n.members.get(old.Node); ok && m.expired && !n.ownerSessionEnded(old) && n.members.fence(ctx, m) {
 		return true
 	}
 	n.session.withRow(ctx, func(self table.Session, check table.Check) {
+		if old.Generation != self.Generation {
+			changed = n.takeOverFromCopy(ctx, b, old, self, check, row)
+			return
+		}
+		n.dropClaim(b.Name)
 		if old.Process == self.Process && old.Epoch == self.Epoch && old.Node == self.Node {
 			// This session wrote the row in a commit that got no response.
 			n.log.Info("owns the engine by a row that was not known to be written", "engine", b.Name, "token", old.FencingToken, "row-version", row.Version)
@@ -151,24 +159,46 @@
 			n.log.Debug("engine has a live owner; not taking it over", "engine", b.Name, "owner", old.Node, "process", old.Process)
 			return
 		}
-		next := newOwnerRow(old, self, b.ChecksFencing || b.UnloadWaitsForRequests)
-		tx.Checks = append(tx.Checks, check, table.Check{Key: next.Key(), Version: row.Version})
-		tx.Puts = append(tx.Puts, table.Put{Key: next.Key(), Value: next.Encode()})
-		ver, err := n.table.Commit(ctx, tx)
-		changed = table.IsKind(err, table.Conflict)
-		if err != nil {
-			n.log.Info("engine takeover failed; retrying with the next poll", "engine", b.Name, "from", old.Node, "err", err)
-			return // the next read shows whether the commit was applied
-		}
-		n.log.Info("took over the engine", "engine", b.Name, "token", next.FencingToken, "from", old.Node, "former-row-version", row.Version, "row-version", ver)
-		o := n.startOwnership(b, next, ver)
-		if old.LastNode != self.Node {
+		tx.Checks = append(tx.Checks, check)
+		var o *ownedEngine
+		if o, changed = n.writeOwner(ctx, b, old, self, tx, row); o != nil && old.LastNode != self.Node {
 			o.delayCommands(n.commandDelayAfter(old))
 		}
 	})
 	return changed
 }
 
+// takeOverFromCopy takes over an engine whose ownership row is of an earlier generation of
+// the table, or missing. It tells nothing about the last owner.
+func (n *Node) takeOverFromCopy(ctx context.Context, b settings.BackendServer, old table.Owner, self table.Session, check table.Check, row table.Row) (changed bool) {
+	claimed, ok := n.mayTakeOverFromCopy(b.Name)
+	if !ok {
+		n.log.Debug("the ownership row is of before the restore; not taking the engine over yet", "engine", b.Name, "owner", old.Node)
+		return false
+	}
+	o, changed := n.writeOwner(ctx, b, old, self, table.Tx{Checks: []table.Check{check}}, row)
+	if o != nil && !claimed {
+		o.delayCommands(n.ownerAlternationDelay())
+	}
+	return changed
+}
+
+// writeOwner writes this node into the ownership row that was read, if the checks of the
+// transaction hold, and starts the ownership.
+func (n *Node) writeOwner(ctx context.Context, b settings.BackendServer, old table.Owner, self table.Session, tx table.Tx, row table.Row) (o *ownedEngine, changed bool) {
+	next := newOwnerRow(old, self, b.ChecksFencing || b.UnloadWaitsForRequests)
+	tx.Checks = append(tx.Checks, table.Check{Key: next.Key(), Version: row.Version, Generation: row.Generation})
+	tx.Puts = append(tx.Puts, table.Put{Key: next.Key(), Value: next.Encode()})
+	ver, err := n.table.Commit(ctx, tx)
+	if err != nil {
+		n.log.Info("engine takeover failed; retrying with the next poll", "engine", b.Name, "from", old.Node, "err", err)
+		return nil, table.IsKind(err, table.Conflict) // the next read shows whether the commit was applied
+	}
+	n.log.Info("took over the engine", "engine", b.Name, "token", next.FencingToken, "from", old.Node, "former-row-version", row.Version, "row-version", ver)
+	n.dropClaim(b.Name)
+	return n.startOwnership(b, next, ver), false
+}
+
 // commandDelayAfter returns how long a new owner sends no commands. Two VMs must not
 // alternate as owners within OwnerAlternationGap. After a single change of owner,
 // fencing tokens tell the commands of the two apart. A delay is therefore needed only
@@ -177,8 +207,12 @@
 	if old.Node == "" {
 		return time.Duration(old.HandoverDelayMS) * time.Millisecond
 	}
-	// The former owner's session has expired, so it took over the engine at least
-	// LeaseTTL less LeaseMargin ago.
+	return n.ownerAlternationDelay()
+}
+
+// ownerAlternationDelay is the delay after an owner whose lease has ended: it took over the
+// engine at least LeaseTTL less LeaseMargin ago.
+func (n *Node) ownerAlternationDelay() time.Duration {
 	return max(0, n.cfg.OwnerAlternationGap+n.cfg.LeaseMargin-n.cfg.LeaseTTL)
 }
 
@@ -188,7 +222,8 @@
 func newOwnerRow(old table.Owner, self table.Session, engineArbitrates bool) table.Owner {
 	next := old
 	next.Node, next.Process, next.Epoch, next.Address = self.Node, self.Process, self.Epoch, self.Address
-	next.FencingToken, next.LastNode, next.HandoverDelayMS = old.FencingToken+1, self.Node, 0
+	next.FencingToken, next.Generation = old.NextFencingToken(self.Generation), self.Generation
+	next.LastNode, next.HandoverDelayMS = self.Node, 0
 	if engineArbitrates {
 		next.FormerOwners = nil
 		return next
@@ -217,7 +252,7 @@
 		key := table.Session{Node: old.Node}.Key()
 		return table.Tx{Checks: []table.Check{{Key: key}}}, true
 	}
-	return table.Tx{Checks: []table.Check{{Key: m.Key(), Version: m.version}}}, n.ownerSessionEnded(old)
+	return table.Tx{Checks: []table.Check{{Key: m.Key(), Version: m.version, Generation: m.readIn}}}, n.ownerSessionEnded(old)
 }
 
 // ownerSessionEnded reports whether the owner's lease is known to have ended: it
@@ -310,6 +345,17 @@
 	}
 }
 
+// undisputedEngines returns the names of the engines that this node owns and is not
+// releasing.
+func (n *Node) undisputedEngines() (names []string) {
+	for _, o := range n.ownedEngines() {
+		if !o.isEnding() {
+			names = append(names, o.name)
+		}
+	}
+	return names
+}
+
 // hasYielded reports whether this process can send no more commands with a fencing
 // token below the given one.
 func (n *Node) hasYielded(engineName string, token int64) bool {
@@ -350,7 +396,7 @@
 			return
 		}
 		n.registry.Fence(o.Engine, o.FencingToken)
-		if o.Node != "" {
+		if o.Node != "" && o.Generation == n.generations.Current() {
 			n.setOwnerHint(o.Engine, o.Node)
 		}
 	}
--- /dev/null
+++ b/node/restore.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/table"
+)
+
+// ObserveGeneration tells the node the generation of the table that a response stated. A
+// later one than before means that the table was restored from a copy: what nodes wrote in
+// the last seconds is lost, and versions are given out again. The node then ends all its
+// ownerships and registers a new session. It takes the engines that it owned under a valid
+// lease over again at once; other engines only once no lease of before can be left. It
+// does not block.
+func (n *Node) ObserveGeneration(generation int64) {
+	first := n.generations.Current() == 0
+	if !n.generations.Advance(generation, time.Now()) {
+		return
+	}
+	if first {
+		n.log.Info("the table states its generation", "generation", generation)
+	} else {
+		n.log.Warn("the table was restored from a copy; registering again", "generation", generation)
+	}
+	n.tasks.Go(func() { n.registerAgain(n.ctx, generation) })
+}
+
+// registerAgain registers the session in a new generation of the table.
+func (n *Node) registerAgain(ctx context.Context, generation int64) {
+	owned, registered := n.session.restart(ctx, generation)
+	n.promises.ForgetPromises()
+	n.members.recordReadFailure() // the timers of sessions start again
+	if n.recordClaims(generation, owned) && registered {
+		n.log.Info("ended the ownership of all engines", "generation", generation, "claims", len(owned))
+		n.join()
+		for _, name := range owned {
+			n.tasks.Go(func() { n.takeOverClaimed(ctx, name) })
+		}
+	}
+	for !n.generations.Settled(time.Now()) && ctx.Err() == nil {
+		sleep(ctx, tickInterval)
+	}
+	n.pollMembers(ctx) // takes over what was not claimed
+}
+
+// recordClaims replaces the engines that this node may take over again at once, since no
+// other node can have owned them when the table was restored. It returns false if a later
+// generation has begun.
+func (n *Node) recordClaims(generation int64, engines []string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if generation < n.generations.Current() {
+		return false
+	}
+	n.claims = make(map[string]bool)
+	for _, name := range engines {
+		n.claims[name] = true
+	}
+	clear(n.ownerHints)
+	clear(n.ownerChecks)
+	return true
+}
+
+// hasClaim reports whether this node owned an engine when the table was restored, and its
+// ownership row has not been written since.
+func (n *Node) hasClaim(engineName string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.claims[engineName]
+}
+
+// dropClaim records that an ownership row of the current generation of the table exists.
+func (n *Node) dropClaim(engineName string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.claims, engineName)
+}
+
+// takeOverClaimed takes an engine over again once the commands of the former ownership have
+// ended, so that they do not arrive after those under a later token.
+func (n *Node) takeOverClaimed(ctx context.Context, name string) {
+	for n.hasCommandsInFlight(name) {
+		if ctx.Err() != nil {
+			return
+		}
+		sleep(ctx, handoverPollInterval)
+	}
+	n.takeOverReleased(name)
+}
+
+// hasCommandsInFlight reports whether commands of former ownerships of this process are
+// without a response.
+func (n *Node) hasCommandsInFlight(engineName string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, o := range n.formerlyOwned[engineName] {
+		if o.hasCommandsInFlight() {
+			return true
+		}
+	}
+	return false
+}
+
+// mayTakeOverFromCopy reports whether this node may take over an engine whose ownership
+// row, if any, is of an earlier generation of the table: the row may have been replaced in
+// writes that were lost.
+func (n *Node) mayTakeOverFromCopy(engineName string) (claimed, ok bool) {
+	claimed = n.hasClaim(engineName)
+	return claimed, claimed || n.generations.Settled(time.Now())
+}
+
+// confirmGenerations records which members know the current generation of the table.
+// The caller holds m.mu.
+func (m *members) confirmGenerations() {
+	now, present := time.Now(), make(map[string]bool)
+	for _, mem := range m.list {
+		if mem.Node == m.n.cfg.Name {
+			continue
+		}
+		present[mem.Node] = true
+		if !mem.Fenced { // the lease of a fenced session had ended
+			m.n.generations.Observe(mem.Node, mem.Address, mem.Generation, now)
+		}
+	}
+	m.n.generations.Retain(func(name string) bool { return present[name] }, now)
+}
+
+// isStale reports whether rows were read in an earlier generation of the table.
+func (m *members) isStale(rows []table.Row) bool {
+	return len(rows) > 0 && rows[0].Generation < m.n.generations.Current()
+}
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -11,37 +11,29 @@
 	"github.com/vanilladrift/vanilladrift/standin"
 )
 
-// commandWatch checks that the nodes that may send commands to an engine follow each
-// other with growing fencing tokens.
-type commandWatch struct {
-	c       *leaseCluster
-	highest map[string]sender // by engine
-}
-
-// sender is a node that may send commands, and its fencing token.
+// sender is a node that may send commands to an engine, and its fencing token.
 type sender struct {
 	node  string
 	token int64
 }
 
-// watch waits for d and returns the last violation.
-func (w *commandWatch) watch(d time.Duration) (violation string) {
-	if w.highest == nil {
-		w.highest = make(map[string]sender)
+// checkSenders returns a violation if a node may send commands to an engine under a fencing
+// token that another node had before, or under a lower one.
+func (c *leaseCluster) checkSenders() (violation string) {
+	if c.senders == nil {
+		c.senders = make(map[string]sender)
 	}
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		for _, n := range w.c.nodes {
-			for _, o := range n.ownedEngines() {
-				if !o.canSendCommand() {
-					continue
-				}
-				s, last := sender{n.Name(), o.token}, w.highest[o.name]
-				if s.token < last.token || s.token == last.token && s.node != last.node {
-					violation = fmt.Sprintf("%s may send commands to %s with token %d after %s had token %d", s.node, o.name, s.token, last.node, last.token)
-					continue
-				}
-				w.highest[o.name] = s
+	for _, n := range c.nodes {
+		for _, o := range n.ownedEngines() {
+			if !o.canSendCommand() {
+				continue
+			}
+			s, last := sender{n.Name(), o.token}, c.senders[o.name]
+			if s.token < last.token || s.token == last.token && s.node != last.node {
+				violation = fmt.Sprintf("%s may send commands to %s with token %d after %s had token %d", s.node, o.name, s.token, last.node, last.token)
+				continue
 			}
+			c.senders[o.name] = s
 		}
 	}
 	return violation
@@ -76,15 +68,31 @@
 					is := is.New(t)
 					c := newStoreCluster(5, 16)
 					defer c.close()
-					w := &commandWatch{c: c}
-					is.Equal(w.watch(10*time.Second), "")
+					is.Equal(c.watch(10*time.Second), "")
 					before := c.store.Copy()
 					tt.after(c)
-					is.Equal(w.watch(age), "")
+					is.Equal(c.watch(age), "")
 					c.restore(before, 300*time.Millisecond)
-					is.Equal(w.watch(20*time.Second), "")
+					is.Equal(c.watch(20*time.Second), "")
 				})
 			})
 		}
 	}
 }
+
+// A restore must not leave engines without an owner for longer than it takes to register
+// again, if their owners live.
+func TestOwnersOfBeforeARestoreGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newStoreCluster(5, 16)
+		defer c.close()
+		before := c.store.Copy() // without any owner
+		is.Equal(c.watch(10*time.Second), "")
+		owners := c.owners()
+		is.Equal(len(owners), len(c.docs))
+		c.restore(before, 300*time.Millisecond)
+		is.Equal(c.watch(2500*time.Millisecond), "")
+		is.Equal(c.owners(), owners)
+	})
+}
--- a/node/session.go
+++ b/node/session.go
@@ -16,9 +16,10 @@
 type session struct {
 	n *Node
 
-	rowLock *semaphore.Weighted // held while the rows are read or written
-	row     table.Session
-	version int64 // of the row; 0 before the first write
+	rowLock    *semaphore.Weighted // held while the rows are read or written
+	row        table.Session
+	version    int64 // of the row; 0 before the first write
+	generation int64 // of the table, in which the version was read; also guarded by mu
 	// witnesses is the last confirmed witness row; witnessesKnown is false while a write
 	// of it got no response.
 	witnesses      []table.Witness
@@ -110,11 +111,14 @@
 		return // the node is closing
 	}
 	defer s.rowLock.Release(1)
+	if s.row.Counter == 0 {
+		s.setGeneration(s.n.generations.Current())
+	}
 	next := s.row
 	next.Counter++
-	next.Leaving = s.isLeaving()
+	next.Leaving, next.Generation = s.isLeaving(), s.generation
 	tx := table.Tx{
-		Checks: []table.Check{{Key: next.Key(), Version: s.version}},
+		Checks: []table.Check{s.check()},
 		Puts:   []table.Put{{Key: next.Key(), Value: next.Encode()}},
 	}
 	witnesses := membership.Choose(next.Node, s.witnesses, s.n.members.witnessCandidates())
@@ -126,16 +130,34 @@
 	sent := time.Now()
 	ver, err := s.n.table.Commit(ctx, tx)
 	switch {
+	case err == nil && s.generation != s.n.generations.Current():
+		// Its response was the first to state a generation: register again in that.
 	case err == nil:
 		s.recordRenewal(next, witnesses, ver, sent)
 		if !s.n.tokensKnown.Load() {
 			s.n.readFencingTokens(ctx)
 		}
-	case table.IsKind(err, table.Conflict), table.IsKind(err, table.Unknown):
+	case table.IsKind(err, table.Conflict), table.IsKind(err, table.Unknown), table.IsKind(err, table.Restored):
 		s.readBack(ctx, next, witnesses, sent)
 	}
 }
 
+// check returns a check that the session row is as last known. The caller holds rowLock.
+func (s *session) check() table.Check {
+	return table.Check{Key: s.row.Key(), Version: s.version, Generation: s.generation}
+}
+
+// setGeneration sets the generation of a session that is not registered in the table yet.
+// The caller holds rowLock.
+func (s *session) setGeneration(generation int64) {
+	if s.generation == generation {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.generation, s.version = generation, 0
+}
+
 // beginWitnessWrite records that the witnesses are about to be written. Until the
 // write is confirmed, either set may be in force.
 func (s *session) beginWitnessWrite(set []table.Witness) {
@@ -164,7 +186,8 @@
 func (s *session) extensionTerms(now time.Time) (version int64, sets [][]table.Witness, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.confirmed, slices.Clone(s.possibleSets), s.lease.Valid(now) && now.Sub(s.renewed) < maxExtension
+	ok = s.lease.Valid(now) && now.Sub(s.renewed) < maxExtension && s.generation == s.n.generations.Current()
+	return s.confirmed, slices.Clone(s.possibleSets), ok
 }
 
 // extendLease restarts the lease at sent, when the round began, if enough witnesses have
@@ -173,7 +196,7 @@
 func (s *session) extendLease(round *membership.Round, version int64, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lease.Valid(time.Now()) && s.confirmed == version && round.Enough(s.possibleSets) {
+	if s.lease.Valid(time.Now()) && s.confirmed == version && s.generation == s.n.generations.Current() && round.Enough(s.possibleSets) {
 		s.lease.RecordRenewal(sent)
 	}
 }
@@ -188,11 +211,14 @@
 // readBack reads the row after a renewal that conflicted or got no response.
 func (s *session) readBack(ctx context.Context, next table.Session, witnesses []table.Witness, sent time.Time) {
 	row, err := s.n.table.Get(ctx, next.Key())
+	if s.generation != s.n.generations.Current() {
+		return // the session is registered again in the current generation
+	}
 	if table.IsKind(err, table.NotFound) {
 		s.startNewEpoch(table.Session{}, 0) // removed because it had expired, or by an operator
 		return
 	}
-	if err != nil {
+	if err != nil || row.Generation != s.generation {
 		return
 	}
 	current, err := table.DecodeSession(row)
@@ -219,7 +245,9 @@
 	s.mu.Unlock()
 	s.n.tokensKnown.Store(false)
 	if registered {
-		s.n.log.Warn("session was fenced", "epoch", s.row.Epoch)
+		if s.generation == s.n.generations.Current() {
+			s.n.log.Warn("session was fenced", "epoch", s.row.Epoch)
+		}
 		s.n.endAllOwnership()
 		s.row.Epoch++
 	}
@@ -231,6 +259,25 @@
 	s.id, s.possibleSets = s.row.ID(), nil
 }
 
+// restart ends a session that was registered in an earlier generation of the table, with
+// the ownership of all engines. It returns the names of those that it owned until now under
+// a valid lease.
+func (s *session) restart(ctx context.Context, generation int64) (owned []string, registered bool) {
+	if s.rowLock.Acquire(ctx, 1) != nil {
+		return nil, false
+	}
+	defer s.rowLock.Release(1)
+	if s.row.Counter == 0 || s.generation >= generation {
+		return nil, false
+	}
+	if s.leaseValid(time.Now()) {
+		owned = s.n.undisputedEngines()
+	}
+	s.startNewEpoch(table.Session{}, 0)
+	s.setGeneration(generation)
+	return owned, true
+}
+
 // removeRow removes the session row, so that other nodes need not wait for the lease to
 // expire.
 func (s *session) removeRow(ctx context.Context) {
@@ -242,7 +289,7 @@
 		return
 	}
 	_, err := s.n.table.Commit(ctx, table.Tx{
-		Checks:  []table.Check{{Key: s.row.Key(), Version: s.version}},
+		Checks:  []table.Check{s.check()},
 		Deletes: []string{s.row.Key(), table.WitnessKey(s.row.Node)},
 	})
 	if err != nil {
@@ -258,9 +305,9 @@
 		return false
 	}
 	defer s.rowLock.Release(1)
-	if !s.leaseValid(time.Now()) {
+	if !s.leaseValid(time.Now()) || s.generation != s.n.generations.Current() {
 		return false
 	}
-	f(s.row, table.Check{Key: s.row.Key(), Version: s.version})
+	f(s.row, s.check())
 	return true
 }
--- a/table/owner.go
+++ b/table/owner.go
@@ -20,8 +20,9 @@
 	Node         string `json:"node"` // name of the owner; empty when released
 	Process      string `json:"process"`
 	Epoch        int64  `json:"epoch"`
-	Address      string `json:"address"` // address of the node for peers
-	FencingToken int64  `json:"token"`   // increases with each takeover
+	Address      string `json:"address"`              // address of the node for peers
+	FencingToken int64  `json:"token"`                // increases with each takeover
+	Generation   int64  `json:"generation,omitempty"` // of the table, in which the row was written
 	// LastNode is the last node that could send commands. It is kept when the
 	// engine is released.
 	LastNode string `json:"last-node,omitempty"`
@@ -42,6 +43,16 @@
 	FencingToken int64  `json:"token"`
 }
 
+// tokensPerGeneration is the number of fencing tokens of an engine in one generation of the
+// table: more than its takeovers can be.
+const tokensPerGeneration = 1 << 20
+
+// NextFencingToken returns the token of the next owner. It is higher than all tokens of
+// earlier generations of the table, also of those whose rows a restore has lost.
+func (o Owner) NextFencingToken(generation int64) int64 {
+	return max(o.FencingToken, (generation-1)*tokensPerGeneration) + 1
+}
+
 // Key returns the key of the row.
 func (o Owner) Key() string { return OwnerPrefix + o.Engine }
 
--- a/table/session.go
+++ b/table/session.go
@@ -17,8 +17,9 @@
 	Address    string `json:"address"` // IP address and port for peers
 	Region     string `json:"region,omitempty"`
 	DataCenter string `json:"data-center,omitempty"`
-	Fenced     bool   `json:"fenced,omitempty"`  // another node ended the session to take over its engines
-	Leaving    bool   `json:"leaving,omitempty"` // the node is shutting down
+	Fenced     bool   `json:"fenced,omitempty"`     // another node ended the session to take over its engines
+	Leaving    bool   `json:"leaving,omitempty"`    // the node is shutting down
+	Generation int64  `json:"generation,omitempty"` // of the table, in which the row was written
 }
 
 // Key returns the key of the row.
