End an ownership whose release got no response

What callers saw: two nodes may send commands to one engine, the former one under the lower fencing token.

Cause: a node that hands an engine over writes that it has no owner. When the write gets no response and the row is unchanged at the next read, the node went on as the owner. The store may apply such a write seconds later; the engine is then taken over at once, as released engines need no wait for a lease, while the former owner's lease is valid.

TestReleaseAppliedLateEndsOwnership failed before: "[n0 n1] own e4".

Fix: without a response the ownership ends, and the release is written again until the row is known to have changed; a write on the same version rules the earlier one out. For the same reason a node that finds its own takeover in the row writes it once more.

--- a/node/commands.go
+++ b/node/commands.go
@@ -131,22 +131,33 @@
 // writeIntent removes the victim from the stable list and adds the adapter, before the
 // commands are sent.
 func (o *ownedEngine) writeIntent(ctx context.Context, victim, adapter string) bool {
-	lost, ok := o.writeRow(ctx, func(row table.Owner) table.Owner { return row.WithStableChange(victim, adapter) })
-	if lost {
+	outcome := o.writeRow(ctx, func(row table.Owner) table.Owner { return row.WithStableChange(victim, adapter) })
+	if outcome == rowLost {
 		o.n.log.Warn("another node has taken over the engine; ending ownership", "engine", o.name)
 		o.n.endOwnership(o)
 	}
-	return ok
+	return outcome == rowWritten
 }
 
+// rowOutcome is the outcome of a change to an ownership row.
+type rowOutcome int
+
+const (
+	rowUnchanged rowOutcome = iota // nothing was written
+	rowWritten                     // the row has the change
+	rowLost                        // the row was written by something else meanwhile
+	rowUnknown                     // a write may still be applied
+)
+
 // writeRow changes the ownership row. If the write gets no response, it reads the row
-// to learn the outcome. It returns lost if another owner has written the row.
-func (o *ownedEngine) writeRow(ctx context.Context, change func(table.Owner) table.Owner) (lost, ok bool) {
+// to learn the outcome.
+func (o *ownedEngine) writeRow(ctx context.Context, change func(table.Owner) table.Owner) rowOutcome {
 	if o.rowLock.Acquire(ctx, 1) != nil {
-		return false, false
+		return rowUnchanged
 	}
 	defer o.rowLock.Release(1)
 	next := change(o.row)
+	failed := rowUnchanged
 	for range rowWriteAttempts {
 		ver, err := o.n.table.Commit(ctx, table.Tx{
 			Checks: []table.Check{{Key: next.Key(), Version: o.version, Generation: o.row.Generation}},
@@ -154,22 +165,25 @@
 		})
 		if err == nil {
 			o.row, o.version = next, ver
-			return false, true
+			return rowWritten
+		}
+		if !table.IsKind(err, table.Unavailable) && !table.IsKind(err, table.Conflict) {
+			failed = rowUnknown
 		}
 		if row, rerr := o.n.table.Get(ctx, next.Key()); rerr == nil && row.Version != o.version {
 			current, derr := table.DecodeOwner(row)
 			if derr == nil && reflect.DeepEqual(current, next) {
 				o.row, o.version = next, row.Version
-				return false, true
+				return rowWritten
 			}
-			return true, false
+			return rowLost
 		}
 		if table.IsKind(err, table.Unavailable) {
-			return false, false
+			return failed
 		}
 		sleep(ctx, rowRetryPause)
 	}
-	return false, false
+	return failed
 }
 
 // raiseToken sends the fencing token to the engine, which then rejects commands with
--- a/node/lease_fuzz_test.go
+++ b/node/lease_fuzz_test.go
@@ -26,7 +26,7 @@
 )
 
 // restoreSteps lists the actions of a plan on the platform's store.
-var restoreSteps = append([]string{"restore", "restore", "restore", "roll"}, leaseSteps...)
+var restoreSteps = append([]string{"restore", "restore", "restore", "apply-late", "roll"}, leaseSteps...)
 
 var (
 	leaseStepGen   = leaseStepsFrom(leaseSteps)
@@ -68,6 +68,9 @@
 	case "lose-answers":
 		lose := func(table.Tx) bool { return true }
 		during(func() { c.setFault(standin.TableFault{LoseResponse: lose}) }, func() { c.setFault(standin.TableFault{}) })
+	case "apply-late":
+		late := func(table.Tx) time.Duration { return time.Duration(s.num) * 6 * time.Millisecond }
+		during(func() { c.setFault(standin.TableFault{ApplyLate: late}) }, func() { c.setFault(standin.TableFault{}) })
 	case "restore":
 		before := c.store.Copy()
 		faults.Go(func() {
@@ -111,7 +114,7 @@
 
 // At no time may a node be able to send commands to an engine under a fencing token that
 // another node had, or a lower one, also while the store comes back from copies some
-// seconds old.
+// seconds old and writes are applied late.
 func TestTokensGrowWhileStoreIsRestored(t *testing.T) {
 	if !*randomSeeds {
 		fixSeed(t)
--- a/node/owned.go
+++ b/node/owned.go
@@ -352,11 +352,11 @@
 
 // releaseRow removes this node as the owner from the ownership row. If a command got no
 // response, it may still take effect, so this process stays listed as a former owner.
-func (o *ownedEngine) releaseRow(ctx context.Context) bool {
+func (o *ownedEngine) releaseRow(ctx context.Context) rowOutcome {
 	o.mu.Lock()
 	keepAsFormerOwner := o.commandsUnanswered > 0 && !o.backend().ChecksFencing
 	o.mu.Unlock()
-	_, ok := o.writeRow(ctx, func(row table.Owner) table.Owner {
+	return o.writeRow(ctx, func(row table.Owner) table.Owner {
 		if keepAsFormerOwner {
 			row.FormerOwners = append(row.WithoutFormerOwner(row.Process).FormerOwners,
 				table.FormerOwner{Node: row.Node, Process: row.Process, Address: row.Address, FencingToken: row.FencingToken})
@@ -365,7 +365,6 @@
 		row.Node, row.Process, row.Address = "", "", ""
 		return row
 	})
-	return ok
 }
 
 // stop ends the ownership: it refuses all waiting work, and no command can start.
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -148,9 +148,12 @@
 		}
 		n.dropClaim(b.Name)
 		if old.Process == self.Process && old.Epoch == self.Epoch && old.Node == self.Node {
-			// This session wrote the row in a commit that got no response.
-			n.log.Info("owns the engine by a row that was not known to be written", "engine", b.Name, "token", old.FencingToken, "row-version", row.Version)
-			n.startOwnership(b, old, row.Version).delayCommands(n.cfg.OwnerAlternationGap)
+			// This session wrote the row in a commit that got no response. Writing it again
+			// keeps other such commits from being applied later.
+			var o *ownedEngine
+			if o, changed = n.writeOwner(ctx, b, old, self, table.Tx{Checks: []table.Check{check}}, row); o != nil {
+				o.delayCommands(n.cfg.OwnerAlternationGap)
+			}
 			return
 		}
 		tx, ok := n.checkOwnerSessionEnded(old)
@@ -282,10 +285,27 @@
 	if !o.beginHandover() {
 		return
 	}
-	if !o.awaitCommands(ctx) || !o.releaseRow(ctx) {
+	if !o.awaitCommands(ctx) {
 		o.abortHandover()
 		return
 	}
+	switch o.releaseRow(ctx) {
+	case rowUnchanged:
+		o.abortHandover()
+	case rowWritten:
+		n.endReleased(ctx, o)
+	case rowLost:
+		n.endOwnership(o)
+	case rowUnknown:
+		// The write may be applied later, and then another node takes the engine over at once.
+		n.log.Warn("the release of an engine got no response; ending the ownership and releasing it again", "engine", o.name)
+		n.endOwnership(o)
+		n.tasks.Go(func() { n.releaseAgain(o) })
+	}
+}
+
+// endReleased ends the ownership of an engine whose row names no owner any more.
+func (n *Node) endReleased(ctx context.Context, o *ownedEngine) {
 	n.log.Info("released the engine", "engine", o.name)
 	n.endOwnership(o)
 	if b, ok := n.store.Tree().Backend(o.name); ok { // otherwise nobody should own it
@@ -293,6 +313,20 @@
 	}
 }
 
+// releaseAgain writes that an engine has no owner until the row is known to have changed.
+func (n *Node) releaseAgain(o *ownedEngine) {
+	for n.ctx.Err() == nil {
+		sleep(n.ctx, recoveryRetryPause)
+		switch o.releaseRow(n.ctx) {
+		case rowWritten:
+			n.endReleased(n.ctx, o)
+			return
+		case rowLost:
+			return
+		}
+	}
+}
+
 // takeOverReleased takes over an engine that its owner has released, if it is
 // configured here, without waiting for the next poll.
 func (n *Node) takeOverReleased(name string) {
--- a/node/recovery.go
+++ b/node/recovery.go
@@ -134,7 +134,7 @@
 	}
 	o.syncAfterFormerOwners(ctx)
 	if len(formerOwners) > 0 {
-		_, _ = o.writeRow(ctx, func(row table.Owner) table.Owner {
+		_ = o.writeRow(ctx, func(row table.Owner) table.Owner {
 			row.FormerOwners = nil
 			return row
 		}) // on failure the next owner checks them again
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/vanilladrift/vanilladrift/standin"
+	"github.com/vanilladrift/vanilladrift/table"
 )
 
 // sender is a node that may send commands to an engine, and its fencing token.
@@ -80,6 +83,33 @@
 	}
 }
 
+// Guards against two owners of an engine: the response to a release is lost, the release is
+// applied seconds later, and the next owner takes the engine over at once.
+func TestReleaseAppliedLateEndsOwnership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newStoreCluster(5, 16)
+		defer c.close()
+		is.Equal(c.watch(10*time.Second), "")
+		c.store.SetFault(standin.TableFault{ApplyLate: func(tx table.Tx) time.Duration {
+			if strings.HasPrefix(tx.Puts[0].Key, table.OwnerPrefix) {
+				return 4 * time.Second
+			}
+			return 0
+		}})
+		releasing := c.nodes[slices.IndexFunc(c.nodes, func(n *Node) bool { return len(n.ownedEngines()) > 0 })]
+		o := releasing.ownedEngines()[0]
+		releasing.handOver(t.Context(), o)
+		is.Equal(c.watch(3*time.Second), "")
+		c.store.SetFault(standin.TableFault{})
+		is.Equal(c.watch(1500*time.Millisecond), "")
+		next := c.nodes[slices.IndexFunc(c.nodes, func(n *Node) bool { return n != releasing })]
+		next.takeOverReleased(o.name)
+		is.Equal(c.watch(12*time.Second), "")
+		is.Equal(len(c.owners()[o.name]), 1)
+	})
+}
+
 // A restore must not leave engines without an owner for longer than it takes to register
 // again, if their owners live.
 func TestOwnersOfBeforeARestoreGoOn(t *testing.T) {
--- a/standin/store.go
+++ b/standin/store.go
@@ -182,6 +182,10 @@
 	}
 	switch {
 	case req.Tx != nil:
+		if delay := fault.applyDelay(*req.Tx); delay > 0 {
+			time.AfterFunc(delay, func() { s.commit(*req.Tx) })
+			return platform.StoreResponse{}, &table.Error{Op: op, Kind: table.Unknown}
+		}
 		version, ok := s.commit(*req.Tx)
 		if !ok {
 			return platform.StoreResponse{}, &table.Error{Op: op, Kind: table.Conflict}
--- a/standin/table.go
+++ b/standin/table.go
@@ -19,6 +19,17 @@
 	// LoseResponse is called after each transaction took effect. If it returns
 	// true, the response is lost.
 	LoseResponse func(tx table.Tx) bool
+	// ApplyLate, if set, returns how long after its arrival a transaction takes effect, if its
+	// checks hold then. A delay above zero also loses the response. A Table ignores it.
+	ApplyLate func(tx table.Tx) time.Duration
+}
+
+// applyDelay returns the delay of a transaction that takes effect late, or 0.
+func (f TableFault) applyDelay(tx table.Tx) time.Duration {
+	if f.ApplyLate == nil {
+		return 0
+	}
+	return f.ApplyLate(tx)
 }
 
 // Table is a stand-in for the transactional table service.
