Do not count a command that was never sent as unanswered

A command for an engine whose row is gone, or to which nothing may be sent, fails with not-sent before any byte leaves the node. The sequencer treated it as one without a reply: it discarded the known state, waited 0.4 s for a newer report, and kept a slot free for 13 s once the engine restarted, so callers of a third adapter caused evictions.

Such an error now returns before anything is recorded. TestCommandsThatWereNotSentChangeNothing failed before (the state was no longer current).

--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -221,6 +221,8 @@
 	s.mu.Unlock()
 	reply, err := s.Send(ctx, c)
 	switch {
+	case IsKind(err, NotSent):
+		return "", err // nothing can still take effect, and the known state stays current
 	case err != nil && c.Load && present:
 		// At this sequence number the adapter is loaded or being loaded already, so a
 		// delayed command has no effect. If it does load a new version, the next
--- a/engine/sequencer_test.go
+++ b/engine/sequencer_test.go
@@ -323,3 +323,35 @@
 		}
 	})
 }
+
+// Guards against slots that stay empty after a restart of the engine, and commands that
+// wait for a new report, since commands that were never sent count as ones that may still
+// be executed.
+func TestCommandsThatWereNotSentChangeNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newSequencedEngine(3)
+		s := e.sequencer()
+		ctx := context.Background()
+		_, err := s.Load(ctx, "m/a", 1)
+		is.NoErr(err)
+		s.Send = func(context.Context, Command) (Reply, error) {
+			return "", &Error{Op: "order", Kind: NotSent, Engine: "e"}
+		}
+		for range 3 {
+			_, err = s.Load(ctx, "m/b", 1)
+			is.True(IsKind(err, NotSent))
+		}
+		is.True(s.ModelReady())
+		s.Send = e.send
+		e.restart()
+		time.Sleep(time.Second)
+		_, err = s.Report(ctx)
+		is.NoErr(err)
+		for _, name := range []string{"m/a", "m/b", "m/c"} {
+			_, err = s.Load(ctx, name, 1)
+			is.NoErr(err)
+		}
+		is.Equal(len(e.loaded), 3)
+	})
+}
