Send a server nothing during the pause that it asks for with a refusal

A server that turns a request away with 503 and Retry-After got further requests at once: the time was not read.

platform decodes the time once: seconds with or without a fraction, or an HTTP date against the response's own date; anything else is an error that is logged and changes nothing. backend.Pauses holds it by incarnation, so a restarted server is a new one, bounds it to five minutes, so that a wrong value cannot take a server out for good, and never shortens it. The balancer skips the server, no grant is asked for it, a grant that was obtained meanwhile is returned unsent, commands and reports fail as not sent, and the pool's transport asks once more before it sends, also after a wait for a connection. There are no health checks. A 503 without the time, or of another request, changes nothing.

Other servers take over. With none left, a request is held if the pause ends within half of the time to its target: held, it needs no new connection and none of the caller's few retries, and is answered no later than a retry would be. Otherwise it is rejected at once with the shortest time that is left, within its deadline, since the pause holds for this node only and another may serve the caller. One that may have run cannot be rejected as not run; it is held by its deadline instead of the target.

What waited does not come at once: held requests and Retry-After are spread over up to half of the pause (0.5 s at most), and after a pause the balancer weighs the server as one with failures, so that its load rises within two seconds.

New tests: TestPauses, TestPauseIsNewOnce, TestBalancerDuringPause, TestRequestsWaitForEndOfPause (backend); TestDecodePause, TestDecodePauseWithoutDate (platform); TestServerAsksForPause, TestRefusalWithoutPause, TestHeldForEndOfPause, TestHeldRequestOfGoneCaller, TestGrantOfPausedEngineIsNotUsed, TestQueuedForEngineThatPauses (relay); TestPausedReplicaGetsNothing, TestRequestIsNotSentToPausedServer (entry); TestAcquireEndsWithoutUsableEngine (caller). With Pause doing nothing, those of backend, relay and entry that need it failed.

--- a/backend/balancer.go
+++ b/backend/balancer.go
@@ -21,6 +21,7 @@
 // recent failures, and the data centre. The zero value is ready to use.
 type Balancer struct {
 	DataCenter string // data centre of this node
+	Pauses     Pauses // pauses that servers have asked for
 
 	mu    sync.Mutex
 	loads map[string]*serverLoad
@@ -33,7 +34,7 @@
 }
 
 // Pick returns the server with the lowest cost for a request, or nil. It skips
-// draining and excluded servers. The caller must call done when the request has
+// draining, paused and excluded servers. The caller must call done when the request has
 // ended, and report whether the server failed it.
 func (b *Balancer) Pick(now time.Time, servers []*Server, excluded map[string]bool) (s *Server, done func(now time.Time, failed bool)) {
 	b.mu.Lock()
@@ -41,7 +42,7 @@
 	var best *Server
 	var bestCost float64
 	for _, s := range servers {
-		if s.Draining || excluded[s.ID] {
+		if s.Draining || excluded[s.ID] || b.Pauses.Left(now, s) > 0 {
 			continue
 		}
 		cost := b.cost(now, s) + rand.Float64()/2 // break ties at random
@@ -69,6 +70,7 @@
 	if l := b.loads[s.Incarnation()]; l != nil {
 		cost = float64(l.inFlight) + failureCost*l.recentFailures(now)
 	}
+	cost += failureCost * maxFailureCount * b.Pauses.recovery(now, s) // its load rises step by step
 	if s.DataCenter != b.DataCenter {
 		cost += remoteCost
 	}
--- a/backend/doc.go
+++ b/backend/doc.go
@@ -2,7 +2,8 @@
 // between plain servers, and retry budgets.
 //
 // [Registry] merges the rows in which servers register themselves. [Balancer]
-// chooses a server of a plain pool. [RetryBudget] limits the retries sent to a
+// chooses a server of a plain pool. [Pauses] records the servers that want no
+// requests for a time. [RetryBudget] limits the retries sent to a
 // pool.
 //
 // # Usage
--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -30,6 +31,9 @@
 	// request goes to one of them without a grant, so engines must reject
 	// requests for adapters that are not loaded. Release must be set too.
 	HasLoaded func(engineName, adapter string) bool
+	// CanUse, which is optional, reports whether this node may send requests to an engine
+	// now. It is asked again before each further try.
+	CanUse func(engineName string) bool
 	// Release returns a grant that was acquired only to load an adapter.
 	Release func(g Grant)
 
@@ -70,7 +74,18 @@
 		case <-ctx.Done():
 			return Grant{}, r
 		}
+		if req.Engines = a.usable(req.Engines); len(req.Engines) == 0 {
+			return Grant{}, r
+		}
+	}
+}
+
+// usable returns the engines that this node may send requests to now.
+func (a *Acquirer) usable(engines []string) []string {
+	if a.CanUse == nil {
+		return engines
 	}
+	return slices.DeleteFunc(slices.Clone(engines), func(name string) bool { return !a.CanUse(name) })
 }
 
 func (a *Acquirer) acquireOnce(ctx context.Context, req GrantRequest) (Grant, error) {
--- a/caller/grant_search_test.go
+++ b/caller/grant_search_test.go
@@ -85,3 +85,29 @@
 	is.Equal(len(requested), 3)
 	is.Equal(g.Engine, requested[0])
 }
+
+// Guards against a request that waits until its deadline for the owner of an engine which
+// this node must send nothing.
+func TestAcquireEndsWithoutUsableEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var requested []string
+		start := time.Now()
+		usableFor := map[string]time.Duration{"e0": ownerChangeDelay / 2, "e1": 3 * ownerChangeDelay / 2}
+		a := &Acquirer{
+			Router: engine.NewRouter(engine.RouterConfig{}), Mu: &sync.Mutex{}, SpendRetry: func() bool { return false },
+			CanUse: func(name string) bool { return time.Since(start) < usableFor[name] },
+			RequestGrant: func(_ context.Context, name string, _ engine.Work) (Grant, error) {
+				requested = append(requested, name)
+				return Grant{}, &Refusal{Reason: engine.NoOwner}
+			},
+		}
+		_, err := a.Acquire(t.Context(), GrantRequest{
+			Work: engine.Work{ID: "1", Adapter: "m/a", Deadline: start.Add(time.Minute)}, Engines: []string{"e0", "e1"},
+		})
+		is.True(err != nil)
+		is.Equal(time.Since(start), 2*ownerChangeDelay)
+		is.Equal(len(requested), 3)
+		is.Equal(requested[2], "e1")
+	})
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
 
 	"github.com/vanilladrift/vanilladrift/backend"
 	"github.com/vanilladrift/vanilladrift/caller"
@@ -93,6 +94,7 @@
 	transports   *poolTransports
 	relayHandler *relay.Handler
 	acquirer     *caller.Acquirer
+	balancer     *backend.Balancer
 	metrics      *metrics
 
 	mu           sync.Mutex
@@ -130,6 +132,7 @@
 		l.Warn("generation of the store; a rise means that it was restored from a copy and lacks its last writes", "generation", generation)
 	}
 	d.state = &platformState{log: l}
+	d.balancer = &backend.Balancer{DataCenter: s.DataCenter}
 	ttl, margin, renewEvery := leaseTimings(s.OwnerAlternationGap)
 	cfg := node.Config{
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
@@ -142,14 +145,15 @@
 	}
 	d.node = node.New(cfg)
 	d.state.store, d.state.enginesChanged = d.node.Store(), d.node.ReconcileOwnership
-	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, draining: d.state.isDraining}
+	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, draining: d.state.isDraining, paused: d.isPaused}
 	d.metrics = newMetrics(d.node.Meter())
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
+	d.acquirer.CanUse = func(name string) bool { return !d.isEnginePaused(name) }
 	d.relayHandler = &relay.Handler{
 		Table: d.state.routes.Load, Servers: d.state.servers.View, RequiredVersion: d.state.adapterVersion,
 		DecodeRequest: platform.DecodeRequestHead, NewServerRequest: platform.NewReplicaRequest, DecodeResponse: platform.DecodeResponseHead, RequestIDHeader: platform.RequestIDHeader,
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
-		RetryBudget: d.retryBudget, Balancer: &backend.Balancer{DataCenter: s.DataCenter}, ShuttingDown: d.shuttingDown.Load, Observe: d.observe,
+		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordPause: d.recordPause, ShuttingDown: d.shuttingDown.Load, Observe: d.observe,
 	}
 	return d, nil
 }
@@ -182,9 +186,12 @@
 		if !ok || routes == nil {
 			return backend.Server{}, nil, &engine.Error{Op: "order", Kind: engine.NotSent, Engine: b.Name}
 		}
+		if d.isEnginePaused(b.Name) {
+			return backend.Server{}, nil, &engine.Error{Op: "order", Kind: engine.NotSent, Engine: b.Name, Err: errors.New("the engine has asked for a pause")}
+		}
 		pool, _ := routes.Pool(s.Pool)
 		hc := &http.Client{Transport: d.transports.forPool(pool)}
-		return *s, &platform.ReplicaClient{HTTP: hc, Node: d.settings.Node}, nil
+		return *s, &platform.ReplicaClient{HTTP: hc, Node: d.settings.Node, OnPause: d.recordPause}, nil
 	}
 	return &engine.Sequencer{
 		Send: func(ctx context.Context, c engine.Command) (engine.Reply, error) {
--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -25,6 +25,9 @@
 	// draining, which is optional, reports whether the server at an address must get no
 	// new requests. It is asked again when a request had to wait for a connection.
 	draining func(address string) bool
+	// paused, which is optional, reports whether the server at an address has asked this
+	// node to send it nothing for a time.
+	paused func(address string) bool
 
 	mu    sync.Mutex
 	pools map[string]*poolTransport
@@ -96,6 +99,10 @@
 		h.release()
 		err = errors.New("the server is draining")
 	}
+	if err == nil && t.parent.paused != nil && t.parent.paused(r.URL.Host) {
+		h.release()
+		err = errors.New("the server has asked for a pause")
+	}
 	if err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
 	}
--- a/entry/pool_transport_test.go
+++ b/entry/pool_transport_test.go
@@ -132,3 +132,31 @@
 	is.NoErr(f.get(context.Background(), "")) // nothing is still counted as in flight
 	is.NoErr(f.get(context.Background(), ""))
 }
+
+// Guards against requests and commands that reach a server during its pause, since they
+// were about to be sent, or waited for a connection, when it began.
+func TestRequestIsNotSentToPausedServer(t *testing.T) {
+	is := is.New(t)
+	f := newTransportFixture(t, 2)
+	var paused atomic.Bool
+	f.transports.paused = func(string) bool { return paused.Load() }
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() { is.NoErr(f.get(context.Background(), "x")) })
+	}
+	time.Sleep(50 * time.Millisecond)
+	late := make(chan error)
+	go func() { late <- f.get(context.Background(), "") }()
+	time.Sleep(50 * time.Millisecond)
+	paused.Store(true)
+	close(f.hold)
+	err := <-late
+	is.True(err != nil && transport.IsDialError(err)) // so it counts as not sent
+	wg.Wait()
+	for range 3 { // more than the limit, so nothing is still counted as in flight
+		err = f.get(context.Background(), "")
+		is.True(err != nil && transport.IsDialError(err))
+	}
+	paused.Store(false)
+	is.NoErr(f.get(context.Background(), ""))
+}
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/vanilladrift/vanilladrift/backend"
 	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/engine"
 )
@@ -26,7 +27,14 @@
 	excluded := ""
 	possibleRuns := 0
 	for attempts := 1; ; attempts++ {
+		isExcluded := func(s *backend.Server) bool { return s.ID == excluded }
+		if err := x.awaitPauses(ctx, isExcluded); err != nil {
+			return err
+		}
 		g, err := x.acquireGrant(ctx, attempts, excluded)
+		if err != nil && ctx.Err() == nil && x.isPaused(isExcluded) {
+			continue // the engines asked for a pause while the request was queued
+		}
 		if err != nil {
 			return x.acquireError(ctx, err)
 		}
@@ -57,7 +65,7 @@
 func (x *exchange) acquireGrant(ctx context.Context, n int, excluded string) (caller.Grant, error) {
 	var names []string
 	for _, s := range x.handler.Servers().Pool(x.pool.Name) {
-		if !s.Draining && s.ID != excluded {
+		if !s.Draining && s.ID != excluded && x.handler.Balancer.Pauses.Left(time.Now(), s) == 0 {
 			names = append(names, s.ID)
 		}
 	}
@@ -83,7 +91,7 @@
 	case x.mayHaveRun:
 		return &Error{Op: op, Kind: ServerFailed, Reason: reason}
 	}
-	return &Error{Op: op, Kind: Busy, Reason: reason, RetryAfter: max(r.RetryAfter, busyRetryAfter)}
+	return &Error{Op: op, Kind: Busy, Reason: reason, RetryAfter: max(r.RetryAfter, x.retryAfter())}
 }
 
 // tryEngine sends the request to the granted engine, and releases the grant.
@@ -98,6 +106,9 @@
 	if s.Draining {
 		return result{notRun: true, unsent: true, reason: "the engine began to drain while the request was queued"}
 	}
+	if x.handler.Balancer.Pauses.Left(time.Now(), s) > 0 {
+		return result{notRun: true, unsent: true, reason: "the engine asked for a pause while the request was queued"}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	resp, head, failed := x.forward(ctx, ServerRequest{
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -69,8 +69,12 @@
 	Release func(g caller.Grant, adapterMissing bool, tokenTime time.Duration)
 	// RetryBudget returns the retry budget of a pool.
 	RetryBudget func(pool string) *backend.RetryBudget
-	// Balancer chooses servers in pools without model engines.
+	// Balancer chooses servers in pools without model engines. Its pauses hold for model
+	// engines too.
 	Balancer *backend.Balancer
+	// RecordPause adds a pause that a server asks for to those of the balancer. If the
+	// time cannot be read, err is set.
+	RecordPause func(s *backend.Server, d time.Duration, err error)
 	// ShuttingDown, which is optional, reports whether the node is shutting
 	// down. If so, responses ask callers to close their connection.
 	ShuttingDown func() bool
@@ -199,6 +203,9 @@
 		resp.Body.Close()
 		return nil, head, errors.Errorf("the answer is to request %q", head.RequestID)
 	}
+	if head.Pause > 0 || head.PauseErr != nil {
+		x.handler.RecordPause(s.Server, head.Pause, head.PauseErr)
+	}
 	return resp, head, nil
 }
 
@@ -316,7 +323,7 @@
 	case x.mayHaveRun:
 		return &Error{Op: op, Kind: TimedOut, Reason: "no answer came in time"}
 	}
-	return &Error{Op: op, Kind: ExpiredUnsent, Reason: "no server could take it in time", RetryAfter: busyRetryAfter}
+	return &Error{Op: op, Kind: ExpiredUnsent, Reason: "no server could take it in time", RetryAfter: x.retryAfter()}
 }
 
 // finish writes the error response if err is not nil, and reports the request.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -18,6 +18,9 @@
 func (x *exchange) servePlain(ctx context.Context) error {
 	tried := make(map[string]bool)
 	for {
+		if err := x.awaitPauses(ctx, func(s *backend.Server) bool { return tried[s.ID] }); err != nil {
+			return err
+		}
 		servers := x.handler.Servers().Pool(x.pool.Name)
 		s, done := x.handler.Balancer.Pick(time.Now(), servers, tried)
 		if s == nil {
@@ -69,7 +72,7 @@
 		x.writeResponse(res.head, res.body)
 		return nil
 	case res.notRun && !x.mayHaveRun:
-		return &Error{Op: op, Kind: Busy, Reason: res.reason, RetryAfter: busyRetryAfter}
+		return &Error{Op: op, Kind: Busy, Reason: res.reason, RetryAfter: x.retryAfter()}
 	}
 	return &Error{Op: op, Kind: ServerFailed, Reason: res.reason}
 }
@@ -80,9 +83,9 @@
 	case x.mayHaveRun:
 		return &Error{Op: op, Kind: ServerFailed, Reason: "no other server is left"}
 	case tried:
-		return &Error{Op: op, Kind: Busy, Reason: "every server refused it", RetryAfter: busyRetryAfter}
+		return &Error{Op: op, Kind: Busy, Reason: "every server refused it", RetryAfter: x.retryAfter()}
 	}
-	return &Error{Op: op, Kind: NoServer, Reason: "the pool has no server", RetryAfter: busyRetryAfter}
+	return &Error{Op: op, Kind: NoServer, Reason: "the pool has no server", RetryAfter: x.retryAfter()}
 }
 
 // discardBody reads the rest of a short response, so that its connection can be reused,
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -21,6 +21,8 @@
 	CommandDelay  time.Duration // of the commands that get no reply
 	CutStreams    int           // streams that are interrupted after their third event
 	LoseResponses int           // plain requests that run but get no response
+	Refusals      int           // requests of any kind that are turned away, and ask for RefusalPause
+	RefusalPause  time.Duration // time for which the replica wants no requests after that
 }
 
 // Replica is a stand-in for a server of the platform: a model engine that accepts
@@ -53,6 +55,8 @@
 	reports        []timedState
 	requestSlots   chan struct{}
 	record         ReplicaRecord
+	pauseStart     time.Time // when requests begin to violate the pause that was asked for
+	pauseEnd       time.Time
 }
 
 type timedState struct {
@@ -84,6 +88,7 @@
 func (r *Replica) reset() {
 	r.startMS = max(time.Now().UnixMilli(), r.startMS+1)
 	r.state = engine.State{Loaded: make(map[string]int64), Loading: make(map[string]int64)}
+	r.pauseStart, r.pauseEnd = time.Time{}, time.Time{}
 	r.activeRequests, r.unloading, r.reports = make(map[string]int), make(map[string]bool), nil
 	if r.loadedBefore == nil {
 		r.loadedBefore = make(map[string]bool)
@@ -116,6 +121,10 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if pause := r.observeArrival(time.Now()); pause > 0 {
+		platform.WriteRefusal(w, req, pause)
+		return
+	}
 	(&platform.ReplicaServer{State: r.reportedState, HandleCommand: r.handleCommand, ServeRequest: r.serveRequest}).ServeHTTP(w, req)
 }
 
