Take a stream that ends after comments for complete; test responses without a length

A response without a length or chunks ends with its connection. Tests over loopback connections with raw bytes show what holds: closed, it is complete and passed on whole, at any size, with HTTP/1.1 and HTTP/1.0 status lines and with Connection: close; after a reset it is not: up to 64 KiB the caller gets 502 or another server's response, beyond that its own response ends without its last chunk. net/http returns the reset as an error of the body, and the relay writes nothing before it has read 64 KiB or the end. A stream that ends inside an event, or inside any line, is resumed or ends as broken, and the half event is not passed on, since the reader returns whole events only.

Wrong was a stream whose last event is followed by lines that are no part of an event (a comment, spaces): it was taken for broken, so the caller of a sound stream got an aborted connection, or the stream was resumed in vain on another server. Such lines are now passed on, and the stream is complete; a line without its end still counts as broken off, since an event may have followed.

New: TestPlainResponseEndsWithConnection, TestResetResponseIsRetried, TestShortResponseIsIncomplete, TestStreamEndsWithConnection; of the last, the four cases of comments and spaces failed before, with both status lines.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -37,9 +37,11 @@
 func newEventReader(r io.Reader) *eventReader { return &eventReader{bufio.NewReaderSize(r, 4<<10)} }
 
 // next returns the next complete event. It returns io.EOF at the end of the
-// stream, and io.ErrUnexpectedEOF if the stream ends within an event.
+// stream, and io.ErrUnexpectedEOF if the stream ends within an event or a line. Comments
+// and blank lines after the last event are returned as an event without an ID.
 func (r *eventReader) next() (streamEvent, error) {
 	var ev streamEvent
+	hasField := false
 	for {
 		lineStart := len(ev.raw)
 		part, err := r.r.ReadSlice('\n')
@@ -51,6 +53,9 @@
 		}
 		ev.raw = append(ev.raw, part...)
 		if err == io.EOF && len(ev.raw) > 0 {
+			if !hasField && len(ev.raw) == lineStart {
+				return ev, nil
+			}
 			return streamEvent{}, io.ErrUnexpectedEOF
 		}
 		if err != nil {
@@ -63,6 +68,7 @@
 		if len(line) == 0 {
 			return ev, nil
 		}
+		hasField = hasField || line[0] != ':' && len(bytes.TrimSpace(line)) > 0
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(id))
 		}
