Forward streams of plain servers event by event

A stream from a server without a model engine was treated as one body: callers got its events only at its end or after 64 KiB, and one that ended inside an event with its connection looked complete, half event included. It now goes through the same reader as an engine's stream: whole events as they arrive, broken off inside an event, resumed on another server if the route allows it. An idempotent request whose stream has begun is not repeated unless the route is resumable, since the caller would get pieces of two runs.

An event over 64 KiB breaks off these streams too.

--- a/relay/connection_end_test.go
+++ b/relay/connection_end_test.go
@@ -199,6 +199,7 @@
 func TestStreamEndsWithConnection(t *testing.T) {
 	const whole = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
 	crlf := strings.ReplaceAll(whole, "\n", "\r\n")
+	enginePool := route.Pool{Name: "engines", Engine: &route.Engine{BatchSize: 4, TokensPerEvent: 5}}
 	long := "id: 1\ndata: " + strings.Repeat("x", 40<<10) + "\n\nid: 2\ndata: " + strings.Repeat("y", 40<<10) + "\n\n"
 	for _, tt := range []struct {
 		name   string
@@ -235,11 +236,14 @@
 		{"reset in the first event", "", "id: 1\n", resets, true},
 		{"inside the first event", "", "id: 1\ndata: x\n", closes, true},
 	} {
-		for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
-			t.Run(proto+" "+tt.name, func(t *testing.T) {
+		for _, v := range []struct {
+			proto string
+			pool  route.Pool
+		}{{"HTTP/1.1", enginePool}, {"HTTP/1.0", enginePool}, {"HTTP/1.1", route.Pool{Name: "plain"}}} {
+			t.Run(v.proto+" "+v.pool.Name+" "+tt.name, func(t *testing.T) {
 				is := is.New(t)
-				pool := route.Pool{Name: "engines", Engine: &route.Engine{BatchSize: 4, TokensPerEvent: 5}}
-				resp := rawResponse{proto: proto, header: "Content-Type: text/event-stream\r\n", body: tt.events + tt.rest, end: tt.end}
+				pool := v.pool
+				resp := rawResponse{proto: v.proto, header: "Content-Type: text/event-stream\r\n", body: tt.events + tt.rest, end: tt.end}
 				_, status, body, complete := serveRaw(t, route.Route{Kind: route.Stream, MaxAttempts: 2}, pool, resp)
 				switch {
 				case tt.broken && tt.events == "":
@@ -271,3 +275,21 @@
 		}
 	}
 }
+
+// Guards against a stream joined from two runs where the route does not allow to resume it,
+// although it allows to repeat the request.
+func TestBrokenStreamOfIdempotentRoute(t *testing.T) {
+	const header, whole = "Content-Type: text/event-stream\r\n", "id: 1\ndata: x\n\n"
+	is := is.New(t)
+	r := route.Route{Kind: route.Idempotent, MaxAttempts: 2}
+	servers, status, body, complete := serveRaw(t, r, route.Pool{Name: "plain"}, rawResponse{header: header, body: whole + "id: 2\n"}, rawResponse{header: header, body: whole})
+	is.Equal(status, 200)
+	is.Equal(body, whole)
+	is.True(!complete)
+	is.Equal(len(servers.requests), 1)
+
+	servers, _, body, complete = serveRaw(t, r, route.Pool{Name: "plain"}, rawResponse{header: header, body: "id: 1\n"}, rawResponse{header: header, body: whole})
+	is.Equal(body, whole) // nothing was sent of the first
+	is.True(complete)
+	is.Equal(len(servers.requests), 2)
+}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/backend"
-	"github.com/vanilladrift/vanilladrift/route"
 )
 
 // maxAttempts limits the attempts of a request on engines, including those
@@ -16,6 +16,7 @@
 // servePlain sends the request to a server without a model engine. A failed
 // attempt is retried on another server if the route allows it.
 func (x *exchange) servePlain(ctx context.Context) error {
+	x.lastEventID = x.head.LastEventID
 	tried := make(map[string]bool)
 	for {
 		if err := x.awaitPauses(ctx, func(s *backend.Server) bool { return tried[s.ID] }); err != nil {
@@ -35,9 +36,9 @@
 		if ctx.Err() != nil {
 			return x.contextError(ctx)
 		}
-		canRetry := len(tried) < x.route.MaxAttempts && (res.notRun || x.route.Kind == route.Idempotent) && x.spendRetry()
-		if !canRetry {
-			return x.finishFailed(res)
+		canRetry := res.notRun || x.route.Retryable() && (x.route.Resumable || !x.headerWritten)
+		if !canRetry || len(tried) >= x.route.MaxAttempts || !x.spendRetry() {
+			return x.finishFailedStream(res)
 		}
 		x.observeRetry(ServerFailed, res.head.Status, res.reason)
 	}
@@ -56,12 +57,20 @@
 }
 
 func (x *exchange) tryPlain(ctx context.Context, s *backend.Server) result {
-	resp, head, res := x.forward(ctx, ServerRequest{Server: s})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	resp, head, res := x.forward(ctx, ServerRequest{Server: s, LastEventID: x.lastEventID})
 	if res != nil {
 		return *res
 	}
 	defer resp.Body.Close()
-	return x.relayResponse(head, resp.Body)
+	if head.Status != http.StatusOK || !head.Stream {
+		return x.relayResponse(head, resp.Body)
+	}
+	if _, err := x.relayStream(head, resp.Body); err != nil {
+		return result{failed: true, reason: err.Error()}
+	}
+	return result{done: true}
 }
 
 // finishFailed ends the request after its last failed attempt.
