Play responses that end with their connection on the stand-in replicas and in the demo

The stand-in replica sends responses with neither a length nor chunks on demand; its cut streams then end inside an event, with the connection closed. The platform demo plays both on an engine and a plain server, and now counts a stream that ends early and looks complete as wrong bytes; it was retried in silence before. TestUnframedReplica covers the stand-in, TestPlatform the demo.

--- a/demo/platform_traffic.go
+++ b/demo/platform_traffic.go
@@ -197,6 +197,10 @@
 		correct = correct && data == standin.EventData(c.head.ID, adapterVersion, n)
 	}
 	if n < c.head.MaxTokens {
+		if sc.Err() == nil { // a stream that broke off must not look complete
+			t.countResponse(false, true)
+			return true
+		}
 		return false
 	}
 	name, version, _ := strings.Cut(adapterVersion, "@")
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -23,6 +23,9 @@
 	LoseResponses int           // plain requests that run but get no response
 	Refusals      int           // requests of any kind that are turned away, and ask for RefusalPause
 	RefusalPause  time.Duration // time for which the replica wants no requests after that
+	// Unframed makes responses have neither a length nor chunks, so that they end with
+	// their connection. Streams of CutStreams then end inside an event.
+	Unframed bool
 }
 
 // Replica is a stand-in for a server of the platform: a model engine that accepts
@@ -194,6 +197,9 @@
 	}
 	defer r.endRequest(startMS, name)
 	platform.SetSignatureHeaders(w.Header(), head.ID, r.Self.ID+"."+head.ID)
+	if r.isUnframed() {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http then closes the connection
+	}
 	if r.Model == "" {
 		r.servePlain(w, head)
 		return
@@ -286,6 +292,10 @@
 		ended := r.startMS != startMS || cut && i > lastSent+3
 		r.mu.Unlock()
 		if ended {
+			if r.isUnframed() {
+				fmt.Fprintf(w, "id: %d\ndata: ", i)
+				return
+			}
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, EventData(head.ID, adapterVersion, i))
@@ -295,6 +305,12 @@
 	}
 }
 
+func (r *Replica) isUnframed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fault.Unframed
+}
+
 // PlainResponse returns the body of a plain server's response to a request.
 func PlainResponse(id string) string { return "done " + id }
 
--- a/standin/replica_test.go
+++ b/standin/replica_test.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -159,3 +161,39 @@
 		})
 	}
 }
+
+// Responses of an unframed replica end with their connection, and one that is cut ends
+// inside an event.
+func TestUnframedReplica(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		f    ReplicaFault
+		want string
+	}{
+		{"whole", ReplicaFault{Unframed: true}, "id: 1\ndata: m@1 1 of r\n\nid: 2\ndata: m@1 2 of r\n\n"},
+		{"cut", ReplicaFault{Unframed: true, CutStreams: 1}, "data: m@1 3 of r\n\nid: 4\ndata: "},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := testReplica()
+			r.SetFault(tt.f)
+			srv := httptest.NewServer(r)
+			defer srv.Close()
+			req, err := http.NewRequest(http.MethodPost, srv.URL+"/x", nil)
+			is.NoErr(err)
+			maxTokens := 2
+			if tt.f.CutStreams > 0 {
+				maxTokens = 9
+			}
+			platform.EncodeRequestHead(req.Header, relay.RequestHead{ID: "r", Timeout: time.Second, Model: "m", MaxTokens: maxTokens})
+			resp, err := srv.Client().Do(req)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			is.Equal(resp.ContentLength, int64(-1))
+			is.Equal(resp.TransferEncoding, nil)
+			body, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.True(strings.HasSuffix(string(body), tt.want))
+		})
+	}
+}
