--- a/standin/replica.go
+++ b/standin/replica.go
@@ -21,6 +21,11 @@
 	CommandDelay  time.Duration // of the commands that get no reply
 	CutStreams    int           // streams that are interrupted after their third event
 	LoseResponses int           // plain requests that run but get no response
+	Refusals      int           // requests of any kind that are turned away, and ask for RefusalPause
+	RefusalPause  time.Duration // time for which the replica wants no requests after that
+	// Unframed makes responses have neither a length nor chunks, so that they end with
+	// their connection. Streams of CutStreams then end inside an event.
+	Unframed bool
 }
 
 // Replica is a stand-in for a server of the platform: a model engine that accepts
@@ -53,6 +58,8 @@
 	reports        []timedState
 	requestSlots   chan struct{}
 	record         ReplicaRecord
+	pauseStart     time.Time // when requests begin to violate the pause that was asked for
+	pauseEnd       time.Time
 }
 
 type timedState struct {
@@ -84,6 +91,7 @@
 func (r *Replica) reset() {
 	r.startMS = max(time.Now().UnixMilli(), r.startMS+1)
 	r.state = engine.State{Loaded: make(map[string]int64), Loading: make(map[string]int64)}
+	r.pauseStart, r.pauseEnd = time.Time{}, time.Time{}
 	r.activeRequests, r.unloading, r.reports = make(map[string]int), make(map[string]bool), nil
 	if r.loadedBefore == nil {
 		r.loadedBefore = make(map[string]bool)
@@ -116,6 +124,10 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if pause := r.observeArrival(time.Now()); pause > 0 {
+		platform.WriteRefusal(w, req, pause)
+		return
+	}
 	(&platform.ReplicaServer{State: r.reportedState, HandleCommand: r.handleCommand, ServeRequest: r.serveRequest}).ServeHTTP(w, req)
 }
 
@@ -185,6 +197,9 @@
 	}
 	defer r.endRequest(startMS, name)
 	platform.SetSignatureHeaders(w.Header(), head.ID, r.Self.ID+"."+head.ID)
+	if r.isUnframed() {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http then closes the connection
+	}
 	if r.Model == "" {
 		r.servePlain(w, head)
 		return
@@ -277,6 +292,10 @@
 		ended := r.startMS != startMS || cut && i > lastSent+3
 		r.mu.Unlock()
 		if ended {
+			if r.isUnframed() {
+				fmt.Fprintf(w, "id: %d\ndata: ", i)
+				return
+			}
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, EventData(head.ID, adapterVersion, i))
@@ -286,6 +305,12 @@
 	}
 }
 
+func (r *Replica) isUnframed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fault.Unframed
+}
+
 // PlainResponse returns the body of a plain server's response to a request.
 func PlainResponse(id string) string { return "done " + id }
 
