--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -46,8 +47,12 @@
 	if !ev.Final {
 		msg = "request attempt failed; retrying"
 	}
+	parts := ""
+	if ev.Kind == relay.ServerFailed || ev.Kind == relay.StreamInterrupted {
+		parts = strings.Join(ev.PromptParts, ",") // tells what requests that failed have in common
+	}
 	d.log.Info(msg, "id", ev.ID, "route", ev.Route, "pool", ev.Pool, "adapter", ev.Adapter, "server", ev.Server,
 		"status", ev.Status, "kind", ev.Kind, "reason", ev.Reason, "attempts", ev.Attempts, "events", ev.EventsSent,
 		"age-ms", ev.Elapsed.Milliseconds(), "grant-ms", ev.TimeToGrant.Milliseconds(), "first-ms", ev.TimeToFirstByte.Milliseconds(),
-		"gap-ms", ev.MaxEventGap.Milliseconds(), "left-ms", ev.TimeLeft.Milliseconds(), "retry-ms", ev.RetryAfter.Milliseconds(), "config", ev.ConfigVersion)
+		"gap-ms", ev.MaxEventGap.Milliseconds(), "left-ms", ev.TimeLeft.Milliseconds(), "retry-ms", ev.RetryAfter.Milliseconds(), "config", ev.ConfigVersion, "prompt-parts", parts)
 }
--- a/relay/event.go
+++ b/relay/event.go
@@ -10,7 +10,8 @@
 	Route           string
 	Pool            string
 	Adapter         string
-	Server          string // the server of the last attempt
+	Server          string   // the server of the last attempt
+	PromptParts     []string // of the request; see [RequestHead]
 	Kind            ErrorKind
 	Reason          string
 	Status          int // sent to the caller; received from the server if not Final
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -350,6 +350,7 @@
 	if x.handler.Observe == nil {
 		return
 	}
+	ev.PromptParts = x.head.PromptParts
 	ev.ID, ev.Pool, ev.Adapter, ev.Elapsed = x.head.ID, x.pool.Name, x.head.AdapterName(), time.Since(x.start)
 	if ev.ID == "" {
 		ev.ID = x.r.Header.Get(x.handler.RequestIDHeader)
--- a/relay/request.go
+++ b/relay/request.go
@@ -16,9 +16,10 @@
 	Model          string        // name of the base model
 	Adapter        string
 	PromptTokens   int
-	MaxTokens      int    // limit on output tokens
-	ExpectedTokens int    // output tokens that the caller expects; 0 if unknown
-	LastEventID    string // ID of the last event that the caller has; set to resume a stream
+	MaxTokens      int      // limit on output tokens
+	ExpectedTokens int      // output tokens that the caller expects; 0 if unknown
+	LastEventID    string   // ID of the last event that the caller has; set to resume a stream
+	PromptParts    []string // IDs of the parts of the prompt that other prompts may have too
 }
 
 // AdapterName returns the engine's name for the adapter.
