Show prompts that crash one engine after the other

Requests with one part in their prompts come at every daemon; each engine that begins to respond to one crashes. The stand-in replica gains the fault.

--- a/demo/platform_traffic.go
+++ b/demo/platform_traffic.go
@@ -104,6 +104,7 @@
 		c.route = "chat"
 		c.head.Timeout, c.head.Model, c.head.Adapter = 6*time.Second, baseModel, fmt.Sprintf("a%d", rank+1)
 		c.head.PromptTokens, c.head.MaxTokens = 100+t.rng.IntN(600), 4+t.rng.IntN(12)
+		c.head.PromptParts = []string{fmt.Sprintf("system-%d", rank%3), fmt.Sprintf("subject-%d", rank)}
 	case u < platformStreamFraction+platformOrderFraction:
 		c.route = "orders"
 	}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -21,6 +21,10 @@
 	CommandDelay  time.Duration // of the commands that get no reply
 	CutStreams    int           // streams that are interrupted after their third event
 	LoseResponses int           // plain requests that run but get no response
+	// CrashPart is a part of prompts that crashes the replica when it begins to respond;
+	// the replica starts again after CrashDowntime.
+	CrashPart     string
+	CrashDowntime time.Duration
 	Refusals      int           // requests of any kind that are turned away, and ask for RefusalPause
 	RefusalPause  time.Duration // time for which the replica wants no requests after that
 	// Unframed makes responses have neither a length nor chunks, so that they end with
@@ -55,6 +59,7 @@
 	activeRequests map[string]int  // number of running requests by adapter
 	unloading      map[string]bool // adapters to unload when their last request ends
 	draining       bool
+	isDown         bool
 	reports        []timedState
 	requestSlots   chan struct{}
 	record         ReplicaRecord
@@ -124,6 +129,7 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.serveDown()
 	if pause := r.observeArrival(time.Now()); pause > 0 {
 		platform.WriteRefusal(w, req, pause)
 		return
@@ -279,7 +285,11 @@
 func (r *Replica) serveStream(w http.ResponseWriter, req *http.Request, head platform.ReplicaRequest, startMS int64, adapterVersion string) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	lastSent, _ := strconv.Atoi(head.LastEventID) // an absent ID means from the first event
+	crashes := r.crashesOn(head.PromptParts)
 	time.Sleep(time.Duration(head.PromptTokens) * r.PrefillTime)
+	if crashes {
+		r.crash()
+	}
 	r.mu.Lock()
 	cut := r.fault.CutStreams > 0
 	if cut {
--- /dev/null
+++ b/standin/replica_crash.go
@@ -0,0 +1,50 @@
+package standin
+
+import (
+	"net/http"
+	"slices"
+	"time"
+)
+
+// crash ends the current incarnation, with all its requests, and starts the next one after
+// the downtime of the fault.
+func (r *Replica) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.PromptCrashes = append(r.record.PromptCrashes, time.Now())
+	r.isDown = true
+	r.reset()
+	time.AfterFunc(r.fault.CrashDowntime, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.isDown = false
+		r.reset()
+		r.publishState()
+	})
+}
+
+// IsDown reports whether the replica has crashed and not started again.
+func (r *Replica) IsDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isDown
+}
+
+// crashesOn reports whether a prompt with these parts crashes the replica, and records its
+// arrival.
+func (r *Replica) crashesOn(parts []string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fault.CrashPart == "" || !slices.Contains(parts, r.fault.CrashPart) {
+		return false
+	}
+	r.record.CrashingArrivals = append(r.record.CrashingArrivals, time.Now())
+	return true
+}
+
+// serveDown closes the connection if the replica is down.
+func (r *Replica) serveDown() {
+	if r.IsDown() {
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/standin/replica_record.go
+++ b/standin/replica_record.go
@@ -7,7 +7,11 @@
 	Executions map[string]int // number of executions by request ID
 	Crashes    int            // caused by loads beyond the adapter slots
 	Commands   []ReceivedCommand
-	TurnedAway int // requests of any kind that were told to pause
+	// PromptCrashes and CrashingArrivals are the times of crashes by prompts, and of the
+	// arrivals of such prompts.
+	PromptCrashes    []time.Time
+	CrashingArrivals []time.Time
+	TurnedAway       int // requests of any kind that were told to pause
 	// DuringPause is the number of requests of any kind that came during a pause, later
 	// than pauseNotice after the replica had asked for it.
 	DuringPause int
