Quarantine the part of prompts that crashes engines, on all nodes

What callers saw: requests with one part in their prompts crashed one engine after the other. Each crash broke off the other streams of that engine and left it without its base model for seconds, so that requests were late, refused or failed everywhere.

Cause: nothing is learnt from one request for the next. A request whose engine ends before its response begins is sent to a second engine, which ends too, and the next request with the same part does the same at any node.

Fix: backend.PromptQuarantine. An engine that breaks off a request before its response begins makes the shared parts of its prompt suspect; a response to any request with a part clears it. After four crashes apart from each other, by two requests or more, the part with the most crashes is quarantined, of several the rarest; crashes that it explains no longer count against others. Requests with it are rejected at once as not run, also those that wait for a grant. Nodes tell each other of crashes and cleared parts within 100 ms, and of quarantines by heartbeats, so nodes that restart learn them too. A minute later one request of one node tries the part again; the time doubles with each crash. Engines that fail together count once, as their failure has a cause outside of the prompts.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -130,11 +130,12 @@
 	d.store = &platform.StoreClient{Address: s.StoreAddress, HTTP: &http.Client{Transport: n.newTransport(0, defaultIdleTimeout)}}
 	d.state = &platformState{log: l}
 	d.balancer = &backend.Balancer{DataCenter: s.DataCenter}
+	prompts := &backend.PromptQuarantine{}
 	ttl, margin, renewEvery := leaseTimings(s.OwnerAlternationGap)
 	cfg := node.Config{
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
 		Table: &table.Client{Read: d.readStore, Apply: d.applyStore}, Sequencer: d.sequencer,
-		SettingsPushed: true, OwnerAlternationGap: s.OwnerAlternationGap, LeaseTTL: ttl, LeaseMargin: margin,
+		Prompts: prompts, SettingsPushed: true, OwnerAlternationGap: s.OwnerAlternationGap, LeaseTTL: ttl, LeaseMargin: margin,
 		RenewEvery: renewEvery, TableRenewEvery: sessionRenewInterval, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
 	}
 	if err := cfg.Check(); err != nil {
@@ -142,6 +143,7 @@
 	}
 	d.node = node.New(cfg)
 	d.store.OnGeneration = d.node.ObserveGeneration
+	prompts.IsTrialNode = d.node.IsTrialNode
 	d.state.store, d.state.enginesChanged = d.node.Store(), d.node.ReconcileOwnership
 	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, draining: d.state.isDraining, paused: d.isPaused}
 	d.metrics = newMetrics(d.node.Meter())
@@ -151,6 +153,7 @@
 		Table: d.state.routes.Load, Servers: d.state.servers.View, RequiredVersion: d.state.adapterVersion,
 		DecodeRequest: platform.DecodeRequestHead, NewServerRequest: platform.NewReplicaRequest, DecodeResponse: platform.DecodeResponseHead, RequestIDHeader: platform.RequestIDHeader,
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
+		Prompts: prompts, OnQuarantine: d.node.LogQuarantine,
 		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordPause: d.recordPause, ShuttingDown: d.shuttingDown.Load, Observe: d.observe,
 	}
 	return d, nil
--- a/node/config.go
+++ b/node/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/vanilladrift/vanilladrift/backend"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/operator"
 	"github.com/vanilladrift/vanilladrift/settings"
@@ -34,6 +35,9 @@
 	// OwnerAlternationGap is the minimum time between commands of two VMs that
 	// alternate as the owner of an engine.
 	OwnerAlternationGap time.Duration
+	// Prompts, if set, is shared with the other nodes: what one sees of prompts that crash
+	// engines counts for all.
+	Prompts *backend.PromptQuarantine
 	// PeerScheme is "http" or "https".
 	PeerScheme string
 	// Operators holds the credentials of operators; the zero value rejects every
--- a/node/node.go
+++ b/node/node.go
@@ -130,6 +130,9 @@
 		n.runEvery(n.cfg.PollEvery, n.pollSettings)
 		n.runEvery(n.cfg.PollEvery, n.pollVMs)
 	}
+	if n.cfg.Prompts != nil {
+		n.runEvery(promptShareInterval, n.sharePromptEvents)
+	}
 	n.runEvery(tickInterval, n.tickEngines)
 	n.runEvery(reconcileInterval, n.reconcileGrants)
 }
--- /dev/null
+++ b/node/prompts.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/peer/peerpb"
+)
+
+// promptShareInterval is the time between two messages to all nodes about prompts that may
+// crash engines.
+const promptShareInterval = 100 * time.Millisecond
+
+// sharePromptEvents tells all other nodes what this node has seen of prompts that may crash
+// engines. A node that misses it learns of quarantines by heartbeats.
+func (n *Node) sharePromptEvents(ctx context.Context) {
+	e := n.cfg.Prompts.TakeEvents()
+	if e.IsEmpty() {
+		return
+	}
+	for _, mem := range n.members.all() {
+		if mem.live() && mem.Process != n.process {
+			n.tasks.Go(func() { n.members.sendPromptEvents(ctx, mem.Address, e) })
+		}
+	}
+}
+
+func (m *members) sendPromptEvents(ctx context.Context, address string, e backend.PromptEvents) {
+	ctx, cancel := context.WithTimeout(ctx, m.n.cfg.ProbeTimeout)
+	defer cancel()
+	req := &peerpb.HeartbeatRequest{
+		Node: m.n.cfg.Name, Process: m.n.process, Revision: m.n.store.Tree().Rev(),
+		Generation: m.n.generations.Current(), ClearedPromptParts: e.Cleared,
+	}
+	for _, c := range e.Crashes {
+		req.PromptCrashes = append(req.PromptCrashes, &peerpb.PromptCrash{Incarnation: c.Incarnation, RequestId: c.RequestID, Parts: c.Parts})
+	}
+	if _, err := m.link(address).client.Heartbeat(ctx, connect.NewRequest(req)); err != nil {
+		m.n.log.Debug("cannot tell a node of prompts that may crash engines", "address", address, "err", err)
+	}
+}
+
+// recordPromptEvents takes the events of another node.
+func (n *Node) recordPromptEvents(req *peerpb.HeartbeatRequest) {
+	if n.cfg.Prompts == nil || len(req.GetPromptCrashes())+len(req.GetClearedPromptParts()) == 0 {
+		return
+	}
+	e := backend.PromptEvents{Cleared: req.GetClearedPromptParts()}
+	for _, c := range req.GetPromptCrashes() {
+		e.Crashes = append(e.Crashes, backend.PromptCrash{Incarnation: c.GetIncarnation(), RequestID: c.GetRequestId(), Parts: c.GetParts()})
+	}
+	for _, part := range n.cfg.Prompts.Record(time.Now(), e) {
+		n.LogQuarantine(part)
+	}
+}
+
+// quarantinedParts returns the parts that this node has in quarantine.
+func (n *Node) quarantinedParts() (list []*peerpb.QuarantinedPart) {
+	if n.cfg.Prompts == nil {
+		return nil
+	}
+	for _, in := range n.cfg.Prompts.Quarantined(time.Now()) {
+		list = append(list, &peerpb.QuarantinedPart{Part: in.Part, LeftMs: in.Left.Milliseconds(), LengthMs: in.Length.Milliseconds()})
+	}
+	return list
+}
+
+// learnQuarantines takes the quarantines of another node.
+func (n *Node) learnQuarantines(list []*peerpb.QuarantinedPart) {
+	if n.cfg.Prompts == nil || len(list) == 0 {
+		return
+	}
+	parts := make([]backend.QuarantinedPart, len(list))
+	for i, in := range list {
+		parts[i] = backend.QuarantinedPart{
+			Part: in.GetPart(), Left: time.Duration(in.GetLeftMs()) * time.Millisecond, Length: time.Duration(in.GetLengthMs()) * time.Millisecond,
+		}
+	}
+	n.cfg.Prompts.Learn(time.Now(), parts)
+}
+
+// LogQuarantine logs that a part of prompts is quarantined.
+func (n *Node) LogQuarantine(part string) {
+	n.log.Warn("prompts with one part crash engines; rejecting requests with it", "prompt-part", part)
+}
+
+// IsTrialNode reports whether this node is the one that tries a quarantined part again.
+func (n *Node) IsTrialNode(part string) bool {
+	return n.members.preferredOwner("prompt-part/"+part, "") == n.cfg.Name
+}
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -24,9 +24,15 @@
 // engine if the route allows it.
 func (x *exchange) serveEngine(ctx context.Context) error {
 	x.lastEventID = x.head.LastEventID
+	if err := x.admitPrompt(); err != nil {
+		return err
+	}
 	excluded := ""
 	possibleRuns := 0
 	for attempts := 1; ; attempts++ {
+		if err := x.checkPrompt(); err != nil {
+			return err
+		}
 		isExcluded := func(s *backend.Server) bool { return s.ID == excluded }
 		if err := x.awaitPauses(ctx, isExcluded); err != nil {
 			return err
@@ -109,6 +115,9 @@
 	if x.handler.Balancer.Pauses.Left(time.Now(), s) > 0 {
 		return result{notRun: true, unsent: true, reason: "the engine asked for a pause while the request was queued"}
 	}
+	if x.checkPrompt() != nil {
+		return result{notRun: true, unsent: true, reason: promptCrashes}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	resp, head, failed := x.forward(ctx, ServerRequest{
@@ -117,17 +126,24 @@
 	})
 	if failed != nil {
 		adapterMissing = head.Misdirected
+		if !failed.notRun && head.Status == 0 {
+			x.observeCrash(ctx, s)
+		}
 		return *failed
 	}
 	defer resp.Body.Close()
 	if head.Status != http.StatusOK || !head.Stream {
 		return x.relayResponse(head, resp.Body)
 	}
+	x.responseBegan = false
 	perEvent, err := x.relayStream(head, resp.Body)
 	tokenTime = perEvent / time.Duration(x.pool.Engine.TokensPerEvent)
 	if err == nil {
 		return result{done: true}
 	}
+	if !x.responseBegan {
+		x.observeCrash(ctx, s)
+	}
 	return result{failed: true, reason: err.Error()}
 }
 
@@ -153,6 +169,7 @@
 		if err != nil {
 			return 0, err
 		}
+		x.observeResponse()
 		if x.headerWritten && !ev.isAfter(x.lastEventID) {
 			continue // already sent to the caller
 		}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -75,6 +75,10 @@
 	// RecordPause adds a pause that a server asks for to those of the balancer. If the
 	// time cannot be read, err is set.
 	RecordPause func(s *backend.Server, d time.Duration, err error)
+	// Prompts, which is optional, finds prompts that crash engines.
+	Prompts *backend.PromptQuarantine
+	// OnQuarantine, which is optional, is called when a part of prompts is quarantined.
+	OnQuarantine func(part string)
 	// ShuttingDown, which is optional, reports whether the node is shutting
 	// down. If so, responses ask callers to close their connection.
 	ShuttingDown func() bool
@@ -124,6 +128,8 @@
 	headerWritten bool   // the response header has been sent to the caller
 	mayHaveRun    bool   // a server may have started the request
 	lastEventID   string // ID of the last stream event sent to the caller
+	responseBegan bool   // the last attempt had an event
+	promptTrial   bool   // a part of the prompt is tried again by this request
 	event         Event
 }
 
--- /dev/null
+++ b/relay/prompt.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/backend"
+)
+
+// promptCrashes is the reason of an [Error] for a prompt that may not be sent.
+const promptCrashes = "prompts with one of its parts crash engines"
+
+// admitPrompt rejects a new request whose prompt may not be sent.
+func (x *exchange) admitPrompt() error {
+	if x.handler.Prompts == nil {
+		return nil
+	}
+	left, trial := x.handler.Prompts.Admit(time.Now(), x.head.PromptParts)
+	x.promptTrial = trial
+	return x.quarantineError(left)
+}
+
+// checkPrompt fails if the prompt may not be sent any more.
+func (x *exchange) checkPrompt() error {
+	if x.handler.Prompts == nil || x.promptTrial {
+		return nil
+	}
+	return x.quarantineError(x.handler.Prompts.Left(time.Now(), x.head.PromptParts))
+}
+
+func (x *exchange) quarantineError(left time.Duration) error {
+	const op = "check prompt"
+	switch {
+	case left == 0:
+		return nil
+	case x.headerWritten:
+		return &Error{Op: op, Kind: StreamInterrupted, Reason: promptCrashes}
+	case x.mayHaveRun:
+		return &Error{Op: op, Kind: ServerFailed, Reason: promptCrashes}
+	}
+	return &Error{Op: op, Kind: PromptQuarantined, Reason: promptCrashes, RetryAfter: left}
+}
+
+// observeCrash records that an engine broke off the request before its response began,
+// unless the caller or the deadline ended it. A trial is over then.
+func (x *exchange) observeCrash(ctx context.Context, s *backend.Server) {
+	if x.handler.Prompts == nil || ctx.Err() != nil {
+		return
+	}
+	x.promptTrial = false
+	part := x.handler.Prompts.ObserveCrash(time.Now(), backend.PromptCrash{Incarnation: s.Incarnation(), RequestID: x.head.ID, Parts: x.head.PromptParts})
+	if part != "" && x.handler.OnQuarantine != nil {
+		x.handler.OnQuarantine(part)
+	}
+}
+
+// observeResponse records the first event of an attempt.
+func (x *exchange) observeResponse() {
+	if x.responseBegan || x.handler.Prompts == nil {
+		return
+	}
+	x.responseBegan = true
+	x.handler.Prompts.ObserveResponse(time.Now(), x.head.PromptParts)
+}
