Judge the rush after a pause by the mean of 100 plays

TestRequestsWaitForEndOfPause failed in 12 of 300 repeats: it bounded each window of one play by four times the usual number, and which requests fall into it is random.

--- a/backend/pauses_test.go
+++ b/backend/pauses_test.go
@@ -104,13 +104,14 @@
 
 // Plays 200 requests a second with a target of one second on a pool whose servers all ask
 // for a pause. A request whose target allows it is held, and no more than three times the
-// usual number come at the end of the pause. The others are rejected at once, with a time
+// usual number come at the end of the pause, in the mean. The others are rejected at once, with a time
 // that is not too early.
 func TestRequestsWaitForEndOfPause(t *testing.T) {
 	const (
 		target   = time.Second
 		interval = 5 * time.Millisecond
 		window   = 50 * time.Millisecond
+		plays    = 100
 	)
 	for _, tt := range []struct {
 		name           string
@@ -135,23 +136,25 @@
 			p.Pause(t0, a, tt.pause)
 			is.Equal(wait(0), time.Duration(0)) // b takes over
 			p.Pause(t0, b, tt.pause+tt.between)
-			arrivals := make(map[time.Duration]int) // by window after the end of the first pause
+			arrivals := make(map[time.Duration]int) // by window after the end of the first pause, in all plays
 			rejected := 0
-			for at := time.Duration(0); at < tt.pause+2*time.Second; at += interval {
-				left, spread := p.Wait(t0.Add(at), servers, excluded)
-				is.Equal(left, max(0, tt.pause-at))
-				hold, ok := HoldTime(left, spread, target)
-				is.Equal(ok, left <= target/2)
-				if !ok {
-					rejected++
-					continue
+			for range plays {
+				for at := time.Duration(0); at < tt.pause+2*time.Second; at += interval {
+					left, spread := p.Wait(t0.Add(at), servers, excluded)
+					is.Equal(left, max(0, tt.pause-at))
+					hold, ok := HoldTime(left, spread, target)
+					is.Equal(ok, left <= target/2)
+					if !ok {
+						rejected++
+						continue
+					}
+					is.True(hold >= left && hold <= 3*target/4)
+					arrivals[(at+hold-tt.pause)/window]++
 				}
-				is.True(hold >= left && hold <= 3*target/4)
-				arrivals[(at+hold-tt.pause)/window]++
 			}
 			is.Equal(rejected > 0, tt.rejects)
 			for _, n := range arrivals {
-				is.True(n <= 4*int(window/interval)) // three times the usual number, and chance
+				is.True(float64(n)/plays <= 3.3*float64(window/interval)) // three times the usual number, and chance
 			}
 		})
 	}
