Send nothing to a server that says in a response that it is draining

A server that leaves now says so in all its responses, and after its drain period in which one was received nothing may reach it from that node. Callers' requests went there until its row, which lags and in a restored store may be older, said it as well.

The head of each response is decoded in platform/ only (requests, commands, reports; refusals, failures and responses to other requests too). backend.Registry records it for the incarnation that was called: later rows of it do not take it back, also after its row was removed; the incarnations that are remembered then are bounded. The balancer, the search for a grant and the check after a wait for a grant or a connection read the view, and the engine's scheduler on this node gets the draining state at once. The header is not returned to callers: it concerns the node only. The stand-in replica sends it.

--- a/backend/registry.go
+++ b/backend/registry.go
@@ -14,11 +14,13 @@
 
 // Registry tracks the backend servers. Servers whose rows disappear during an
 // outage of the store, or within reregisterGrace after it, are kept until the
-// grace period has ended, so that live servers can write their rows again. The
-// zero value is an empty registry.
+// grace period has ended, so that live servers can write their rows again. An
+// incarnation that is draining stays so, whatever its row says later. The zero value
+// is an empty registry.
 type Registry struct {
 	mu               sync.Mutex
 	servers          map[string]Server
+	former           formerIncarnations
 	missing          map[string]bool // IDs of servers whose rows may be gone because of an outage
 	storeUnavailable bool
 	availableSince   time.Time
@@ -43,10 +45,43 @@
 	if r.servers == nil {
 		r.servers, r.missing = make(map[string]Server), make(map[string]bool)
 	}
+	old, ok := r.servers[s.ID]
+	switch {
+	case ok && old.StartMS == s.StartMS:
+		s.Draining = s.Draining || old.Draining
+	case ok:
+		r.former.add(&old)
+	}
+	s.Draining = s.Draining || r.former.wasDraining(&s)
+	r.former.remove(&s)
 	r.servers[s.ID] = s
 	delete(r.missing, s.ID)
 }
 
+// SetDraining records that an incarnation of a server stated that it is draining. It
+// reports whether that was not known.
+func (r *Registry) SetDraining(s *Server) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.servers[s.ID]
+	if !ok || known.StartMS != s.StartMS {
+		if r.former.wasDraining(s) {
+			return false
+		}
+		draining := *s
+		draining.Draining = true
+		r.former.add(&draining)
+		return true
+	}
+	if known.Draining {
+		return false
+	}
+	known.Draining = true
+	r.servers[s.ID] = known
+	r.updateView()
+	return true
+}
+
 // Remove records that the row of a server was deleted.
 func (r *Registry) Remove(now time.Time, id string) {
 	r.mu.Lock()
@@ -63,6 +98,13 @@
 		r.missing[id] = true
 		return
 	}
+	r.drop(id)
+}
+
+// drop removes a server that is gone.
+func (r *Registry) drop(id string) {
+	s := r.servers[id]
+	r.former.add(&s)
 	delete(r.servers, id)
 }
 
@@ -110,7 +152,7 @@
 	}
 	var ids []string
 	for id := range r.missing {
-		delete(r.servers, id)
+		r.drop(id)
 		ids = append(ids, id)
 	}
 	clear(r.missing)
@@ -136,37 +178,3 @@
 	}
 	r.view.Store(v)
 }
-
-// View is an immutable snapshot of a [Registry].
-type View struct {
-	byID  map[string]*Server
-	pools map[string][]*Server
-}
-
-// IsDraining reports whether a server at the address is draining.
-func (v *View) IsDraining(address string) bool {
-	for _, s := range v.byID {
-		if s.Address == address && s.Draining {
-			return true
-		}
-	}
-	return false
-}
-
-// Server returns the server with the given ID.
-func (v *View) Server(id string) (*Server, bool) {
-	if v == nil {
-		return nil, false
-	}
-	s, ok := v.byID[id]
-	return s, ok
-}
-
-// Pool returns the servers of a pool, including draining ones, sorted by ID. The
-// caller must not modify them.
-func (v *View) Pool(name string) []*Server {
-	if v == nil {
-		return nil
-	}
-	return v.pools[name]
-}
--- /dev/null
+++ b/demo/draining_test.go
@@ -0,0 +1,48 @@
+package demo
+
+import (
+	"io"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/entry"
+	"github.com/vanilladrift/vanilladrift/standin"
+)
+
+// Guards against requests to replicas that leave and say so in their responses, while
+// their rows still say that they are ready.
+func TestLeavingReplicasWithOldRows(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(2)) // more threads add only contention in virtual time
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := &standin.PipeNetwork{}
+		sys, err := newPlatformSystem(entry.Network{Listen: network.Listen, Dial: network.Dial}, io.Discard)
+		is.NoErr(err)
+		is.NoErr(sys.waitReady())
+		traffic := newPlatformTraffic(sys, 1)
+		traffic.run(300)
+		leaving := []*standin.Replica{sys.replicas[replicaCount-1], sys.ledgers[ledgerCount-1]}
+		for _, r := range leaving {
+			r.SetFault(standin.ReplicaFault{KeepRow: true})
+			r.Drain()
+		}
+		traffic.run(300) // every daemon gets responses of them
+		time.Sleep(drainPeriod)
+		var before []int
+		for _, r := range leaving {
+			before = append(before, len(r.Record().Executions))
+		}
+		traffic.run(300)
+		for i, r := range leaving {
+			is.Equal(len(r.Record().Executions), before[i])
+		}
+		traffic.collect()
+		is.Equal(traffic.result.violations(), nil)
+		sys.close()
+		time.Sleep(time.Minute) // lets background goroutines time out
+	})
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -148,7 +148,8 @@
 	d.relayHandler = &relay.Handler{
 		Table: d.state.routes.Load, Servers: d.state.servers.View, RequiredVersion: d.state.adapterVersion,
 		DecodeRequest: platform.DecodeRequestHead, NewServerRequest: platform.NewReplicaRequest, DecodeResponse: platform.DecodeResponseHead, RequestIDHeader: platform.RequestIDHeader,
-		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
+		ServerDraining: d.state.setDraining,
+		Transport:      d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		RetryBudget: d.retryBudget, Balancer: &backend.Balancer{DataCenter: s.DataCenter}, ShuttingDown: d.shuttingDown.Load, Observe: d.observe,
 	}
 	return d, nil
@@ -184,7 +185,7 @@
 		}
 		pool, _ := routes.Pool(s.Pool)
 		hc := &http.Client{Transport: d.transports.forPool(pool)}
-		return *s, &platform.ReplicaClient{HTTP: hc, Node: d.settings.Node}, nil
+		return *s, &platform.ReplicaClient{HTTP: hc, Node: d.settings.Node, OnDraining: d.state.setDraining}, nil
 	}
 	return &engine.Sequencer{
 		Send: func(ctx context.Context, c engine.Command) (engine.Reply, error) {
--- a/entry/state.go
+++ b/entry/state.go
@@ -175,6 +175,17 @@
 	s.installEngines()
 }
 
+// setDraining records that a server stated in a response that it is draining.
+func (s *platformState) setDraining(srv *backend.Server) {
+	if !s.servers.SetDraining(srv) {
+		return
+	}
+	s.log.Info("server is leaving; it gets no new requests", "server", srv.ID, "born", srv.StartMS)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.installEngines()
+}
+
 // installEngines writes the model engines of the configuration into the node's
 // settings. The caller holds s.mu.
 func (s *platformState) installEngines() {
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -57,6 +57,9 @@
 	NewServerRequest func(ctx context.Context, s ServerRequest) *http.Request
 	// DecodeResponse parses the headers of a server's response.
 	DecodeResponse func(resp *http.Response) ResponseHead
+	// ServerDraining, which is optional, is called for each response whose server states
+	// that it is draining. Servers must show it before the call returns.
+	ServerDraining func(s *backend.Server)
 	// RequestIDHeader is the name of the header that holds the request ID.
 	RequestIDHeader string
 	// Transport returns the round tripper for the servers of a pool.
@@ -193,6 +196,9 @@
 		return nil, ResponseHead{}, err
 	}
 	head := x.handler.DecodeResponse(resp)
+	if head.Draining && x.handler.ServerDraining != nil {
+		x.handler.ServerDraining(s.Server)
+	}
 	if head.RequestID != x.head.ID || !head.NotRun && head.Status < 300 && !head.Signed {
 		// A late response to another request, or one without the server's
 		// signature. A refusal of another request tells nothing of this one.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -84,6 +84,7 @@
 type fixture struct {
 	handler   *Handler
 	servers   *stubServers
+	registry  *backend.Registry
 	events    []Event
 	refusal   *caller.Refusal
 	responses map[*http.Response]ResponseHead
@@ -96,11 +97,11 @@
 		r.Timeout = time.Second
 	}
 	table := route.NewTable(1, []route.Route{r}, []route.Pool{pool}, route.Limits{BodyBytes: 100})
-	var reg backend.Registry
-	reg.Replace(time.Time{}, []backend.Server{{ID: "i-1", Pool: pool.Name}, {ID: "i-2", Pool: pool.Name}, {ID: "i-3", Pool: pool.Name, Draining: true}})
+	f.registry = &backend.Registry{}
+	f.registry.Replace(time.Time{}, []backend.Server{{ID: "i-1", Pool: pool.Name}, {ID: "i-2", Pool: pool.Name}, {ID: "i-3", Pool: pool.Name, Draining: true}})
 	budget := &backend.RetryBudget{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}
 	f.handler = &Handler{
-		Table: func() *route.Table { return table }, Servers: reg.View, RequiredVersion: func(string, string) int64 { return 0 },
+		Table: func() *route.Table { return table }, Servers: f.registry.View, RequiredVersion: func(string, string) int64 { return 0 },
 		DecodeRequest: func(h http.Header) (RequestHead, error) {
 			if h.Get("Id") == "" {
 				return RequestHead{}, errors.New("the id is missing")
@@ -108,6 +109,7 @@
 			return RequestHead{ID: h.Get("Id"), Model: "m", Adapter: "a", LastEventID: h.Get("After")}, nil
 		},
 		NewServerRequest: f.servers.newRequest, RequestIDHeader: "Id",
+		ServerDraining: func(s *backend.Server) { f.registry.SetDraining(s) },
 		DecodeResponse: func(resp *http.Response) ResponseHead { return f.decodeResponse(resp) },
 		Transport:      func(route.Pool) http.RoundTripper { return f.servers },
 		Acquire: func(_ context.Context, names []string, w engine.Work) (caller.Grant, error) {
@@ -127,6 +129,7 @@
 	head := ResponseHead{Status: resp.StatusCode, RequestID: "r1", Signed: resp.StatusCode < 300, Header: http.Header{}}
 	marks := resp.Header.Get("X-Answer")
 	head.NotRun, head.Misdirected, head.Stream = strings.Contains(marks, "notrun"), strings.Contains(marks, "misplaced"), strings.Contains(marks, "stream")
+	head.Draining = strings.Contains(marks, "draining")
 	if strings.Contains(marks, "other") {
 		head.RequestID = "other"
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -54,4 +54,5 @@
 	NotRun      bool // the server states that it did not run the request
 	Misdirected bool // wrong server, or a server without the adapter or its version
 	Stream      bool // the body is an event stream
+	Draining    bool // the server states that it is draining
 }
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -21,6 +21,7 @@
 	CommandDelay  time.Duration // of the commands that get no reply
 	CutStreams    int           // streams that are interrupted after their third event
 	LoseResponses int           // plain requests that run but get no response
+	KeepRow       bool          // changes of the state are not written to the row
 }
 
 // Replica is a stand-in for a server of the platform: a model engine that accepts
@@ -97,7 +98,8 @@
 	r.fault = f
 }
 
-// Drain makes the replica publish that it is draining; it continues to serve.
+// Drain makes the replica publish that it is draining, and say so in its responses; it
+// continues to serve.
 func (r *Replica) Drain() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -105,6 +107,12 @@
 	r.publishState()
 }
 
+func (r *Replica) isDraining() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.draining
+}
+
 // Record returns a copy of the replica's record.
 func (r *Replica) Record() ReplicaRecord {
 	r.mu.Lock()
@@ -116,6 +124,7 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	w = &replicaResponse{ResponseWriter: w, replica: r}
 	(&platform.ReplicaServer{State: r.reportedState, HandleCommand: r.handleCommand, ServeRequest: r.serveRequest}).ServeHTTP(w, req)
 }
 
@@ -132,6 +141,9 @@
 	st := r.state
 	st.Models, st.Loaded, st.Loading = slices.Clone(st.Models), maps.Clone(st.Loaded), maps.Clone(st.Loading)
 	r.reports = append(r.reports, timedState{time.Now(), st})
+	if r.fault.KeepRow {
+		return
+	}
 	r.WriteRow(platform.EncodeReplicaState(r.currentServer(), st))
 }
 
--- /dev/null
+++ b/standin/replica_response.go
@@ -0,0 +1,34 @@
+package standin
+
+import (
+	"net/http"
+
+	"github.com/vanilladrift/vanilladrift/platform"
+)
+
+// replicaResponse adds to the head of a response what the replica states when it is sent.
+type replicaResponse struct {
+	http.ResponseWriter
+	replica *Replica
+	sent    bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *replicaResponse) WriteHeader(status int) {
+	if !w.sent && w.replica.isDraining() {
+		platform.SetDrainingHeader(w.Header())
+	}
+	w.sent = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *replicaResponse) Write(p []byte) (int, error) {
+	if !w.sent {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the wrapped writer, for http.ResponseController.
+func (w *replicaResponse) Unwrap() http.ResponseWriter { return w.ResponseWriter }
