Send nothing to a server that was removed while a request waited for a connection

A server may leave without ever draining: its row is removed. A request that waited for a connection to it asked only whether a server at the address is draining, which is false when none is there, so it was sent, possibly after the drain period. The transport now asks whether the address is usable: a server is registered there and none is draining. TestRemovedServerGetsNoWaitingRequest failed before.

--- a/backend/draining_test.go
+++ b/backend/draining_test.go
@@ -48,7 +48,7 @@
 			s, ok := r.View().Server("a")
 			is.True(ok)
 			is.Equal(s.Draining, tt.want)
-			is.Equal(r.View().IsDraining("10.0.0.1:1"), tt.want)
+			is.Equal(r.View().IsUsable("10.0.0.1:1"), !tt.want)
 		})
 	}
 }
--- a/backend/view.go
+++ b/backend/view.go
@@ -6,14 +6,20 @@
 	pools map[string][]*Server
 }
 
-// IsDraining reports whether a server at the address is draining.
-func (v *View) IsDraining(address string) bool {
+// IsUsable reports whether a server is registered at the address and none there is
+// draining.
+func (v *View) IsUsable(address string) bool {
+	found := false
 	for _, s := range v.byID {
-		if s.Address == address && s.Draining {
-			return true
+		if s.Address != address {
+			continue
 		}
+		if s.Draining {
+			return false
+		}
+		found = true
 	}
-	return false
+	return found
 }
 
 // Server returns the server with the given ID.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -142,7 +142,7 @@
 	}
 	d.node = node.New(cfg)
 	d.state.store, d.state.enginesChanged = d.node.Store(), d.node.ReconcileOwnership
-	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, draining: d.state.isDraining}
+	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, usable: d.state.isUsable}
 	d.metrics = newMetrics(d.node.Meter())
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
 	d.relayHandler = &relay.Handler{
--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -22,9 +22,9 @@
 type poolTransports struct {
 	network   Network
 	nodeCount func() int // number of nodes that share the limits
-	// draining, which is optional, reports whether the server at an address must get no
-	// new requests. It is asked again when a request had to wait for a connection.
-	draining func(address string) bool
+	// usable, which is optional, reports whether the server at an address may get new
+	// requests. It is called when a request had to wait for a connection.
+	usable func(address string) bool
 
 	mu    sync.Mutex
 	pools map[string]*poolTransport
@@ -92,9 +92,9 @@
 func (t *poolTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	h := t.host(r.URL.Host)
 	waited, err := h.acquire(r.Context())
-	if err == nil && waited && t.parent.draining != nil && t.parent.draining(r.URL.Host) {
+	if err == nil && waited && t.parent.usable != nil && !t.parent.usable(r.URL.Host) {
 		h.release()
-		err = errors.New("the server is draining")
+		err = errors.New("the server is draining or gone")
 	}
 	if err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
--- a/entry/pool_transport_test.go
+++ b/entry/pool_transport_test.go
@@ -111,7 +111,7 @@
 	is := is.New(t)
 	f := newTransportFixture(t, 2)
 	var draining atomic.Bool
-	f.transports.draining = func(string) bool { return draining.Load() }
+	f.transports.usable = func(string) bool { return !draining.Load() }
 	var wg sync.WaitGroup
 	for range 2 {
 		wg.Go(func() { is.NoErr(f.get(context.Background(), "x")) })
--- a/entry/state.go
+++ b/entry/state.go
@@ -227,10 +227,10 @@
 	}}
 }
 
-// isDraining reports whether the server at an address must get no new requests.
-func (s *platformState) isDraining(address string) bool {
+// isUsable reports whether the server at an address may get new requests.
+func (s *platformState) isUsable(address string) bool {
 	view := s.servers.View()
-	return view != nil && view.IsDraining(address)
+	return view != nil && view.IsUsable(address)
 }
 
 // hasLoaded reports whether an engine has an adapter loaded, by its latest row.
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -53,10 +53,22 @@
 	address := srv.Listener.Addr().String()
 	d := newStateFixture(t)
 	d.state.replaceServerRows([]table.Row{engineRow(backend.Server{ID: "e", StartMS: 5, Address: address})})
-	is.True(!d.state.isDraining(address))
+	is.True(d.state.isUsable(address))
 	is.True(!isDrained(d, "e"))
 	_, err := d.sequencer(settings.BackendServer{Name: "e"}).Send(context.Background(), engine.Command{Load: true, Model: "m"})
 	is.NoErr(err)
-	is.True(d.state.isDraining(address))
+	is.True(!d.state.isUsable(address))
 	is.True(isDrained(d, "e")) // so the owner grants nothing more
 }
+
+// Guards against a request that waits for a connection to a server that is removed
+// meanwhile without ever draining, and reaches it too late.
+func TestRemovedServerGetsNoWaitingRequest(t *testing.T) {
+	is := is.New(t)
+	d := newStateFixture(t)
+	row := engineRow(backend.Server{ID: "e", StartMS: 5, Address: "10.0.0.3:1"})
+	d.state.replaceServerRows([]table.Row{row})
+	is.True(d.state.isUsable("10.0.0.3:1"))
+	d.state.applyServerChanges(table.Changes{Rows: []table.ChangedRow{{Row: row, Removed: true}}})
+	is.True(!d.state.isUsable("10.0.0.3:1"))
+}
