Keep servers that a restored store lacks until they can register again

A server that registered in the seconds that a restored store has lost was dropped as soon as the table was read anew: only an outage that the follower noticed started the grace period. Callers were refused where such a server was the only one, and its engine was given up.

The follower hands over the generation of the store with a complete read. If it differs from the last one, the registry keeps what the list lacks for reregisterGrace, as after an outage.

--- a/backend/registry.go
+++ b/backend/registry.go
@@ -13,8 +13,8 @@
 const reregisterGrace = 2 * time.Second
 
 // Registry tracks the backend servers. Servers whose rows disappear during an
-// outage of the store, or within reregisterGrace after it, are kept until the
-// grace period has ended, so that live servers can write their rows again. An
+// outage or by a restore of the store, or within reregisterGrace after it, are kept until
+// the grace period has ended, so that live servers can write their rows again. An
 // incarnation that is draining stays so, whatever its row says later. The zero value
 // is an empty registry.
 type Registry struct {
@@ -23,7 +23,7 @@
 	former           formerIncarnations
 	missing          map[string]bool // IDs of servers whose rows may be gone because of an outage
 	storeUnavailable bool
-	availableSince   time.Time
+	availableSince   time.Time // end of the last outage or restore
 	initialised      bool
 	view             atomic.Pointer[View]
 }
@@ -112,6 +112,19 @@
 func (r *Registry) Replace(now time.Time, servers []Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.replace(now, servers)
+}
+
+// Restore is like [Registry.Replace] for a list that was read after the store had been
+// restored from a copy, which may lack the rows of live servers.
+func (r *Registry) Restore(now time.Time, servers []Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.availableSince = now
+	r.replace(now, servers)
+}
+
+func (r *Registry) replace(now time.Time, servers []Server) {
 	present := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		r.put(s)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -272,7 +272,7 @@
 	return nil
 }
 
-func (d *Daemon) followTable(tableName string, wait, interval time.Duration, reset func([]table.Row), apply func(table.Changes)) {
+func (d *Daemon) followTable(tableName string, wait, interval time.Duration, reset func(table.Snapshot), apply func(table.Changes)) {
 	f := &feed.Follower{
 		Table: tableName, ReadAll: d.store.ReadTable, ReadChanges: d.store.WaitChanges, Reset: reset, Apply: apply,
 		PollWait: wait, ResponseTimeout: storeTimeout, MinInterval: interval, RetryDelay: minStoreRetryDelay, MaxRetryDelay: maxStoreRetryDelay,
--- a/entry/state.go
+++ b/entry/state.go
@@ -44,11 +44,13 @@
 	mu              sync.Mutex
 	rev             int64             // revision of the node's settings
 	engineSummaries map[string]string // settings of each engine by its ID, to detect changes
+	// serversGeneration is the generation of the store in which the servers were last read.
+	serversGeneration int64
 }
 
 // replaceOperatorRows applies a complete read of the operator's rows.
-func (s *platformState) replaceOperatorRows(rows []table.Row) {
-	for _, row := range rows {
+func (s *platformState) replaceOperatorRows(snapshot table.Snapshot) {
+	for _, row := range snapshot.Rows {
 		s.applyOperatorRow(row)
 	}
 }
@@ -114,16 +116,22 @@
 	return v.(int64)
 }
 
-func (s *platformState) replaceServerRows(rows []table.Row) {
-	servers := make([]backend.Server, 0, len(rows))
-	for _, row := range rows {
+func (s *platformState) replaceServerRows(snapshot table.Snapshot) {
+	servers := make([]backend.Server, 0, len(snapshot.Rows))
+	for _, row := range snapshot.Rows {
 		if srv, ok := s.decodeServer(row); ok {
 			servers = append(servers, srv)
 		}
 	}
-	s.servers.Replace(time.Now(), servers)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.servers.View() != nil && snapshot.Generation != s.serversGeneration {
+		s.log.Warn("the store was restored from a copy; servers without a row there may register again", "servers", len(servers), "generation", snapshot.Generation)
+		s.servers.Restore(time.Now(), servers)
+	} else {
+		s.servers.Replace(time.Now(), servers)
+	}
+	s.serversGeneration = snapshot.Generation
 	s.installEngines()
 }
 
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -24,7 +25,7 @@
 		Node: "n", PeerAddress: "10.0.0.1:1", StoreAddress: "10.0.0.2:1", OwnerAlternationGap: 3 * time.Second, GracePeriod: 8 * time.Second, DrainPeriod: 2 * time.Second, MemoryBytes: 1 << 30,
 	}, Network{}, log.New(io.Discard))
 	is.New(t).NoErr(err)
-	d.state.replaceOperatorRows([]table.Row{{Key: platform.ConfigRowKey, Value: platform.ExampleConfig}})
+	d.state.replaceOperatorRows(table.Snapshot{Rows: []table.Row{{Key: platform.ConfigRowKey, Value: platform.ExampleConfig}}})
 	return d
 }
 
@@ -34,6 +35,15 @@
 	return table.Row{Key: platform.ServersTable + "/" + s.ID, Value: platform.EncodeReplicaState(s, engine.State{})}
 }
 
+// serverRows returns a read of the servers' table in a generation of the store.
+func serverRows(generation int64, servers ...backend.Server) table.Snapshot {
+	snapshot := table.Snapshot{Generation: generation}
+	for _, s := range servers {
+		snapshot.Rows = append(snapshot.Rows, engineRow(s))
+	}
+	return snapshot
+}
+
 // isDrained reports whether the settings of the node's schedulers say that an engine is
 // draining.
 func isDrained(d *Daemon, id string) bool {
@@ -52,7 +62,7 @@
 	defer srv.Close()
 	address := srv.Listener.Addr().String()
 	d := newStateFixture(t)
-	d.state.replaceServerRows([]table.Row{engineRow(backend.Server{ID: "e", StartMS: 5, Address: address})})
+	d.state.replaceServerRows(serverRows(1, backend.Server{ID: "e", StartMS: 5, Address: address}))
 	is.True(d.state.isUsable(address))
 	is.True(!isDrained(d, "e"))
 	_, err := d.sequencer(settings.BackendServer{Name: "e"}).Send(context.Background(), engine.Command{Load: true, Model: "m"})
@@ -66,9 +76,33 @@
 func TestRemovedServerGetsNoWaitingRequest(t *testing.T) {
 	is := is.New(t)
 	d := newStateFixture(t)
-	row := engineRow(backend.Server{ID: "e", StartMS: 5, Address: "10.0.0.3:1"})
-	d.state.replaceServerRows([]table.Row{row})
+	e := backend.Server{ID: "e", StartMS: 5, Address: "10.0.0.3:1"}
+	d.state.replaceServerRows(serverRows(1, e))
 	is.True(d.state.isUsable("10.0.0.3:1"))
-	d.state.applyServerChanges(table.Changes{Rows: []table.ChangedRow{{Row: row, Removed: true}}})
+	d.state.applyServerChanges(table.Changes{Rows: []table.ChangedRow{{Row: engineRow(e), Removed: true}}})
 	is.True(!d.state.isUsable("10.0.0.3:1"))
 }
+
+// Guards against a live server that is dropped at once, since the copy that the store was
+// restored from is older than its row.
+func TestServerMissingInRestoredTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newStateFixture(t)
+		old, late := backend.Server{ID: "old", StartMS: 4, Address: "10.0.0.3:1"}, backend.Server{ID: "late", StartMS: 5, Address: "10.0.0.4:1"}
+		d.state.replaceServerRows(serverRows(1, old, late))
+		time.Sleep(time.Minute)
+		d.state.replaceServerRows(serverRows(2, old))
+		is.True(d.state.isUsable(late.Address))
+		time.Sleep(1900 * time.Millisecond)
+		d.state.removeMissingServers()
+		is.True(d.state.isUsable(late.Address))
+		time.Sleep(100 * time.Millisecond)
+		d.state.removeMissingServers()
+		is.True(!d.state.isUsable(late.Address)) // it did not write its row again
+		is.True(d.state.isUsable(old.Address))
+		time.Sleep(time.Minute)
+		d.state.replaceServerRows(serverRows(2))
+		is.True(!d.state.isUsable(old.Address)) // the table was read again for another reason
+	})
+}
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -32,7 +32,7 @@
 	ReadChanges func(ctx context.Context, name string, after int64, wait time.Duration) (table.Changes, error)
 	// Reset is called with the complete table, and Apply with the changes
 	// since the last call of either. They run in the goroutine of Run.
-	Reset func(rows []table.Row)
+	Reset func(snapshot table.Snapshot)
 	Apply func(changes table.Changes)
 	// OnDown is called when the store stops responding, and OnUp when it
 	// responds again.
@@ -88,7 +88,7 @@
 			return err
 		}
 		f.version, f.generation, f.synced = snapshot.Version, snapshot.Generation, true
-		f.Reset(snapshot.Rows)
+		f.Reset(snapshot)
 		return nil
 	}
 	wait := f.PollWait
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -95,11 +95,11 @@
 	resets, ups, downs int
 }
 
-func (s *recorder) reset(rows []table.Row) {
+func (s *recorder) reset(snapshot table.Snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.resets++
-	for _, r := range rows {
+	for _, r := range snapshot.Rows {
 		s.versions[r.Key] = r.Version
 	}
 }
