Use no server that was removed merely because a restored store has its row again

A server that leaves without draining is known by its row being removed only. In a store that came back from a copy of some seconds before, the row is there again, so callers' requests reached the server after the drain period, until it was removed once more. In the same way the row of an earlier incarnation took the place of the current one.

In a complete read after a restore, rows of these do not count before they are written anew. As a live server may have done so between the restore and the read, and heartbeats are no changes, a row that stays for four heartbeats and two polls counts as well: a row of a server that is gone is removed after three. So no live server is lost for good.

--- a/backend/former.go
+++ b/backend/former.go
@@ -25,6 +25,14 @@
 	return f.recent[key] || f.older[key]
 }
 
+// has reports whether an incarnation is remembered.
+func (f *formerIncarnations) has(s *Server) bool {
+	key := s.Incarnation()
+	_, recent := f.recent[key]
+	_, older := f.older[key]
+	return recent || older
+}
+
 // remove forgets an incarnation that is registered again.
 func (f *formerIncarnations) remove(s *Server) {
 	key := s.Incarnation()
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,18 +13,28 @@
 // after an outage of the store. The platform defines this bound.
 const reregisterGrace = 2 * time.Second
 
+// defaultRowTTL is several times the interval at which servers write their rows.
+const defaultRowTTL = 10 * time.Second
+
 // Registry tracks the backend servers. Servers whose rows disappear during an
 // outage or by a restore of the store, or within reregisterGrace after it, are kept until
 // the grace period has ended, so that live servers can write their rows again. An
-// incarnation that is draining stays so, whatever its row says later. The zero value
-// is an empty registry.
+// incarnation that is draining stays so, whatever its row says later. A removed server
+// that is in a restored store again is not used before its row is written anew, or has
+// stayed for RowTTL. The zero value is an empty registry.
 type Registry struct {
+	// RowTTL is the longest time that the row of a server that is gone stays in the store
+	// after a restore; 0 means defaultRowTTL. It must not change.
+	RowTTL time.Duration
+
 	mu               sync.Mutex
 	servers          map[string]Server
 	former           formerIncarnations
-	missing          map[string]bool // IDs of servers whose rows may be gone because of an outage
+	missing          map[string]bool   // IDs of servers whose rows may be gone because of an outage
+	unconfirmed      map[string]Server // rows that may be of a copy and out of date
 	storeUnavailable bool
 	availableSince   time.Time // end of the last outage or restore
+	restoredAt       time.Time
 	initialised      bool
 	view             atomic.Pointer[View]
 }
@@ -56,6 +67,7 @@
 	r.former.remove(&s)
 	r.servers[s.ID] = s
 	delete(r.missing, s.ID)
+	delete(r.unconfirmed, s.ID)
 }
 
 // SetDraining records that an incarnation of a server stated that it is draining. It
@@ -91,6 +103,7 @@
 }
 
 func (r *Registry) remove(now time.Time, id string) {
+	delete(r.unconfirmed, id)
 	if _, ok := r.servers[id]; !ok {
 		return
 	}
@@ -116,17 +129,24 @@
 }
 
 // Restore is like [Registry.Replace] for a list that was read after the store had been
-// restored from a copy, which may lack the rows of live servers.
+// restored from a copy. It may lack the rows of live servers, and have rows of servers
+// that are gone.
 func (r *Registry) Restore(now time.Time, servers []Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.availableSince = now
+	r.availableSince, r.restoredAt = now, now
 	r.replace(now, servers)
 }
 
 func (r *Registry) replace(now time.Time, servers []Server) {
 	present := make(map[string]bool, len(servers))
+	mayBeOutdated := !r.restoredAt.IsZero() && now.Sub(r.restoredAt) < r.rowTTL()
+	r.unconfirmed = make(map[string]Server)
 	for _, s := range servers {
+		if mayBeOutdated && r.isOutdated(&s) {
+			r.unconfirmed[s.ID] = s
+			continue
+		}
 		r.put(s)
 		present[s.ID] = true
 	}
@@ -139,6 +159,33 @@
 	r.updateView()
 }
 
+// isOutdated reports whether a row that may be of a copy is of an incarnation that has
+// been removed or replaced.
+func (r *Registry) isOutdated(s *Server) bool {
+	if known, ok := r.servers[s.ID]; ok {
+		return s.StartMS < known.StartMS
+	}
+	return r.former.has(s)
+}
+
+func (r *Registry) rowTTL() time.Duration { return cmp.Or(r.RowTTL, defaultRowTTL) }
+
+// AddConfirmed adds the servers whose rows have stayed in a restored store for RowTTL, so
+// that they are alive, and returns their IDs.
+func (r *Registry) AddConfirmed(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.storeUnavailable || len(r.unconfirmed) == 0 || now.Sub(r.availableSince) < r.rowTTL() {
+		return nil
+	}
+	ids := slices.Sorted(maps.Keys(r.unconfirmed))
+	for _, id := range ids {
+		r.put(r.unconfirmed[id])
+	}
+	r.updateView()
+	return ids
+}
+
 // StoreUnavailable records the start of an outage of the store.
 func (r *Registry) StoreUnavailable() {
 	r.mu.Lock()
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -67,9 +67,9 @@
 	acceptAfterSIGTERM = 2700 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the exit of the process.
 	exitMargin = 500 * time.Millisecond
-	// removalInterval is the time between two checks for servers that did not register
-	// again after an outage of the store.
-	removalInterval = 200 * time.Millisecond
+	// restoredInterval is the time between two checks for servers that did not register
+	// again after an outage or a restore of the store, or whose rows are confirmed.
+	restoredInterval = 200 * time.Millisecond
 	// minStoreRetryDelay and maxStoreRetryDelay bound the delay before a failed store
 	// call is retried: many times the usual response time, and less than a poll waits
 	// anyway.
@@ -118,6 +118,16 @@
 	return min(maxServersPollInterval, max(drainPeriod-serversPollReserve, drainPeriod/2))
 }
 
+// serverRowTTL returns how long the row of a server that is gone stays in a store that was
+// restored. The platform removes it after three intervals of silence, and the removal is
+// read one poll later.
+func serverRowTTL(heartbeat time.Duration) time.Duration {
+	if heartbeat <= 0 {
+		return 0
+	}
+	return 4*heartbeat + 2*maxServersPollInterval
+}
+
 // New returns a daemon that is not started yet. It sets the soft memory limit of the
 // process.
 func New(s platform.Settings, n Network, l *log.Logger) (*Daemon, error) {
@@ -129,7 +139,7 @@
 	d.store.OnGeneration = func(generation int64) {
 		l.Warn("generation of the store; a rise means that it was restored from a copy and lacks its last writes", "generation", generation)
 	}
-	d.state = &platformState{log: l}
+	d.state = &platformState{log: l, servers: backend.Registry{RowTTL: serverRowTTL(s.HeartbeatInterval)}}
 	ttl, margin, renewEvery := leaseTimings(s.OwnerAlternationGap)
 	cfg := node.Config{
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
@@ -256,12 +266,12 @@
 	d.followTable(platform.OperatorTable, operatorPollWait, 0, d.state.replaceOperatorRows, d.state.applyOperatorChanges)
 	d.followTable(platform.ServersTable, 0, serversPollInterval(d.settings.DrainPeriod), d.state.replaceServerRows, d.state.applyServerChanges)
 	d.tasks.Go(func() {
-		t := time.NewTicker(removalInterval)
+		t := time.NewTicker(restoredInterval)
 		defer t.Stop()
 		for {
 			select {
 			case <-t.C:
-				d.state.removeMissingServers()
+				d.state.updateRestoredServers()
 			case <-d.ctx.Done():
 				return
 			}
--- a/entry/state.go
+++ b/entry/state.go
@@ -170,14 +170,15 @@
 	return srv, true
 }
 
-// removeMissingServers removes the servers that did not register again after an
-// outage of the store.
-func (s *platformState) removeMissingServers() {
-	removed := s.servers.RemoveMissing(time.Now())
-	if len(removed) == 0 {
+// updateRestoredServers removes the servers that did not register again after an outage
+// or a restore of the store, and adds those whose rows in a restored store are confirmed.
+func (s *platformState) updateRestoredServers() {
+	now := time.Now()
+	removed, added := s.servers.RemoveMissing(now), s.servers.AddConfirmed(now)
+	if len(removed)+len(added) == 0 {
 		return
 	}
-	s.log.Warn("servers did not come back after the outage", "servers", strings.Join(removed, ","))
+	s.log.Warn("servers after an outage or a restore of the store", "did-not-come-back", strings.Join(removed, ","), "alive-after-all", strings.Join(added, ","))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.installEngines()
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -95,10 +96,10 @@
 		d.state.replaceServerRows(serverRows(2, old))
 		is.True(d.state.isUsable(late.Address))
 		time.Sleep(1900 * time.Millisecond)
-		d.state.removeMissingServers()
+		d.state.updateRestoredServers()
 		is.True(d.state.isUsable(late.Address))
 		time.Sleep(100 * time.Millisecond)
-		d.state.removeMissingServers()
+		d.state.updateRestoredServers()
 		is.True(!d.state.isUsable(late.Address)) // it did not write its row again
 		is.True(d.state.isUsable(old.Address))
 		time.Sleep(time.Minute)
@@ -106,3 +107,52 @@
 		is.True(!d.state.isUsable(old.Address)) // the table was read again for another reason
 	})
 }
+
+// Guards against requests to a server that has left, and whose row is in the copy that the
+// store was restored from.
+func TestRemovedServerInRestoredTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newStateFixture(t)
+		gone, back := backend.Server{ID: "gone", StartMS: 4, Address: "10.0.0.3:1"}, backend.Server{ID: "back", StartMS: 5, Address: "10.0.0.4:1"}
+		d.state.replaceServerRows(serverRows(1, gone, back))
+		time.Sleep(time.Minute)
+		d.state.applyServerChanges(table.Changes{Rows: []table.ChangedRow{{Row: engineRow(gone), Removed: true}, {Row: engineRow(back), Removed: true}}})
+		time.Sleep(time.Second)
+		d.state.replaceServerRows(serverRows(2, gone, back))
+		is.True(!d.state.isUsable(gone.Address))
+		time.Sleep(time.Second)
+		d.state.applyServerChanges(table.Changes{Rows: []table.ChangedRow{{Row: engineRow(back)}}})
+		is.True(d.state.isUsable(back.Address))
+		is.True(!d.state.isUsable(gone.Address))
+		time.Sleep(time.Minute)
+		d.state.updateRestoredServers()
+		is.True(d.state.isUsable(gone.Address)) // it is alive, since its row is still there
+		_, ok := d.state.store.Tree().Backend("gone")
+		is.True(ok)
+	})
+}
+
+// Guards against a configuration or an adapter version that goes back to an earlier one
+// with a restored store.
+func TestVersionsDoNotGoBack(t *testing.T) {
+	is := is.New(t)
+	d := newStateFixture(t)
+	config := func(version string) table.Row {
+		return table.Row{Key: platform.ConfigRowKey, Value: bytes.Replace(platform.ExampleConfig, []byte(`"version": 1`), []byte(`"version": `+version), 1)}
+	}
+	adapter := func(version int64) table.Row {
+		p := platform.EncodeAdapterVersion(platform.AdapterVersion{Model: "base-7b", Adapter: "a1", Version: version})
+		return table.Row{Key: p.Key, Value: p.Value}
+	}
+	d.state.replaceOperatorRows(table.Snapshot{Rows: []table.Row{config("7"), adapter(4)}, Generation: 1})
+	is.Equal(d.state.routes.Load().Version(), int64(7))
+	for _, rows := range [][]table.Row{{config("6"), adapter(3)}, {config("5")}, {}} {
+		d.state.replaceOperatorRows(table.Snapshot{Rows: rows, Generation: 2})
+		is.Equal(d.state.routes.Load().Version(), int64(7))
+		is.Equal(d.state.adapterVersion("base-7b", "a1"), int64(4))
+	}
+	d.state.applyOperatorChanges(table.Changes{Rows: []table.ChangedRow{{Row: config("6")}, {Row: adapter(3)}, {Row: config("8")}, {Row: adapter(5)}}})
+	is.Equal(d.state.routes.Load().Version(), int64(8))
+	is.Equal(d.state.adapterVersion("base-7b", "a1"), int64(5))
+}
