--- a/entry/state.go
+++ b/entry/state.go
@@ -164,7 +164,7 @@
 		s.log.Warn("ignoring invalid server row", "server", row.Key, "err", err)
 		return srv, false
 	}
-	if old, ok := s.servers.View().Server(srv.ID); !ok || old.Draining != srv.Draining || old.StartMS != srv.StartMS {
+	if old, ok := s.servers.View().Server(srv.ID); !ok || srv.Draining && !old.Draining || old.StartMS != srv.StartMS {
 		s.log.Info("server added or changed", "server", srv.ID, "pool", srv.Pool, "address", srv.Address, "draining", srv.Draining, "born", srv.StartMS)
 	}
 	return srv, true
