Hold back rows of former incarnations until the store has been available for RowTTL

Two ways were left in which a restored store could mislead the registry. After an outage that follows a restore, the time in which rows may be of the copy was over although the store had removed nothing meanwhile, so a server that had left was used again. And a row of an earlier start that is held back was forgotten at once when a later start of the server was known, so a live server whose clock had been set back stayed unused until its row changed. The time now counts from the end of the last outage or restore, and a held row is forgotten only when it is removed or written. Both cases were added to TestRestoredTable and TestRestoredTableHasEarlierIncarnation and failed before.

--- a/backend/registry.go
+++ b/backend/registry.go
@@ -24,7 +24,7 @@
 // stayed for RowTTL. The zero value is an empty registry.
 type Registry struct {
 	// RowTTL is the longest time that the row of a server that is gone stays in the store
-	// after a restore; 0 means defaultRowTTL. It must not change.
+	// after a restore; 0 means defaultRowTTL. Set it before the first use.
 	RowTTL time.Duration
 
 	mu               sync.Mutex
@@ -34,7 +34,7 @@
 	unconfirmed      map[string]Server // rows that may be of a copy and out of date
 	storeUnavailable bool
 	availableSince   time.Time // end of the last outage or restore
-	restoredAt       time.Time
+	restored         bool      // rows may be of the copy that the store was restored from
 	initialised      bool
 	view             atomic.Pointer[View]
 }
@@ -98,12 +98,12 @@
 func (r *Registry) Remove(now time.Time, id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	delete(r.unconfirmed, id)
 	r.remove(now, id)
 	r.updateView()
 }
 
 func (r *Registry) remove(now time.Time, id string) {
-	delete(r.unconfirmed, id)
 	if _, ok := r.servers[id]; !ok {
 		return
 	}
@@ -134,13 +134,13 @@
 func (r *Registry) Restore(now time.Time, servers []Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.availableSince, r.restoredAt = now, now
+	r.availableSince, r.restored = now, true
 	r.replace(now, servers)
 }
 
 func (r *Registry) replace(now time.Time, servers []Server) {
 	present := make(map[string]bool, len(servers))
-	mayBeOutdated := !r.restoredAt.IsZero() && now.Sub(r.restoredAt) < r.rowTTL()
+	mayBeOutdated := r.restored && !r.areRowsSettled(now)
 	r.unconfirmed = make(map[string]Server)
 	for _, s := range servers {
 		if mayBeOutdated && r.isOutdated(&s) {
@@ -168,14 +168,22 @@
 	return r.former.has(s)
 }
 
-func (r *Registry) rowTTL() time.Duration { return cmp.Or(r.RowTTL, defaultRowTTL) }
+// areRowsSettled reports whether the store has been available for so long that the rows
+// of servers that are gone have been removed.
+func (r *Registry) areRowsSettled(now time.Time) bool {
+	return !r.storeUnavailable && now.Sub(r.availableSince) >= cmp.Or(r.RowTTL, defaultRowTTL)
+}
 
 // AddConfirmed adds the servers whose rows have stayed in a restored store for RowTTL, so
 // that they are alive, and returns their IDs.
 func (r *Registry) AddConfirmed(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.storeUnavailable || len(r.unconfirmed) == 0 || now.Sub(r.availableSince) < r.rowTTL() {
+	if !r.restored || !r.areRowsSettled(now) {
+		return nil
+	}
+	r.restored = false
+	if len(r.unconfirmed) == 0 {
 		return nil
 	}
 	ids := slices.Sorted(maps.Keys(r.unconfirmed))
@@ -203,7 +211,7 @@
 }
 
 // RemoveMissing removes the servers that did not register again within reregisterGrace
-// after an outage, and returns their IDs.
+// after an outage or a restore, and returns their IDs.
 func (r *Registry) RemoveMissing(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/backend/restore_test.go
+++ b/backend/restore_test.go
@@ -111,6 +111,22 @@
 			r.Restore(t0, both)
 			r.Replace(at(time.Second), both)
 		}, []string{"b"}},
+		{"removed server is in the copy, and the table is read again after an outage", func(r *Registry) {
+			r.Remove(at(-time.Minute), "a")
+			r.Restore(t0, both)
+			r.StoreUnavailable()
+			r.AddConfirmed(at(ttl))
+			r.StoreAvailable(at(time.Hour))
+			r.Replace(at(time.Hour), both)
+		}, []string{"b"}},
+		{"outage long after the restore", func(r *Registry) {
+			r.Restore(t0, both)
+			r.AddConfirmed(at(ttl))
+			r.Remove(at(time.Minute), "a")
+			r.StoreUnavailable()
+			r.StoreAvailable(at(time.Hour))
+			r.Replace(at(time.Hour), both)
+		}, []string{"a", "b"}},
 		{"removed server is missing when the table is read again", func(r *Registry) {
 			r.Remove(at(-time.Minute), "a")
 			r.Restore(t0, both)
@@ -167,6 +183,10 @@
 			r.AddConfirmed(t0.Add(time.Hour))
 		}, 5},
 		// Its clock may have been set back.
+		{"row of the earlier start stays", func(r *Registry) {
+			r.RemoveMissing(t0.Add(reregisterGrace))
+			r.AddConfirmed(t0.Add(defaultRowTTL))
+		}, 3},
 		{"row of the earlier start is written anew", func(r *Registry) { r.Put(before) }, 3},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
