End the draining of a stand-in replica with its incarnation

A replica that restarted after it had begun to drain kept saying that it leaves, so a test with such a restart would have waited for requests that rightly never come. The last check of TestDrainingReplicaSaysSoInAllResponses failed before.

--- a/standin/replica.go
+++ b/standin/replica.go
@@ -83,7 +83,7 @@
 
 // reset begins a new incarnation. r.mu must be held.
 func (r *Replica) reset() {
-	r.startMS = max(time.Now().UnixMilli(), r.startMS+1)
+	r.startMS, r.draining = max(time.Now().UnixMilli(), r.startMS+1), false
 	r.state = engine.State{Loaded: make(map[string]int64), Loading: make(map[string]int64)}
 	r.activeRequests, r.unloading, r.reports = make(map[string]int), make(map[string]bool), nil
 	if r.loadedBefore == nil {
--- a/standin/replica_draining_test.go
+++ b/standin/replica_draining_test.go
@@ -46,5 +46,8 @@
 			}
 			r.Drain()
 		}
+		r.Restart()
+		_, got := send(http.MethodGet, "/report", "")
+		is.True(!got) // the next incarnation stays
 	})
 }
