--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -68,9 +68,9 @@
 	acceptAfterSIGTERM = 2700 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the exit of the process.
 	exitMargin = 500 * time.Millisecond
-	// removalInterval is the time between two checks for servers that did not register
-	// again after an outage of the store.
-	removalInterval = 200 * time.Millisecond
+	// restoredInterval is the time between two checks for servers that did not register
+	// again after an outage or a restore of the store, or whose rows are confirmed.
+	restoredInterval = 200 * time.Millisecond
 	// minStoreRetryDelay and maxStoreRetryDelay bound the delay before a failed store
 	// call is retried: many times the usual response time, and less than a poll waits
 	// anyway.
@@ -120,6 +120,16 @@
 	return min(maxServersPollInterval, max(drainPeriod-serversPollReserve, drainPeriod/2))
 }
 
+// serverRowTTL returns how long the row of a server that is gone stays in a store that was
+// restored. The platform removes it after three intervals of silence, and the removal is
+// read one poll later.
+func serverRowTTL(heartbeat time.Duration) time.Duration {
+	if heartbeat <= 0 {
+		return 0
+	}
+	return 4*heartbeat + 2*maxServersPollInterval
+}
+
 // New returns a daemon that is not started yet. It sets the soft memory limit of the
 // process.
 func New(s platform.Settings, n Network, l *log.Logger) (*Daemon, error) {
@@ -128,9 +138,9 @@
 	d := &Daemon{settings: s, network: n, log: l, retryBudgets: make(map[string]*backend.RetryBudget)}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.store = &platform.StoreClient{Address: s.StoreAddress, HTTP: &http.Client{Transport: n.newTransport(0, defaultIdleTimeout)}}
-	d.state = &platformState{log: l}
 	d.balancer = &backend.Balancer{DataCenter: s.DataCenter}
 	prompts := &backend.PromptQuarantine{}
+	d.state = &platformState{log: l, servers: backend.Registry{RowTTL: serverRowTTL(s.HeartbeatInterval)}}
 	ttl, margin, renewEvery := leaseTimings(s.OwnerAlternationGap)
 	cfg := node.Config{
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
@@ -145,7 +155,7 @@
 	d.store.OnGeneration = d.node.ObserveGeneration
 	prompts.IsTrialNode = d.node.IsTrialNode
 	d.state.store, d.state.enginesChanged = d.node.Store(), d.node.ReconcileOwnership
-	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, draining: d.state.isDraining, paused: d.isPaused}
+	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, usable: d.state.isUsable, paused: d.isPaused}
 	d.metrics = newMetrics(d.node.Meter())
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
 	d.acquirer.CanUse = func(name string) bool { return !d.isEnginePaused(name) }
@@ -155,6 +165,7 @@
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine,
 		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordPause: d.recordPause, ShuttingDown: d.shuttingDown.Load, Observe: d.observe,
+		ServerDraining: d.state.setDraining,
 	}
 	return d, nil
 }
@@ -192,7 +203,7 @@
 		}
 		pool, _ := routes.Pool(s.Pool)
 		hc := &http.Client{Transport: d.transports.forPool(pool)}
-		return *s, &platform.ReplicaClient{HTTP: hc, Node: d.settings.Node, OnPause: d.recordPause}, nil
+		return *s, &platform.ReplicaClient{HTTP: hc, Node: d.settings.Node, OnPause: d.recordPause, OnDraining: d.state.setDraining}, nil
 	}
 	return &engine.Sequencer{
 		Send: func(ctx context.Context, c engine.Command) (engine.Reply, error) {
@@ -263,12 +274,12 @@
 	d.followTable(platform.OperatorTable, operatorPollWait, 0, d.state.replaceOperatorRows, d.state.applyOperatorChanges)
 	d.followTable(platform.ServersTable, 0, serversPollInterval(d.settings.DrainPeriod), d.state.replaceServerRows, d.state.applyServerChanges)
 	d.tasks.Go(func() {
-		t := time.NewTicker(removalInterval)
+		t := time.NewTicker(restoredInterval)
 		defer t.Stop()
 		for {
 			select {
 			case <-t.C:
-				d.state.removeMissingServers()
+				d.state.updateRestoredServers()
 			case <-d.ctx.Done():
 				return
 			}
@@ -279,7 +290,7 @@
 	return nil
 }
 
-func (d *Daemon) followTable(tableName string, wait, interval time.Duration, reset func([]table.Row), apply func(table.Changes)) {
+func (d *Daemon) followTable(tableName string, wait, interval time.Duration, reset func(table.Snapshot), apply func(table.Changes)) {
 	f := &feed.Follower{
 		Table: tableName, ReadAll: d.store.ReadTable, ReadChanges: d.store.WaitChanges, Reset: reset, Apply: apply,
 		PollWait: wait, ResponseTimeout: storeTimeout, MinInterval: interval, RetryDelay: minStoreRetryDelay, MaxRetryDelay: maxStoreRetryDelay,
--- a/entry/state.go
+++ b/entry/state.go
@@ -44,11 +44,13 @@
 	mu              sync.Mutex
 	rev             int64             // revision of the node's settings
 	engineSummaries map[string]string // settings of each engine by its ID, to detect changes
+	// serversGeneration is the generation of the store in which the servers were last read.
+	serversGeneration int64
 }
 
 // replaceOperatorRows applies a complete read of the operator's rows.
-func (s *platformState) replaceOperatorRows(rows []table.Row) {
-	for _, row := range rows {
+func (s *platformState) replaceOperatorRows(snapshot table.Snapshot) {
+	for _, row := range snapshot.Rows {
 		s.applyOperatorRow(row)
 	}
 }
@@ -114,16 +116,22 @@
 	return v.(int64)
 }
 
-func (s *platformState) replaceServerRows(rows []table.Row) {
-	servers := make([]backend.Server, 0, len(rows))
-	for _, row := range rows {
+func (s *platformState) replaceServerRows(snapshot table.Snapshot) {
+	servers := make([]backend.Server, 0, len(snapshot.Rows))
+	for _, row := range snapshot.Rows {
 		if srv, ok := s.decodeServer(row); ok {
 			servers = append(servers, srv)
 		}
 	}
-	s.servers.Replace(time.Now(), servers)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.servers.View() != nil && snapshot.Generation != s.serversGeneration {
+		s.log.Warn("the store was restored from a copy; servers without a row there may register again", "servers", len(servers), "generation", snapshot.Generation)
+		s.servers.Restore(time.Now(), servers)
+	} else {
+		s.servers.Replace(time.Now(), servers)
+	}
+	s.serversGeneration = snapshot.Generation
 	s.installEngines()
 }
 
@@ -156,20 +164,32 @@
 		s.log.Warn("ignoring invalid server row", "server", row.Key, "err", err)
 		return srv, false
 	}
-	if old, ok := s.servers.View().Server(srv.ID); !ok || old.Draining != srv.Draining || old.StartMS != srv.StartMS {
+	if old, ok := s.servers.View().Server(srv.ID); !ok || srv.Draining && !old.Draining || old.StartMS != srv.StartMS {
 		s.log.Info("server added or changed", "server", srv.ID, "pool", srv.Pool, "address", srv.Address, "draining", srv.Draining, "born", srv.StartMS)
 	}
 	return srv, true
 }
 
-// removeMissingServers removes the servers that did not register again after an
-// outage of the store.
-func (s *platformState) removeMissingServers() {
-	removed := s.servers.RemoveMissing(time.Now())
-	if len(removed) == 0 {
+// updateRestoredServers removes the servers that did not register again after an outage
+// or a restore of the store, and adds those whose rows in a restored store are confirmed.
+func (s *platformState) updateRestoredServers() {
+	now := time.Now()
+	removed, added := s.servers.RemoveMissing(now), s.servers.AddConfirmed(now)
+	if len(removed)+len(added) == 0 {
+		return
+	}
+	s.log.Warn("servers after an outage or a restore of the store", "did-not-come-back", strings.Join(removed, ","), "alive-after-all", strings.Join(added, ","))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.installEngines()
+}
+
+// setDraining records that a server stated in a response that it is draining.
+func (s *platformState) setDraining(srv *backend.Server) {
+	if !s.servers.SetDraining(srv) {
 		return
 	}
-	s.log.Warn("servers did not come back after the outage", "servers", strings.Join(removed, ","))
+	s.log.Info("server is leaving; it gets no new requests", "server", srv.ID, "born", srv.StartMS)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.installEngines()
@@ -216,10 +236,10 @@
 	}}
 }
 
-// isDraining reports whether the server at an address must get no new requests.
-func (s *platformState) isDraining(address string) bool {
+// isUsable reports whether the server at an address may get new requests.
+func (s *platformState) isUsable(address string) bool {
 	view := s.servers.View()
-	return view != nil && view.IsDraining(address)
+	return view != nil && view.IsUsable(address)
 }
 
 // hasLoaded reports whether an engine has an adapter loaded, by its latest row.
--- a/relay/request.go
+++ b/relay/request.go
@@ -57,4 +57,5 @@
 	Stream      bool          // the body is an event stream
 	Pause       time.Duration // how long the server wants no requests from this node; 0 if it did not say
 	PauseErr    error         // the time that it asked for cannot be read
+	Draining    bool          // the server states that it is draining
 }
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -30,6 +30,7 @@
 	// Unframed makes responses have neither a length nor chunks, so that they end with
 	// their connection. Streams of CutStreams then end inside an event.
 	Unframed bool
+	KeepRow  bool // changes of the state are not written to the row
 }
 
 // Replica is a stand-in for a server of the platform: a model engine that accepts
@@ -94,7 +95,7 @@
 
 // reset begins a new incarnation. r.mu must be held.
 func (r *Replica) reset() {
-	r.startMS = max(time.Now().UnixMilli(), r.startMS+1)
+	r.startMS, r.draining = max(time.Now().UnixMilli(), r.startMS+1), false
 	r.state = engine.State{Loaded: make(map[string]int64), Loading: make(map[string]int64)}
 	r.pauseStart, r.pauseEnd = time.Time{}, time.Time{}
 	r.activeRequests, r.unloading, r.reports = make(map[string]int), make(map[string]bool), nil
@@ -110,7 +111,8 @@
 	r.fault = f
 }
 
-// Drain makes the replica publish that it is draining; it continues to serve.
+// Drain makes the replica publish that it is draining, and say so in its responses; it
+// continues to serve.
 func (r *Replica) Drain() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -118,6 +120,12 @@
 	r.publishState()
 }
 
+func (r *Replica) isDraining() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.draining
+}
+
 // Record returns a copy of the replica's record.
 func (r *Replica) Record() ReplicaRecord {
 	r.mu.Lock()
@@ -130,6 +138,7 @@
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.serveDown()
+	w = &replicaResponse{ResponseWriter: w, replica: r}
 	if pause := r.observeArrival(time.Now()); pause > 0 {
 		platform.WriteRefusal(w, req, pause)
 		return
@@ -150,6 +159,9 @@
 	st := r.state
 	st.Models, st.Loaded, st.Loading = slices.Clone(st.Models), maps.Clone(st.Loaded), maps.Clone(st.Loading)
 	r.reports = append(r.reports, timedState{time.Now(), st})
+	if r.fault.KeepRow {
+		return
+	}
 	r.WriteRow(platform.EncodeReplicaState(r.currentServer(), st))
 }
 
