Forget slow loads of an engine that gets no work for them

Cause: loads that failed while the engine was away raised the mean load time above what any deadline allows; without accepted work no load corrects it. The token time has a decay for the same reason, the load time had none.

--- a/engine/estimate.go
+++ b/engine/estimate.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// loadTimeTTL is how long a measured load time stays valid while no load is in progress.
+const loadTimeTTL = time.Second
+
+// decayLoadTime decays the load time estimate towards its configured value while no load
+// is in progress. Without the decay, an engine whose loads took long once would be refused
+// all work that needs a load.
+func (s *Scheduler) decayLoadTime(now time.Time) {
+	if len(s.loadRequestTimes) == 0 && now.Sub(s.loadTimeAt) > loadTimeTTL && s.loadTime > s.cfg.LoadTime {
+		s.loadTime -= (s.loadTime - s.cfg.LoadTime) / 8
+	}
+}
+
 // ObserveTokenTime adds a measured time between tokens to the estimate.
 func (s *Scheduler) ObserveTokenTime(now time.Time, d time.Duration) {
 	s.tokenTimeAt = now
@@ -98,6 +110,7 @@
 // observeLoadTime adds the time of a finished load to the estimate. The time
 // includes the wait for the load budget.
 func (s *Scheduler) observeLoadTime(now, requested time.Time) {
+	s.loadTimeAt = now
 	s.loadTime += time.Duration(2 * ewmaWeight * float64(now.Sub(requested)-s.loadTime))
 }
 
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -30,6 +30,7 @@
 	loadsRunning     int           // loads in progress
 	loadRequestTimes []time.Time   // request times of these loads, oldest first
 	loadTime         time.Duration // moving average of the time from a load request to its end
+	loadTimeAt       time.Time     // end of the last load
 	backlog          time.Duration // sum of the expected service times of the waiting work
 	normalWaitAt     time.Time     // when new work last had a normal wait
 	prefillEnd       time.Time     // expected end of the prefill of all granted work
@@ -217,6 +218,7 @@
 func (s *Scheduler) Tick(now time.Time) []Action {
 	var acts []Action
 	s.decayTokenTime(now)
+	s.decayLoadTime(now)
 	for _, w := range s.waiting {
 		if reason := s.refusalAfterQueueing(now, w); reason != "" {
 			s.dequeue(w)
--- a/engine/scheduler_load_test.go
+++ b/engine/scheduler_load_test.go
@@ -146,3 +146,38 @@
 	s.Reset(t0)
 	is.Equal(describe(s.Submit(t0, shortWork("b2", ""))), []string{"grant b2"})
 }
+
+// Guards against an engine that refuses all work for adapters that are not loaded, since
+// loads took long while it was restarting: without work there is no load that would correct
+// the estimate.
+func TestSlowLoadsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	s := NewScheduler(SchedulerConfig{Slots: 100, BatchSize: 100, MaxLoads: 4, LoadTime: 250 * time.Millisecond})
+	now := t0
+	submit := func(id string) (refused bool) {
+		w := shortWork(id, "a"+id)
+		w.Deadline, w.FirstTokenDeadline = now.Add(6*time.Second), now.Add(2*time.Second)
+		for _, a := range s.Submit(now, w) {
+			switch a.Kind {
+			case Refuse:
+				refused = true
+			case RequestLoad:
+				l, ok := s.ApproveLoad(now)
+				now = now.Add(15 * time.Second) // the engine does not respond
+				if ok {
+					s.FinishLoad(now, LoadResult{Adapter: l.Adapter})
+				}
+			}
+		}
+		return refused
+	}
+	for i := range 10 {
+		submit(fmt.Sprint("slow", i))
+	}
+	is.True(submit("refused"))
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		s.Tick(now)
+	}
+	is.True(!submit("accepted"))
+}
