Tell attempts to renew a session from each other

What callers saw: two nodes send commands to one engine, the former owner with the lower fencing token after the new owner.

Cause: a renewal is applied, its response is lost, and so is the read that follows. The next attempt has the same contents. It fails, as the row has changed, reads the contents back, takes them for its own, and counts the lease from its own time of sending, up to seconds after the renewal that was applied. Other nodes saw no change since then and replace the node.

Evidence: found in the review of the trace.

Fix: every attempt has another counter, so reading the row tells which one was applied. One that is not the last is taken as an earlier renewal, and extends nothing.

--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -24,6 +24,7 @@
 	store *standin.Store // used instead of the table if it is set
 	nodes []*Node
 	docs  []settings.Document
+	lossy map[int]*lossyTable // by node, on the store
 
 	senders map[string]sender // by engine: the last one that might send commands
 }
@@ -38,7 +39,7 @@
 }
 
 func startLeaseCluster(c *leaseCluster, nodes, engines int) *leaseCluster {
-	c.net = standin.NewNetwork()
+	c.net, c.lossy = standin.NewNetwork(), make(map[int]*lossyTable)
 	c.net.Listen(platformProcess, tableAddress, c.table)
 	if c.store != nil {
 		c.net.Listen(platformProcess, tableAddress, c.store)
@@ -70,7 +71,8 @@
 	}
 	store := &platform.StoreClient{Address: tableAddress, HTTP: cfg.HTTP}
 	if c.store != nil {
-		cfg.Table = &table.Client{Read: store.Read, Apply: store.Apply}
+		c.lossy[i] = newLossyTable(store)
+		cfg.Table = &table.Client{Read: c.lossy[i].Read, Apply: c.lossy[i].Apply}
 	}
 	n := New(cfg)
 	if c.store != nil {
--- /dev/null
+++ b/node/lost_renewal_test.go
@@ -0,0 +1,46 @@
+//go:build !race
+
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a lease that counts from a renewal that was not applied. The response to one
+// renewal is lost, and so is the read that follows; the next one fails, since the row has
+// changed, and reads back the contents of the first.
+func TestLostRenewalExtendsNoLease(t *testing.T) {
+	for _, lost := range []time.Duration{500, 1500, 2000, 2500, 3000, 3500, 4000} {
+		for _, offset := range []time.Duration{0, 450, 900, 1350} {
+			t.Run(fmt.Sprint(lost, offset), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					c := newStoreCluster(5, 16)
+					defer c.close()
+					is.Equal(c.watch(10*time.Second+offset*time.Millisecond), "")
+					i := slices.IndexFunc(c.nodes, func(n *Node) bool { return len(n.ownedEngines()) > 0 })
+					x, tbl := c.nodes[i], c.lossy[i]
+					tbl.losing.Store(true)
+					for _, n := range c.nodes {
+						if n != x {
+							c.net.SetBlocked(n.Name(), x.Name(), true)
+							c.net.SetBlocked(x.Name(), n.Name(), true)
+						}
+					}
+					for len(tbl.applied) == 0 {
+						time.Sleep(10 * time.Millisecond)
+					}
+					violation := c.watch(lost * time.Millisecond)
+					tbl.losing.Store(false)
+					is.Equal(violation+c.watch(8*time.Second), "")
+				})
+			})
+		}
+	}
+}
--- a/node/session.go
+++ b/node/session.go
@@ -19,6 +19,7 @@
 	rowLock    *semaphore.Weighted // held while the rows are read or written
 	row        table.Session
 	version    int64 // of the row; 0 before the first write
+	attempts   int64 // writes of the row so far
 	generation int64 // of the table, in which the version was read; also guarded by mu
 	// witnesses is the last confirmed witness row; witnessesKnown is false while a write
 	// of it got no response.
@@ -115,7 +116,9 @@
 		s.setGeneration(s.n.generations.Current())
 	}
 	next := s.row
-	next.Counter++
+	// Every attempt has other contents, so that reading the row tells which one was applied.
+	s.attempts++
+	next.Counter = s.attempts
 	next.Leaving, next.Generation = s.isLeaving(), s.generation
 	tx := table.Tx{
 		Checks: []table.Check{s.check()},
