Keep late transactions of before a restore from being applied after it

What callers saw: nothing yet; a node could take over an engine from a live owner, under the token that is in use.

Cause: the store may apply a transaction seconds after it was sent, if its checks still hold. After a restore it gives out versions again, so they can hold for rows with other contents. A release of before then overwrites the row of the new owner, and looks like a row that the copy brought back. The response, which states the generation, is long given up by then.

Fix: every transaction requires that the next generation is not marked, and the first one of a client marks the current generation and those just before it, in rows of their own. Nothing of before is applied once something was written after the restore; until then the rows are those of the copy.

--- a/standin/store_test.go
+++ b/standin/store_test.go
@@ -141,3 +141,46 @@
 	network.Listen("store", "10.0.0.1:1", stale)
 	is.True(table.IsKind(read(), table.Unavailable))
 }
+
+// Guards against a transaction that is applied after a restore, when a row has got the version
+// that it requires a second time.
+func TestLateTransactionIsNotAppliedAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		st, network := &Store{}, NewNetwork()
+		network.Listen("store", "10.0.0.1:1", st)
+		newClient := func(name string) (*table.Client, *platform.StoreClient) {
+			store := &platform.StoreClient{Address: "10.0.0.1:1", HTTP: network.Client(name)}
+			return &table.Client{Read: store.Read, Apply: store.Apply}, store
+		}
+		late, lateStore := newClient("late")
+		put := func(c *table.Client, store *platform.StoreClient, value string, version int64) int64 {
+			v, err := c.Commit(t.Context(), table.Tx{
+				Checks: []table.Check{{Key: "owner/e", Version: version, Generation: store.Generation()}},
+				Puts:   []table.Put{{Key: "owner/e", Value: []byte(value)}},
+			})
+			is.NoErr(err)
+			return v
+		}
+		_, err := late.Get(t.Context(), "owner/e")
+		is.True(table.IsKind(err, table.NotFound))
+		first := put(late, lateStore, "first", 0)
+		before := st.Copy()
+		lost := put(late, lateStore, "lost", first)
+		st.SetFault(TableFault{ApplyLate: func(table.Tx) time.Duration { return 5 * time.Second }})
+		_, err = late.Commit(t.Context(), table.Tx{
+			Checks: []table.Check{{Key: "owner/e", Version: lost, Generation: lateStore.Generation()}},
+			Puts:   []table.Put{{Key: "owner/e", Value: []byte("late")}},
+		})
+		is.True(table.IsKind(err, table.Unknown))
+		st.SetFault(TableFault{})
+		st.Restore(before)
+
+		other, otherStore := newClient("other")
+		_, err = other.Get(t.Context(), "owner/e")
+		is.NoErr(err)
+		is.Equal(put(other, otherStore, "current", first), lost)
+		time.Sleep(10 * time.Second)
+		is.Equal(st.Rows("owner/e")[0].Value, []byte("current"))
+	})
+}
--- a/table/client.go
+++ b/table/client.go
@@ -28,6 +28,7 @@
 	Apply func(ctx context.Context, tx Tx) (int64, error)
 
 	reads, writes, bodyBytes atomic.Int64
+	marked                   atomic.Int64 // the latest generation that this client has marked
 }
 
 // Counts returns the number of reads, of transactions, and of body bytes in
@@ -93,6 +94,17 @@
 func (c *Client) Commit(ctx context.Context, tx Tx) (int64, error) {
 	const op = "commit"
 	c.writes.Add(1)
+	if generation, ok := tx.Generation(); ok && generation > 0 {
+		version, err := c.commit(ctx, op, tx.boundToGeneration(generation, c.marked.Load() < generation))
+		if err == nil {
+			c.marked.Store(generation)
+		}
+		return version, err
+	}
+	return c.commit(ctx, op, tx)
+}
+
+func (c *Client) commit(ctx context.Context, op string, tx Tx) (int64, error) {
 	if c.Apply != nil {
 		return c.Apply(ctx, tx)
 	}
