Wait for nodes that confirmed a restore late, and for all of a few

Two owners of one engine after a restore, found by the model and the review of the fix. (2) With few nodes, one that has not confirmed may have a single witness that joined in the time that is lost (model: one crash, two of three nodes in the copy). With fewer than four others all must confirm. Cases of TestGenerationsSettle fail before.

--- a/membership/generations.go
+++ b/membership/generations.go
@@ -7,8 +7,13 @@
 
 // maxUnconfirmed is the number of nodes that need not have confirmed a generation of the
 // table before leases of earlier ones count as ended. A single node cannot extend its lease,
-// since its witnesses are others.
-const maxUnconfirmed = 1
+// since its witnesses are others. In a system of fewer than minNodesForUnconfirmed others it
+// may have a single witness, which may be a node that is not known: it joined in the time that
+// the restore has lost.
+const (
+	maxUnconfirmed         = 1
+	minNodesForUnconfirmed = 4
+)
 
 // Generations decides from when leases of earlier generations of the table count as ended.
 // A table that was restored from a copy may lack the sessions, witnesses and owners of
@@ -42,6 +47,12 @@
 	confirmedAt time.Time
 }
 
+// mayHaveAgreed reports whether a lease may be in use that the node has extended without
+// knowing the current generation.
+func (n knownNode) mayHaveAgreed(now time.Time, leaseTime time.Duration) bool {
+	return !n.confirmed || now.Sub(n.confirmedAt) <= leaseTime
+}
+
 // Current returns the latest known generation, or 0 if the table states none.
 func (g *Generations) Current() int64 {
 	g.mu.Lock()
@@ -81,14 +92,14 @@
 }
 
 // Retain forgets the nodes whose session rows are gone. Before the leases of earlier
-// generations have ended, it keeps those that have not confirmed the current one, since
-// their rows may merely be missing in the copy.
+// generations have ended, it keeps those that may have agreed to one, since their rows
+// may merely be missing in the copy.
 func (g *Generations) Retain(hasSession func(name string) bool, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	settled := g.isSettled(now)
 	for name, n := range g.nodes {
-		if (settled || n.confirmed) && !hasSession(name) {
+		if (settled || !n.mayHaveAgreed(now, g.LeaseTime)) && !hasSession(name) {
 			delete(g.nodes, name)
 		}
 	}
@@ -110,11 +121,15 @@
 	}
 	mayHaveAgreed := 0
 	for _, n := range g.nodes {
-		if !n.confirmed || now.Sub(n.confirmedAt) <= g.LeaseTime {
+		if n.mayHaveAgreed(now, g.LeaseTime) {
 			mayHaveAgreed++
 		}
 	}
-	g.settled = age > g.LeaseTime && mayHaveAgreed <= maxUnconfirmed
+	allowed := 0
+	if len(g.nodes) >= minNodesForUnconfirmed {
+		allowed = maxUnconfirmed
+	}
+	g.settled = age > g.LeaseTime && mayHaveAgreed <= allowed
 	return g.settled
 }
 
--- a/membership/generations_test.go
+++ b/membership/generations_test.go
@@ -9,6 +9,7 @@
 
 func TestGenerationsSettle(t *testing.T) {
 	const lease, extension = 3 * time.Second, time.Minute
+	names := []string{"a", "b", "c", "d"}
 	at := func(d time.Duration) time.Time { return t0.Add(d) }
 	for _, tt := range []struct {
 		name    string
@@ -16,22 +17,40 @@
 		from    time.Duration // when leases of before have ended
 	}{
 		{"all confirm at once", func(g *Generations) {
-			for _, name := range []string{"a", "b", "c"} {
+			for _, name := range names {
 				g.Observe(name, name, 2, t0)
 			}
 		}, lease},
 		{"one never confirms", func(g *Generations) {
-			g.Observe("a", "a", 2, t0)
-			g.Observe("b", "b", 2, t0)
+			for _, name := range names[:3] {
+				g.Observe(name, name, 2, t0)
+			}
 		}, lease},
+		{"one of few never confirms", func(g *Generations) {
+			g.Retain(func(name string) bool { return name != "d" }, at(-time.Minute))
+			for _, name := range names[:2] {
+				g.Observe(name, name, 2, t0)
+			}
+		}, extension + lease},
 		{"one confirms late, and may have agreed to an extension just before", func(g *Generations) {
 			g.Observe("a", "a", 2, t0)
-			g.Observe("b", "b", 2, at(2*time.Second))
+			g.Observe("b", "b", 2, t0)
+			g.Observe("c", "c", 2, at(2*time.Second))
 		}, 2*time.Second + lease},
-		{"two never confirm", func(g *Generations) { g.Observe("a", "a", 2, t0) }, extension + lease},
+		{"two confirm late, and have no row in the copy", func(g *Generations) {
+			g.Observe("a", "a", 2, t0)
+			g.Observe("b", "b", 2, at(10*time.Second))
+			g.Observe("c", "c", 2, at(10*time.Second))
+			g.Retain(func(name string) bool { return name == "a" }, at(10*time.Second+1))
+		}, 10*time.Second + lease},
+		{"two never confirm", func(g *Generations) {
+			g.Observe("a", "a", 2, t0)
+			g.Observe("b", "b", 2, t0)
+		}, extension + lease},
 		{"two have no row in the copy", func(g *Generations) {
 			g.Observe("a", "a", 2, t0)
-			g.Retain(func(name string) bool { return name == "a" }, t0)
+			g.Observe("b", "b", 2, t0)
+			g.Retain(func(name string) bool { return name < "c" }, t0)
 		}, extension + lease},
 		{"a row of before does not confirm", func(g *Generations) {
 			g.Observe("a", "a", 1, t0)
@@ -43,7 +62,7 @@
 			g := &Generations{LeaseTime: lease, MaxExtension: extension}
 			is.True(g.Settled(t0)) // the table states no generation
 			is.True(g.Advance(1, at(-time.Hour)))
-			for _, name := range []string{"a", "b", "c"} {
+			for _, name := range names {
 				g.Observe(name, name, 1, at(-time.Hour))
 			}
 			is.True(g.Settled(t0))
