End the repetition of a release that a restore made void

A node that releases an engine without a response writes the release again until the row has changed. The row of before is gone then: the release has ended. TestReleaseEndsWithARestore fails before.

--- a/node/commands.go
+++ b/node/commands.go
@@ -167,6 +167,9 @@
 			o.row, o.version = next, ver
 			return rowWritten
 		}
+		if table.IsKind(err, table.Restored) {
+			return rowLost // the row of this generation, if any, is another one
+		}
 		if !table.IsKind(err, table.Unavailable) && !table.IsKind(err, table.Conflict) {
 			failed = rowUnknown
 		}
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
 	"github.com/vanilladrift/vanilladrift/table"
 )
@@ -126,3 +127,77 @@
 		is.Equal(c.owners(), owners)
 	})
 }
+
+// Guards against a node that stands still: a tick holds the lock of an engine when it takes that
+// of the node, so a takeover must not ask engines while it holds the node's.
+func TestTakeoverBesideTickDoesNotBlock(t *testing.T) {
+	n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL})
+	o := newOwnedEngine(n, settings.BackendServer{Name: "e", Slots: 2, UnloadWaitsForRequests: true}, table.Owner{}, 1)
+	n.formerlyOwned["e"] = append(n.formerlyOwned["e"], o)
+	o.reportPending = true
+	done := make(chan bool, 2)
+	for _, f := range []func(){func() { o.tick(t.Context(), time.Now()) }, func() { n.hasCommandsInFlight("e") }} {
+		go func() {
+			for range 20000 {
+				f()
+			}
+			done <- true
+		}()
+	}
+	for range 2 {
+		select {
+		case <-done:
+		case <-time.After(30 * time.Second):
+			t.Fatal("blocked")
+		}
+	}
+}
+
+// Guards against former ownerships that are kept for ever, one for each restore or handover.
+func TestFormerOwnershipsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newStoreCluster(3, 16)
+		defer c.close()
+		is.Equal(c.watch(8*time.Second), "")
+		for range 4 {
+			before := c.store.Copy()
+			is.Equal(c.watch(time.Second), "")
+			c.restore(before, 100*time.Millisecond)
+			is.Equal(c.watch(6*time.Second), "")
+		}
+		for _, n := range c.nodes {
+			n.mu.Lock()
+			for _, former := range n.formerlyOwned {
+				is.True(len(former) <= 1)
+			}
+			n.mu.Unlock()
+		}
+	})
+}
+
+// Guards against a release that is repeated for ever: its row is of before a restore, and nobody
+// writes it again since the engine is no longer configured.
+func TestReleaseEndsWithARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newStoreCluster(5, 8)
+		defer c.close()
+		is.Equal(c.watch(10*time.Second), "")
+		before := c.store.Copy()
+		n := c.nodes[slices.IndexFunc(c.nodes, func(n *Node) bool { return len(n.ownedEngines()) > 0 })]
+		o := n.ownedEngines()[0]
+		c.restore(before, 100*time.Millisecond)
+		is.Equal(c.watch(10*time.Second), "")
+		ended := make(chan bool)
+		go func() {
+			n.releaseAgain(o)
+			close(ended)
+		}()
+		select {
+		case <-ended:
+		case <-time.After(time.Minute):
+			t.Error("still releasing")
+		}
+	})
+}
