Ask former ownerships about their commands without the lock of the node

What operators would see: a node stands still. A tick holds the lock of an engine when it takes that of the node; the check for commands of former ownerships took them in the other order.

--- a/node/owned.go
+++ b/node/owned.go
@@ -375,10 +375,10 @@
 	o.apply(o.sched.RefuseAll(time.Now(), engine.NoOwner))
 }
 
-// allCommandsEnded reports whether this process can send no more commands and none is
-// in flight.
-func (o *ownedEngine) allCommandsEnded() bool {
+// isOver reports whether no command of an ended ownership can reach the engine any more. A
+// sequenced engine does not execute one that was on its way after a later one.
+func (o *ownedEngine) isOver() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.stopped && o.commandsInFlight == 0 && o.commandsUnanswered == 0
+	return o.stopped && o.commandsInFlight == 0 && (o.commandsUnanswered == 0 || o.seq != nil)
 }
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -364,6 +364,7 @@
 func (n *Node) endOwnership(o *ownedEngine) {
 	o.stop()
 	n.clearOwnerHint(o.name, n.cfg.Name)
+	n.formerOwnerships(o.name) // forgets those that are over
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.owned[o.name] == o {
@@ -396,10 +397,28 @@
 	if o := n.ownedEngine(engineName); o != nil && o.token < token {
 		n.endOwnership(o) // a later owner exists, so this session was fenced
 	}
+	return len(n.formerOwnerships(engineName)) == 0
+}
+
+// formerOwnerships returns the former ownerships of an engine whose commands may still be
+// executed, and forgets the others.
+func (n *Node) formerOwnerships(engineName string) []*ownedEngine {
+	n.mu.Lock()
+	former := slices.Clone(n.formerlyOwned[engineName])
+	n.mu.Unlock()
+	ended := make(map[*ownedEngine]bool)
+	for _, o := range former { // without n.mu, which is locked under o.mu elsewhere
+		ended[o] = o.isOver()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.formerlyOwned[engineName] = slices.DeleteFunc(n.formerlyOwned[engineName], (*ownedEngine).allCommandsEnded)
-	return len(n.formerlyOwned[engineName]) == 0
+	left := slices.DeleteFunc(n.formerlyOwned[engineName], func(o *ownedEngine) bool { return ended[o] })
+	if len(left) == 0 {
+		delete(n.formerlyOwned, engineName)
+		return nil
+	}
+	n.formerlyOwned[engineName] = left
+	return slices.Clone(left)
 }
 
 func (n *Node) setOwnerHint(engineName, owner string) {
--- a/node/restore.go
+++ b/node/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/table"
@@ -92,14 +93,7 @@
 // hasCommandsInFlight reports whether commands of former ownerships of this process are
 // without a response.
 func (n *Node) hasCommandsInFlight(engineName string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, o := range n.formerlyOwned[engineName] {
-		if o.hasCommandsInFlight() {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(n.formerOwnerships(engineName), (*ownedEngine).hasCommandsInFlight)
 }
 
 // mayTakeOverFromCopy reports whether this node may take over an engine whose ownership
