Drop promises, timers and claims of before a restore in one step with its record

Found by reading in the review: promises and session timers name versions that are given out again, and claims hold for one restore only. They were dropped by a task that starts after the new generation is known, so a freeze in between let a promise of the new generation be forgotten, or a claim of the former be used. They now end under one lock, before the generation is known.

--- a/node/node.go
+++ b/node/node.go
@@ -53,7 +53,8 @@
 	freshness     settings.Freshness
 	rng           *rand.Rand
 
-	reconcileLock *semaphore.Weighted // held during reconcileOwnership
+	reconcileLock  *semaphore.Weighted // held during reconcileOwnership
+	generationLock sync.Mutex          // held while a new generation of the table is recorded
 
 	tableUp      atomic.Bool
 	tokensKnown  atomic.Bool // the registry has the fencing token of every engine
@@ -77,6 +78,7 @@
 		formerlyOwned: make(map[string][]*ownedEngine),
 		ownerHints:    make(map[string]string),
 		ownerChecks:   make(map[string]time.Time),
+		claims:        make(map[string]bool),
 
 		reconcileLock: semaphore.NewWeighted(1),
 		freshness:     settings.Freshness{MaxAge: cfg.MaxSettingsAge},
--- a/node/restore.go
+++ b/node/restore.go
@@ -15,11 +15,19 @@
 // lease over again at once; other engines only once no lease of before can be left. It
 // does not block.
 func (n *Node) ObserveGeneration(generation int64) {
-	first := n.generations.Current() == 0
-	if !n.generations.Advance(generation, time.Now()) {
+	n.generationLock.Lock()
+	defer n.generationLock.Unlock()
+	known := n.generations.Current()
+	if generation <= known {
 		return
 	}
-	if first {
+	// Promises and session timers name versions that are given out again. They end before the
+	// new generation is known, so that none of that is lost.
+	n.promises.ForgetPromises()
+	n.members.recordReadFailure()
+	n.clearClaims()
+	n.generations.Advance(generation, time.Now())
+	if known == 0 {
 		n.log.Info("the table states its generation", "generation", generation)
 	} else {
 		n.log.Warn("the table was restored from a copy; registering again", "generation", generation)
@@ -30,8 +38,6 @@
 // registerAgain registers the session in a new generation of the table.
 func (n *Node) registerAgain(ctx context.Context, generation int64) {
 	owned, registered := n.session.restart(ctx, generation)
-	n.promises.ForgetPromises()
-	n.members.recordReadFailure() // the timers of sessions start again
 	if n.recordClaims(generation, owned) && registered {
 		n.log.Info("ended the ownership of all engines", "generation", generation, "claims", len(owned))
 		n.join()
@@ -40,26 +46,38 @@
 		}
 	}
 	for !n.generations.Settled(time.Now()) && ctx.Err() == nil {
-		sleep(ctx, tickInterval)
+		n.pollMembers(ctx) // shows early who has registered again
+		sleep(ctx, settlePollInterval)
 	}
 	n.pollMembers(ctx) // takes over what was not claimed
 }
 
-// recordClaims replaces the engines that this node may take over again at once, since no
-// other node can have owned them when the table was restored. It returns false if a later
-// generation has begun.
-func (n *Node) recordClaims(generation int64, engines []string) bool {
+// settlePollInterval is the time between two reads of the sessions while leases of before a
+// restore may be in use.
+const settlePollInterval = 500 * time.Millisecond
+
+func (n *Node) clearClaims() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	clear(n.claims)
+	clear(n.ownerHints)
+	clear(n.ownerChecks)
+}
+
+// recordClaims records the engines that this node may take over again at once, since no other
+// node can have owned them when the table was restored. It returns false if a later
+// generation has begun.
+func (n *Node) recordClaims(generation int64, engines []string) bool {
+	n.generationLock.Lock()
+	defer n.generationLock.Unlock()
 	if generation < n.generations.Current() {
 		return false
 	}
-	n.claims = make(map[string]bool)
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	for _, name := range engines {
 		n.claims[name] = true
 	}
-	clear(n.ownerHints)
-	clear(n.ownerChecks)
 	return true
 }
 
