Count the requests on their way when a request joins a queue for good

Cause: a request that has used up its tries cannot be refused for its wait any more. It joined the queue that the hash of its ID named among those that had looked equal in its own refusals.

Change: the router numbers the requests that the node sends to each owner, and keeps the wait of the refusal with the highest number. A request in its last try adds the tolerance, and 1 ns, to that wait for each request sent since, and chooses by its hash among the queues that are about equal then. The load time of another adapter (a cold refusal) is not taken as a queue.

Ruled out: choosing the shortest wait after the joins with no tolerance (passes alike, but nodes that do not see each other would go to one queue).

The bound and the check stay.

--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -132,6 +132,9 @@
 func (a *Acquirer) requestGrant(ctx context.Context, name string, w engine.Work) (Grant, error) {
 	ctx, cancel := context.WithDeadline(ctx, w.Deadline.Add(refusalGrace))
 	defer cancel()
+	a.Mu.Lock()
+	number := a.Router.CountRequest(name)
+	a.Mu.Unlock()
 	g, err := a.RequestGrant(ctx, name, w)
 	wait := g.QueueWait
 	var r *Refusal
@@ -141,6 +144,9 @@
 	if err == nil || r != nil {
 		a.Mu.Lock()
 		a.Router.ObserveWait(time.Now(), name, wait)
+		if r != nil {
+			a.Router.ObserveRefusal(name, number, r.Reason, wait)
+		}
 		a.Mu.Unlock()
 	}
 	return g, err
--- a/caller/grant_search.go
+++ b/caller/grant_search.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -76,7 +77,7 @@
 // waitInQueue queues the request at an engine with a short queue. Many
 // concurrent requests may have seen the same waits, so they spread over the
 // engines whose waits are about equal, and a request whose queue has grown
-// meanwhile chooses again.
+// meanwhile chooses again, until it has used up its tries.
 func (s *grantSearch) waitInQueue(ctx context.Context) (Grant, error) {
 	for range maxQueueTries {
 		name, maxQueueWait := s.chooseQueue()
@@ -87,27 +88,70 @@
 		}
 		s.addRefusal(name, r)
 	}
-	name, _ := s.chooseQueue()
-	return s.requestGrant(ctx, name, 0)
+	return s.requestGrant(ctx, s.chooseLastQueue(), 0)
 }
 
 // chooseQueue returns one of the engines with about the shortest wait, chosen
 // by the request ID, and the longest queue wait to accept there.
 func (s *grantSearch) chooseQueue() (name string, maxQueueWait time.Duration) {
+	waits := make(map[string]time.Duration, len(s.refusals))
+	best := s.shortestRefusal()
+	for other, r := range s.refusals {
+		if rank(r.Reason) == rank(best.Reason) {
+			waits[other] = r.QueueWait
+		}
+	}
+	tolerance := s.tolerance(best.QueueWait)
+	name = s.chooseByID(waits, tolerance)
+	return name, s.refusals[name].QueueWait + tolerance
+}
+
+// chooseLastQueue returns the engine of a request that has used up its tries. No owner
+// refuses it for its wait any more, and concurrent requests of this node choose before
+// any of them is queued. So each request that is on its way counts as more than the
+// tolerance, and the next one chooses another of the engines whose waits are about
+// equal.
+func (s *grantSearch) chooseLastQueue() string {
+	best := s.shortestRefusal()
+	tolerance := s.tolerance(best.QueueWait)
+	waits := make(map[string]time.Duration, len(s.refusals))
+	s.acquirer.Mu.Lock()
+	defer s.acquirer.Mu.Unlock()
+	for name, r := range s.refusals {
+		if rank(r.Reason) == rank(best.Reason) {
+			waits[name] = s.acquirer.Router.WaitAfterJoins(name, r.QueueWait, r.Reason == engine.Cold, tolerance+1)
+		}
+	}
+	return s.chooseByID(waits, tolerance)
+}
+
+// shortestRefusal returns the best of the engines' last refusals.
+func (s *grantSearch) shortestRefusal() *Refusal {
 	var best *Refusal
 	for _, r := range s.refusals {
 		if best == nil || isBetter(r, best) {
 			best = r
 		}
 	}
-	tolerance := max(s.maxQueueWait, best.QueueWait/waitToleranceDivisor)
+	return best
+}
+
+// tolerance returns by how much a queue wait may exceed the shortest one and still
+// count as equal.
+func (s *grantSearch) tolerance(shortest time.Duration) time.Duration {
+	return max(s.maxQueueWait, shortest/waitToleranceDivisor)
+}
+
+// chooseByID chooses, by the request ID, one of the engines whose waits are about the
+// shortest.
+func (s *grantSearch) chooseByID(waits map[string]time.Duration, tolerance time.Duration) string {
+	limit := slices.Min(slices.Collect(maps.Values(waits))) + tolerance
 	var candidates []string
-	for other, r := range s.refusals {
-		if rank(r.Reason) == rank(best.Reason) && r.QueueWait <= best.QueueWait+tolerance {
-			candidates = append(candidates, other)
+	for name, wait := range waits {
+		if wait <= limit {
+			candidates = append(candidates, name)
 		}
 	}
 	slices.Sort(candidates)
-	name = engine.Rendezvous(s.work.ID, candidates, nil, 1)[0]
-	return name, s.refusals[name].QueueWait + tolerance
+	return engine.Rendezvous(s.work.ID, candidates, nil, 1)[0]
 }
--- a/engine/router.go
+++ b/engine/router.go
@@ -75,6 +75,7 @@
 	probedAt    time.Time
 	wait        time.Duration // last queue wait reported by the owner
 	waitAt      time.Time
+	joins       queueJoins
 	drained     bool
 }
 
