Show what the processes wrote when TestProcessFailures fails

The test failed once with "requests after recovery: not done within 1m0s", and nothing told why: the daemons logged errors only, and the status of the requests was dropped.

Ruled out by reading: a port that another process took while its owner was down would end the restarted process with an error, which would have been printed. Not ruled out: a session or a grant that stays held for longer than the test waits.

The processes now write to a file, the daemons at debug level, and the test prints it if it fails, as well as the last error of what it waited for. The checks and the times are the same.

--- a/cmd/vanilladriftd/process_test.go
+++ b/cmd/vanilladriftd/process_test.go
@@ -39,6 +39,7 @@
 type processCluster struct {
 	t        *testing.T
 	bin      string
+	log      *os.File          // what the processes write; shown if the test fails
 	addrs    map[string]string // addresses by process name
 	nextPort int               // next port to try
 	cmds     map[string]*exec.Cmd
@@ -52,8 +53,12 @@
 }
 
 func startProcessCluster(t *testing.T) *processCluster {
+	logFile, err := os.Create(filepath.Join(t.TempDir(), "processes.log"))
+	if err != nil {
+		t.Fatal(err)
+	}
 	p := &processCluster{
-		t: t, bin: t.TempDir(), nextPort: firstPort + os.Getpid()%(lastPort-firstPort)/2, addrs: map[string]string{}, cmds: map[string]*exec.Cmd{},
+		t: t, bin: t.TempDir(), log: logFile, nextPort: firstPort + os.Getpid()%(lastPort-firstPort)/2, addrs: map[string]string{}, cmds: map[string]*exec.Cmd{},
 		args: map[string][]string{}, stopLoad: make(chan struct{}),
 	}
 	for _, name := range []string{"standin", "vanilladriftd"} {
@@ -116,7 +121,7 @@
 		}
 	}
 	cmd := exec.Command(filepath.Join(p.bin, program), nonEmpty...)
-	cmd.Stderr = os.Stderr
+	cmd.Stderr = p.log
 	if err := cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
@@ -133,7 +138,7 @@
 		"--caller-address", p.address(name+" callers"), "--operator-address", p.address(name+" operators"),
 		"--table-url", "http://"+p.address("table"), "--object-url", "http://"+p.address("object"),
 		"--vm-list-url", "http://"+p.address("vm-list"), "--operator", "tester:"+operatorToken,
-		"--lease-ttl", "4s", "--lease-margin", "400ms", "--log-level", "error")
+		"--lease-ttl", "4s", "--lease-margin", "400ms", "--log-level", "debug")
 }
 
 func (p *processCluster) restart(name string) {
@@ -159,15 +164,27 @@
 			p.kill(name)
 		}
 	}
+	if p.t.Failed() {
+		written, err := os.ReadFile(p.log.Name())
+		p.t.Logf("the processes wrote (reading it: %v):\n%s", err, written)
+	}
+	if err := p.log.Close(); err != nil {
+		p.t.Error(err)
+	}
 }
 
-// waitUntil polls ok and fails the test if it is not true within recoveryTimeout.
-func (p *processCluster) waitUntil(what string, ok func() bool) {
+// waitUntil repeats attempt and fails the test if it does not succeed within
+// recoveryTimeout.
+func (p *processCluster) waitUntil(what string, attempt func() error) {
 	p.t.Helper()
 	deadline := time.Now().Add(recoveryTimeout)
-	for !ok() {
+	for {
+		err := attempt()
+		if err == nil {
+			return
+		}
 		if time.Now().After(deadline) {
-			p.t.Fatalf("%s: not done within %v", what, recoveryTimeout)
+			p.t.Fatalf("%s: not done within %v: %v", what, recoveryTimeout, err)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -179,9 +196,9 @@
 		Id: fmt.Sprint(kind, name, set), Kind: string(kind), Name: name, Set: set, Base: settings.AnyRevision, Why: "process test",
 	})
 	req.Header().Set("Authorization", "Bearer "+operatorToken)
-	p.waitUntil("edit "+name, func() bool {
+	p.waitUntil("edit "+name, func() error {
 		_, err := client.Edit(context.Background(), req)
-		return err == nil
+		return err
 	})
 }
 
@@ -223,13 +240,17 @@
 	return resp, raw, err
 }
 
-// complete sends a completion request and reports whether it was served. It records a
-// violation if the response is malformed or wrong.
-func (p *processCluster) complete(node, i int) bool {
+// complete sends a completion request and returns an error if it was not served. It
+// records a violation if the response is malformed or wrong.
+func (p *processCluster) complete(node, i int) error {
 	model, prompt, tokens := fmt.Sprintf("a%d", i%processAdapters), fmt.Sprint("prompt ", i), 5+i%40
+	sent := time.Now()
 	resp, raw, err := p.post(node, "/v1/completions", "", fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d}`, model, prompt, tokens))
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return false
+	if err != nil {
+		return fmt.Errorf("request for %s to node%d, after %v: %w", model, node, time.Since(sent), err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("request for %s to node%d, after %v: status %d: %s", model, node, time.Since(sent), resp.StatusCode, raw)
 	}
 	var a struct {
 		Model   string
@@ -237,12 +258,12 @@
 	}
 	if err := json.NewDecoder(bytes.NewReader(raw)).Decode(&a); err != nil || len(a.Choices) != 1 {
 		p.addViolation("malformed response: %s", raw)
-		return false
+		return fmt.Errorf("malformed response: %s", raw)
 	}
 	if a.Model != model+"@v1" || a.Choices[0].Text != standin.Completion(a.Model, prompt, tokens) {
 		p.addViolation("wrong response of %s to %q", a.Model, prompt)
 	}
-	return true
+	return nil
 }
 
 func (p *processCluster) addViolation(format string, args ...any) {
@@ -267,7 +288,7 @@
 					_, _, _ = p.post(i%processNodes, "/v1/services/ledger/place", body, body) // checked by the record of executions
 					continue
 				}
-				if p.complete(i%processNodes, i) {
+				if p.complete(i%processNodes, i) == nil {
 					p.mu.Lock()
 					p.served++
 					p.mu.Unlock()
@@ -288,15 +309,15 @@
 	}
 }
 
-func (p *processCluster) servesEveryModel() bool {
+func (p *processCluster) servesEveryModel() error {
 	for node := range processNodes {
 		for a := range processAdapters {
-			if !p.complete(node, a) {
-				return false
+			if err := p.complete(node, a); err != nil {
+				return err
 			}
 		}
 	}
-	return true
+	return nil
 }
 
 // TestProcessFailures kills, suspends, resumes and drains processes under load. No
