Choose the last queue and count the request in one step

Causes: the request was counted only after the choice, with the lock given up between, so that others chose on the same counts; and requests that accept a limited wait counted as joined until the owner refused them, which it mostly does.

Change: the choice counts the request before another one can choose. Only requests that accept any wait count.

Nodes still do not see each other.

--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -130,11 +130,16 @@
 // it reports. The owner refuses work that it cannot start in time, so a
 // response is not awaited for longer than refusalGrace after the deadline.
 func (a *Acquirer) requestGrant(ctx context.Context, name string, w engine.Work) (Grant, error) {
-	ctx, cancel := context.WithDeadline(ctx, w.Deadline.Add(refusalGrace))
-	defer cancel()
 	a.Mu.Lock()
-	number := a.Router.CountRequest(name)
+	number := a.Router.CountRequest(name, w.MaxWait)
 	a.Mu.Unlock()
+	return a.requestCountedGrant(ctx, name, w, number)
+}
+
+// requestCountedGrant is like requestGrant for a request that the router has counted.
+func (a *Acquirer) requestCountedGrant(ctx context.Context, name string, w engine.Work, number uint64) (Grant, error) {
+	ctx, cancel := context.WithDeadline(ctx, w.Deadline.Add(refusalGrace))
+	defer cancel()
 	g, err := a.RequestGrant(ctx, name, w)
 	wait := g.QueueWait
 	var r *Refusal
--- a/caller/grant_search.go
+++ b/caller/grant_search.go
@@ -68,10 +68,15 @@
 }
 
 func (s *grantSearch) requestGrant(ctx context.Context, name string, maxQueueWait time.Duration) (Grant, error) {
+	return s.acquirer.requestGrant(ctx, name, s.nextRequest(maxQueueWait))
+}
+
+// nextRequest returns the work of the next request to an owner.
+func (s *grantSearch) nextRequest(maxQueueWait time.Duration) engine.Work {
 	w := s.work
 	w.ID, w.MaxWait = grantRequestID(w.ID, s.requests), maxQueueWait
 	s.requests++
-	return s.acquirer.requestGrant(ctx, name, w)
+	return w
 }
 
 // waitInQueue queues the request at an engine with a short queue. Many
@@ -88,7 +93,8 @@
 		}
 		s.addRefusal(name, r)
 	}
-	return s.requestGrant(ctx, s.chooseLastQueue(), 0)
+	name, number := s.chooseLastQueue()
+	return s.acquirer.requestCountedGrant(ctx, name, s.nextRequest(0), number)
 }
 
 // chooseQueue returns one of the engines with about the shortest wait, chosen
@@ -110,19 +116,20 @@
 // refuses it for its wait any more, and concurrent requests of this node choose before
 // any of them is queued. So each request that is on its way counts as more than the
 // tolerance, and the next one chooses another of the engines whose waits are about
-// equal.
-func (s *grantSearch) chooseLastQueue() string {
+// equal. The request is counted before another one can choose.
+func (s *grantSearch) chooseLastQueue() (name string, number uint64) {
 	best := s.shortestRefusal()
 	tolerance := s.tolerance(best.QueueWait)
 	waits := make(map[string]time.Duration, len(s.refusals))
 	s.acquirer.Mu.Lock()
 	defer s.acquirer.Mu.Unlock()
-	for name, r := range s.refusals {
+	for other, r := range s.refusals {
 		if rank(r.Reason) == rank(best.Reason) {
-			waits[name] = s.acquirer.Router.WaitAfterJoins(name, r.QueueWait, r.Reason == engine.Cold, tolerance+1)
+			waits[other] = s.acquirer.Router.WaitAfterJoins(other, r.QueueWait, r.Reason == engine.Cold, tolerance+1)
 		}
 	}
-	return s.chooseByID(waits, tolerance)
+	name = s.chooseByID(waits, tolerance)
+	return name, s.acquirer.Router.CountRequest(name, 0)
 }
 
 // shortestRefusal returns the best of the engines' last refusals.
