--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -145,6 +145,14 @@
 // it reports. The owner refuses work that it cannot start in time, so a
 // response is not awaited for longer than refusalGrace after the deadline.
 func (a *Acquirer) requestGrant(ctx context.Context, name string, w engine.Work) (Grant, error) {
+	a.Mu.Lock()
+	number := a.Router.CountRequest(name, w.MaxWait)
+	a.Mu.Unlock()
+	return a.requestCountedGrant(ctx, name, w, number)
+}
+
+// requestCountedGrant is like requestGrant for a request that the router has counted.
+func (a *Acquirer) requestCountedGrant(ctx context.Context, name string, w engine.Work, number uint64) (Grant, error) {
 	ctx, cancel := context.WithDeadline(ctx, w.Deadline.Add(refusalGrace))
 	defer cancel()
 	g, err := a.RequestGrant(ctx, name, w)
@@ -156,6 +164,9 @@
 	if err == nil || r != nil {
 		a.Mu.Lock()
 		a.Router.ObserveWait(time.Now(), name, wait)
+		if r != nil {
+			a.Router.ObserveRefusal(name, number, r.Reason, wait)
+		}
 		a.Mu.Unlock()
 	}
 	return g, err
