List two owners after a restore that a fresh process cannot know

TestFreshProcessKnowsOnlyTheCopy fails: found in the review of the fix, of the same class, not mended.

--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -201,3 +201,29 @@
 		}
 	})
 }
+
+// Guards against two owners after a restore: a process that starts on the copy does not know
+// the nodes that joined in the time that the restore has lost.
+func TestFreshProcessKnowsOnlyTheCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newStoreCluster(1, 24)
+		defer c.close()
+		x := c.nodes[0]
+		is.Equal(c.watch(6*time.Second), "")
+		before := c.store.Copy()
+		for range 4 {
+			c.join()
+		}
+		is.Equal(c.watch(8*time.Second), "")
+		for _, n := range c.nodes[1:] {
+			c.cutFromStore(n, true)
+			c.net.SetBlocked(n.Name(), x.Name(), true)
+			c.net.SetBlocked(x.Name(), n.Name(), true)
+		}
+		c.kill(x)
+		c.restore(before, 300*time.Millisecond)
+		c.start(0)
+		is.Equal(c.watch(15*time.Second), "")
+	})
+}
