Play a restore of the store on the whole path

Daemons, stand-in of the store and replicas: the store comes back from a copy, also after a daemon has stopped or others have joined. The replicas judge tokens and owners.

--- a/demo/platform_system.go
+++ b/demo/platform_system.go
@@ -39,6 +39,7 @@
 	listeners
 	client         *http.Client
 	store          *standin.Store
+	storeAddr      string
 	replicas       []*standin.Replica
 	ledgers        []*standin.Replica
 	daemons        []*entry.Daemon
@@ -58,6 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
+	sys.storeAddr = storeAddr
 	sys.store.Put(platform.ConfigRowKey, platform.ExampleConfig)
 	for i := range replicaCount {
 		r := &standin.Replica{
--- /dev/null
+++ b/demo/restore_test.go
@@ -0,0 +1,73 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/entry"
+	"github.com/vanilladrift/vanilladrift/standin"
+)
+
+// Guards against engines that get commands under a lower fencing token, or one of two owners,
+// after the store came back from a copy: the whole path, with a daemon that stopped since.
+func TestEnginesAfterARestoreOfTheStore(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(2)) // more threads add only contention in virtual time
+	for _, tt := range []struct {
+		name  string
+		after func(traffic *platformTraffic) error // what happens between the copy and the restore
+	}{
+		{"nothing", func(*platformTraffic) error { return nil }},
+		{"a daemon stops", func(traffic *platformTraffic) error {
+			traffic.stopDaemon(200)
+			return nil
+		}},
+		{"daemons join", func(traffic *platformTraffic) error {
+			for i := range 3 {
+				if err := traffic.sys.startDaemon(fmt.Sprintf("joined-%d", i), traffic.sys.storeAddr, io.Discard); err != nil {
+					return err
+				}
+			}
+			time.Sleep(8 * time.Second)
+			return nil
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				network := &standin.PipeNetwork{}
+				sys, err := newPlatformSystem(entry.Network{Listen: network.Listen, Dial: network.Dial}, io.Discard)
+				is.NoErr(err)
+				defer time.Sleep(time.Minute) // lets background goroutines time out
+				defer sys.close()
+				is.NoErr(sys.waitReady())
+				traffic := newPlatformTraffic(sys, 2)
+				traffic.run(300)
+				before := sys.store.Copy()
+				is.NoErr(tt.after(traffic))
+				traffic.run(300)
+				sys.store.SetFault(standin.TableFault{Down: true})
+				time.Sleep(300 * time.Millisecond)
+				sys.store.Restore(before)
+				sys.store.SetFault(standin.TableFault{})
+				traffic.run(1500)
+				traffic.collect()
+				is.Equal(traffic.result.violations(), nil)
+				for _, r := range sys.replicas {
+					commands := r.Record().Commands
+					for i, c := range commands[min(1, len(commands)):] {
+						last := commands[i]
+						if c.FencingToken < last.FencingToken || c.FencingToken == last.FencingToken && c.Owner != last.Owner {
+							t.Errorf("%s got a command of %s under token %d after one of %s under %d", r.Self.ID, c.Owner, c.FencingToken, last.Owner, last.FencingToken)
+						}
+					}
+				}
+			})
+		})
+	}
+}
