Quarantine the set of parts that crashed prompts share

A review of the quarantine showed, each by a test: without responses in between, the first part, which sound prompts share, was quarantined (ties by local counts; one more crash after the right quarantine), and the right one ended on all nodes, as the other part seemed to explain its crashes; a node that missed the message of a successful trial rejected for ever and passed that on; four connections of a node that was cut off made all nodes reject a sound part; crashes of engines that were suspected before, or in bursts, were missed (17 of 25 requests too late); a trial was sent to up to four engines.

A quarantine is now the set of parts that all the crashed requests share, and holds for prompts with all of them; a response takes its parts out. Only responses clear; a crash with a quarantined prompt leaves no suspicion. The time of a crash is kept by part; crashes within 50 ms count once; the oldest crash gives way. Quarantines that nobody tests lapse, and are not passed on after their end; what a node has answered it does not learn. A trial is sent once, and counts as failed until its response begins.

Not done of the review: crashes of responses that are no event stream; a bound on the messages at hundreds of nodes beyond sharing cleared parts only of two crashes or more.

--- a/backend/prompt_quarantine.go
+++ b/backend/prompt_quarantine.go
@@ -3,12 +3,13 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
 
 const (
-	// quarantineCrashes is the number of crashes, apart from each other, after which a part is
+	// quarantineCrashes is the number of crashes, apart from each other, after which parts are
 	// quarantined. A rarely used part can be in flight by chance at fewer.
 	quarantineCrashes = 4
 	// quarantineRequests is the number of different requests among them. One request crashes
@@ -16,37 +17,45 @@
 	quarantineRequests = 2
 	// sameCrashTime is the time within which crashes count as one: a failure of several
 	// engines at once has a cause outside of the prompts.
-	sameCrashTime = 250 * time.Millisecond
+	sameCrashTime = 50 * time.Millisecond
 	// crashRetention is how long a crash without an answer to its parts is remembered.
 	crashRetention = 5 * time.Minute
-	// quarantineTime is the time until a part is tried again. It doubles with each trial
-	// that crashes an engine, up to maxQuarantineTime.
+	// quarantineTime is the time until a quarantine is tested by one request. It grows by
+	// quarantineGrowth with each, up to maxQuarantineTime.
 	quarantineTime    = time.Minute
-	maxQuarantineTime = 16 * time.Minute
-	// trialTime is how long a trial may take to begin its response.
-	trialTime = 10 * time.Second
-	// maxCrashes bounds the crashes that are remembered.
-	maxCrashes = 256
+	quarantineGrowth  = 4
+	maxQuarantineTime = 4 * time.Hour
+	// trialWait is how long requests are rejected again while another node is to test it.
+	trialWait = 5 * time.Second
+	// quarantineLapse is how long after its end a quarantine is kept that nobody tests.
+	quarantineLapse = 2 * time.Minute
+	// maxCrashes bounds the crashes that are remembered, maxQuarantines the quarantines.
+	maxCrashes     = 256
+	maxQuarantines = 256
 )
 
-// PromptQuarantine finds the part that makes prompts crash engines, and keeps prompts with it
+// PromptQuarantine finds the parts that make prompts crash engines, and keeps prompts with them
 // from being sent. A part is suspected if a request with it was in flight, without any
 // response yet, when an engine crashed. A response to any request with a part clears it.
 // Engines that crash for other reasons thus leave suspicions that the next responses clear.
 //
+// A quarantine is a set of parts: those that all requests had that crashed engines. It holds for
+// prompts that have all of them. Responses to other prompts narrow the set to the part that is
+// at fault.
+//
 // Nodes share what they see: each takes the events of the others with [PromptQuarantine.Record],
 // and the quarantines with [PromptQuarantine.Learn]. The zero value is ready to use. It is safe
 // for concurrent use.
 type PromptQuarantine struct {
 	// IsTrialNode, which is optional, reports whether this node is the one that sends the
-	// request by which a part is tried again.
-	IsTrialNode func(part string) bool
+	// request by which a quarantine is tested.
+	IsTrialNode func(name string) bool
 
 	mu          sync.Mutex
 	crashes     map[string]*engineCrash // by incarnation
-	arrivals    partCounter
-	quarantined map[string]quarantine // by part
-	cleared     map[string]time.Time  // parts that left quarantine, so that it is not learned again
+	suspects    map[string]int          // number of crashes by part
+	quarantines map[string]*quarantine  // by name
+	cleared     map[string]time.Time    // parts that were cleared, so that they are not learned again
 	unshared    PromptEvents
 }
 
@@ -66,38 +75,60 @@
 // IsEmpty reports whether there are no events.
 func (e PromptEvents) IsEmpty() bool { return len(e.Crashes) == 0 && len(e.Cleared) == 0 }
 
-// QuarantinedPart is a part that is in quarantine.
-type QuarantinedPart struct {
-	Part   string
+// Quarantine is a set of parts that prompts must not have together.
+type Quarantine struct {
+	Parts  []string
 	Left   time.Duration
 	Length time.Duration
 }
 
+// Name returns the parts in order.
+func (q Quarantine) Name() string { return quarantineName(q.Parts) }
+
+func quarantineName(parts []string) string {
+	return strings.Join(slices.Sorted(slices.Values(parts)), ",")
+}
+
 type engineCrash struct {
-	at    time.Time
-	parts map[string]map[string]bool // suspected parts, with the IDs of their requests
+	at        time.Time
+	explained bool // by a quarantine
+	requests  map[string][]string
+	parts     map[string]time.Time // suspected parts, and since when
 }
 
 type quarantine struct {
+	parts  []string
 	until  time.Time
 	length time.Duration
 }
 
+// holds reports whether a prompt with these parts must not be sent.
+func (q *quarantine) holds(parts []string) bool {
+	for _, part := range q.parts {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return true
+}
+
 // Admit decides about a request that has just arrived. If its prompt may not be sent, it
 // returns how long the quarantine lasts. The request is a trial if it is the one by which
-// a part is tried again.
+// the quarantine is tested; it must be sent once only.
 func (q *PromptQuarantine) Admit(now time.Time, parts []string) (left time.Duration, trial bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.arrivals.add(now, parts)
-	part, left := q.longest(now, parts)
-	if part == "" || left > 0 {
-		return left, false
+	in := q.longest(now, parts)
+	switch {
+	case in == nil:
+		return 0, false
+	case in.until.After(now):
+		return in.until.Sub(now), false
+	case q.IsTrialNode != nil && !q.IsTrialNode(quarantineName(in.parts)):
+		return trialWait, false
 	}
-	if q.IsTrialNode != nil && !q.IsTrialNode(part) {
-		return trialTime, false
-	}
-	q.set(part, quarantine{until: now.Add(trialTime), length: q.quarantined[part].length})
+	in.length = min(quarantineGrowth*in.length, maxQuarantineTime)
+	in.until = now.Add(in.length) // a response ends it
 	return 0, true
 }
 
@@ -105,12 +136,15 @@
 func (q *PromptQuarantine) Left(now time.Time, parts []string) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	_, left := q.longest(now, parts)
-	return left
+	in := q.longest(now, parts)
+	if in == nil {
+		return 0
+	}
+	return max(trialWait, in.until.Sub(now))
 }
 
 // ObserveCrash records that an engine broke off a request before its response began, and
-// returns the part that is quarantined for it, or "".
+// returns the name of the quarantine that begins, or "".
 func (q *PromptQuarantine) ObserveCrash(now time.Time, c PromptCrash) string {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -125,7 +159,7 @@
 func (q *PromptQuarantine) ObserveResponse(now time.Time, parts []string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.crashes) == 0 && len(q.quarantined) == 0 {
+	if len(q.suspects) == 0 && len(q.quarantines) == 0 {
 		return
 	}
 	for _, part := range parts {
@@ -135,19 +169,19 @@
 	}
 }
 
-// Record takes events of another node, and returns the parts that are quarantined for them.
-func (q *PromptQuarantine) Record(now time.Time, e PromptEvents) (quarantined []string) {
+// Record takes events of another node, and returns the names of the quarantines that begin.
+func (q *PromptQuarantine) Record(now time.Time, e PromptEvents) (begun []string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, c := range e.Crashes {
-		if part := q.recordCrash(now, c); part != "" {
-			quarantined = append(quarantined, part)
+		if name := q.recordCrash(now, c); name != "" {
+			begun = append(begun, name)
 		}
 	}
 	for _, part := range e.Cleared {
 		q.clear(now, part)
 	}
-	return quarantined
+	return begun
 }
 
 // TakeEvents returns the events of this node that were not taken before.
@@ -159,153 +193,174 @@
 	return e
 }
 
-// Quarantined returns the parts that are in quarantine.
-func (q *PromptQuarantine) Quarantined(now time.Time) (list []QuarantinedPart) {
+// Quarantines returns the quarantines that last.
+func (q *PromptQuarantine) Quarantines(now time.Time) (list []Quarantine) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for part, in := range q.quarantined {
-		list = append(list, QuarantinedPart{Part: part, Left: max(0, in.until.Sub(now)), Length: in.length})
+	for _, in := range q.quarantines {
+		if in.until.After(now) {
+			list = append(list, Quarantine{Parts: slices.Clone(in.parts), Left: in.until.Sub(now), Length: in.length})
+		}
 	}
 	return list
 }
 
-// Learn takes the quarantines of another node.
-func (q *PromptQuarantine) Learn(now time.Time, list []QuarantinedPart) {
+// Learn takes the quarantines of another node, without parts that were cleared here.
+func (q *PromptQuarantine) Learn(now time.Time, list []Quarantine) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.expire(now)
 	for _, in := range list {
-		at, wasCleared := q.cleared[in.Part]
-		if wasCleared && now.Sub(at) < crashRetention {
+		parts := slices.DeleteFunc(slices.Clone(in.Parts), func(part string) bool { return !q.cleared[part].IsZero() })
+		left, length := min(in.Left, maxQuarantineTime), min(max(in.Length, quarantineTime), maxQuarantineTime)
+		if left <= 0 || len(parts) == 0 {
 			continue
 		}
-		left, length := min(in.Left, maxQuarantineTime), min(max(in.Length, quarantineTime), maxQuarantineTime)
-		if until := now.Add(left); until.After(q.quarantined[in.Part].until) {
-			q.set(in.Part, quarantine{until: until, length: length})
+		if known := q.quarantines[quarantineName(parts)]; known == nil || now.Add(left).After(known.until) {
+			q.begin(&quarantine{parts: parts, until: now.Add(left), length: length})
 		}
 	}
 }
 
 // The methods below must be called with q.mu held.
 
-// longest returns the part whose quarantine lasts longest, and for how long.
-func (q *PromptQuarantine) longest(now time.Time, parts []string) (worst string, left time.Duration) {
-	for _, part := range parts {
-		in, ok := q.quarantined[part]
-		if l := max(0, in.until.Sub(now)); ok && (worst == "" || l > left) {
-			worst, left = part, l
+// longest returns the quarantine that holds for a prompt and lasts longest, or nil.
+func (q *PromptQuarantine) longest(now time.Time, parts []string) (longest *quarantine) {
+	if len(q.quarantines) == 0 {
+		return nil
+	}
+	for _, in := range q.quarantines {
+		if now.Sub(in.until) <= quarantineLapse && in.holds(parts) && (longest == nil || in.until.After(longest.until)) {
+			longest = in
 		}
 	}
-	return worst, left
+	return longest
 }
 
-func (q *PromptQuarantine) set(part string, in quarantine) {
-	if q.quarantined == nil {
-		q.quarantined = make(map[string]quarantine)
+func (q *PromptQuarantine) begin(in *quarantine) {
+	if q.quarantines == nil {
+		q.quarantines = make(map[string]*quarantine)
+	}
+	if len(q.quarantines) < maxQuarantines {
+		q.quarantines[quarantineName(in.parts)] = in
 	}
-	q.quarantined[part] = in
 }
 
-// recordCrash returns the part that is quarantined, if any.
+// recordCrash returns the name of the quarantine that begins, if any.
 func (q *PromptQuarantine) recordCrash(now time.Time, c PromptCrash) string {
 	q.expire(now)
-	if q.crashes == nil {
-		q.crashes = make(map[string]*engineCrash)
+	crash := q.crash(now, c.Incarnation)
+	crash.requests[c.RequestID] = c.Parts
+	if q.longest(now, c.Parts) != nil {
+		q.explain(crash)
 	}
-	crash := q.crashes[c.Incarnation]
-	if crash == nil {
-		if len(q.crashes) >= maxCrashes {
-			return ""
-		}
-		crash = &engineCrash{at: now, parts: make(map[string]map[string]bool)}
-		q.crashes[c.Incarnation] = crash
+	if crash.explained {
+		return ""
 	}
 	for _, part := range c.Parts {
-		if crash.parts[part] == nil {
-			crash.parts[part] = make(map[string]bool)
+		if _, ok := crash.parts[part]; !ok {
+			crash.parts[part] = now
+			q.suspects[part]++
 		}
-		crash.parts[part][c.RequestID] = true
 	}
+	var cause []string
 	for _, part := range c.Parts {
-		if in, ok := q.quarantined[part]; ok && !now.Before(in.until.Add(-trialTime)) { // a trial
-			in.length = min(2*in.length, maxQuarantineTime)
-			q.set(part, quarantine{until: now.Add(in.length), length: in.length})
+		if parts := q.findCause(part); len(parts) > len(cause) { // as few prompts as possible
+			cause = parts
 		}
 	}
-	worst := q.worstPart(c.Parts)
-	if worst != "" {
-		q.set(worst, quarantine{until: now.Add(quarantineTime), length: quarantineTime})
-		delete(q.cleared, worst)
+	if cause == nil {
+		return ""
 	}
-	q.acquit(now)
-	return worst
-}
-
-// acquit ends the quarantine of parts whose crashes another part explains.
-func (q *PromptQuarantine) acquit(now time.Time) {
-	for part := range q.quarantined {
-		if q.crashesWith(part) >= quarantineCrashes && q.countCrashes(part) < quarantineCrashes {
-			q.clear(now, part)
-			q.unshared.Cleared = append(q.unshared.Cleared, part)
+	in := &quarantine{parts: cause, until: now.Add(quarantineTime), length: quarantineTime}
+	q.begin(in)
+	for _, part := range cause {
+		delete(q.cleared, part)
+	}
+	for _, crash := range q.crashes {
+		if slices.ContainsFunc(slices.Collect(maps.Values(crash.requests)), in.holds) {
+			q.explain(crash)
 		}
 	}
+	return quarantineName(cause)
 }
 
-// worstPart returns the part that has crashed enough engines and is not in quarantine, or
-// "". Of several it is the one with the most crashes, and of these the one that the
-// fewest requests have.
-func (q *PromptQuarantine) worstPart(parts []string) string {
-	worst, worstCrashes := "", 0
-	for _, part := range parts {
-		if _, ok := q.quarantined[part]; ok {
-			continue
-		}
-		n := q.countCrashes(part)
-		if n > worstCrashes || n == worstCrashes && q.arrivals.count(part) < q.arrivals.count(worst) {
-			worst, worstCrashes = part, n
-		}
+// crash returns the record of an engine's crash. If there are too many, the oldest is dropped.
+func (q *PromptQuarantine) crash(now time.Time, incarnation string) *engineCrash {
+	if q.crashes == nil {
+		q.crashes, q.suspects = make(map[string]*engineCrash), make(map[string]int)
 	}
-	if worstCrashes < quarantineCrashes {
-		return ""
+	if crash := q.crashes[incarnation]; crash != nil {
+		return crash
+	}
+	if len(q.crashes) >= maxCrashes {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(q.crashes)), func(a, b string) int { return q.crashes[a].at.Compare(q.crashes[b].at) })
+		q.explain(q.crashes[oldest])
+		delete(q.crashes, oldest)
 	}
-	return worst
+	crash := &engineCrash{at: now, requests: make(map[string][]string), parts: make(map[string]time.Time)}
+	q.crashes[incarnation] = crash
+	return crash
 }
 
-// crashesWith returns the number of crashes with a part.
-func (q *PromptQuarantine) crashesWith(part string) (n int) {
-	for _, crash := range q.crashes {
-		if crash.parts[part] != nil {
-			n++
-		}
+// explain drops the suspicions of a crash.
+func (q *PromptQuarantine) explain(crash *engineCrash) {
+	crash.explained = true
+	for part := range crash.parts {
+		q.drop(crash, part)
 	}
-	return n
 }
 
-// isExplained reports whether another part, which is in quarantine and has more crashes,
-// explains a crash.
-func (q *PromptQuarantine) isExplained(crash *engineCrash, part string, crashesWith int) bool {
-	for other := range q.quarantined {
-		if other != part && crash.parts[other] != nil && q.crashesWith(other) > crashesWith {
-			return true
-		}
+func (q *PromptQuarantine) drop(crash *engineCrash, part string) {
+	delete(crash.parts, part)
+	if q.suspects[part]--; q.suspects[part] <= 0 {
+		delete(q.suspects, part)
 	}
-	return false
 }
 
-// countCrashes returns the number of crashes of a part that are apart from each other, or 0
-// if too few requests had it.
-func (q *PromptQuarantine) countCrashes(part string) (n int) {
+// findCause returns the parts that all crashed requests with a part have and that are still
+// suspected, if there are enough crashes apart from each other, or nil.
+func (q *PromptQuarantine) findCause(part string) (common []string) {
+	if q.suspects[part] < quarantineCrashes {
+		return nil
+	}
 	var times []time.Time
-	requests := make(map[string]bool)
-	all := q.crashesWith(part)
+	requests := make(map[string][]string)
 	for _, crash := range q.crashes {
-		if ids := crash.parts[part]; ids != nil && !q.isExplained(crash, part, all) {
-			times = append(times, crash.at)
-			maps.Copy(requests, ids)
+		at, ok := crash.parts[part]
+		if !ok {
+			continue
+		}
+		times = append(times, at)
+		for id, parts := range crash.requests {
+			if slices.Contains(parts, part) {
+				requests[id] = parts
+			}
 		}
 	}
-	if len(requests) < quarantineRequests {
-		return 0
+	if len(requests) < quarantineRequests || countApart(times) < quarantineCrashes {
+		return nil
+	}
+	common = append(common, part)
+	for other := range q.suspects {
+		if other != part && q.suspects[other] >= q.suspects[part] && allHave(requests, other) {
+			common = append(common, other)
+		}
+	}
+	return common
+}
+
+func allHave(requests map[string][]string, part string) bool {
+	for _, parts := range requests {
+		if !slices.Contains(parts, part) {
+			return false
+		}
 	}
+	return true
+}
+
+// countApart returns how many of the times are apart from each other.
+func countApart(times []time.Time) (n int) {
 	slices.SortFunc(times, time.Time.Compare)
 	var last time.Time
 	for _, at := range times {
@@ -316,55 +371,45 @@
 	return n
 }
 
-// clear reports whether the part was suspected or in quarantine.
-func (q *PromptQuarantine) clear(now time.Time, part string) (suspected bool) {
-	if _, ok := q.quarantined[part]; ok {
-		delete(q.quarantined, part)
-		if q.cleared == nil {
-			q.cleared = make(map[string]time.Time)
+// clear removes a part that has a response from all suspicions and quarantines. It reports
+// whether other nodes should know: one crash leaves many suspicions that end by themselves.
+func (q *PromptQuarantine) clear(now time.Time, part string) (share bool) {
+	if q.suspects[part] > 0 {
+		share = q.suspects[part] > 1
+		for _, crash := range q.crashes {
+			if _, ok := crash.parts[part]; ok {
+				q.drop(crash, part)
+			}
 		}
-		q.cleared[part] = now
-		suspected = true
 	}
-	for incarnation, crash := range q.crashes {
-		if crash.parts[part] == nil {
+	for name, in := range q.quarantines {
+		if !slices.Contains(in.parts, part) {
 			continue
 		}
-		suspected = true
-		delete(crash.parts, part)
-		if len(crash.parts) == 0 {
-			delete(q.crashes, incarnation)
+		share = true
+		delete(q.quarantines, name)
+		in.parts = slices.DeleteFunc(slices.Clone(in.parts), func(p string) bool { return p == part })
+		if len(in.parts) > 0 {
+			q.begin(in)
 		}
 	}
-	return suspected
+	if share {
+		if q.cleared == nil {
+			q.cleared = make(map[string]time.Time)
+		}
+		q.cleared[part] = now
+	}
+	return share
 }
 
 // expire deletes what is too old to count.
 func (q *PromptQuarantine) expire(now time.Time) {
-	maps.DeleteFunc(q.crashes, func(_ string, crash *engineCrash) bool { return now.Sub(crash.at) > crashRetention })
-	maps.DeleteFunc(q.cleared, func(_ string, at time.Time) bool { return now.Sub(at) > crashRetention })
-}
-
-// partCounter counts how many of the recent requests have a part.
-type partCounter struct {
-	start             time.Time
-	current, previous map[string]int
-}
-
-// countedTime is the time that a partCounter counts in, twice, and maxCountedParts the
-// number of parts.
-const (
-	countedTime     = 10 * time.Second
-	maxCountedParts = 8192
-)
-
-func (c *partCounter) add(now time.Time, parts []string) {
-	if c.current == nil || now.Sub(c.start) > countedTime || len(c.current) > maxCountedParts {
-		c.previous, c.current, c.start = c.current, make(map[string]int), now
-	}
-	for _, part := range parts {
-		c.current[part]++
+	for incarnation, crash := range q.crashes {
+		if now.Sub(crash.at) > crashRetention {
+			q.explain(crash)
+			delete(q.crashes, incarnation)
+		}
 	}
+	maps.DeleteFunc(q.quarantines, func(_ string, in *quarantine) bool { return now.Sub(in.until) > quarantineLapse })
+	maps.DeleteFunc(q.cleared, func(_ string, at time.Time) bool { return now.Sub(at) > crashRetention })
 }
-
-func (c *partCounter) count(part string) int { return c.current[part] + c.previous[part] }
--- a/node/members.go
+++ b/node/members.go
@@ -313,7 +313,7 @@
 		return nil, l, err
 	}
 	m.n.ObserveGeneration(resp.Msg.GetGeneration())
-	m.n.learnQuarantines(resp.Msg.GetQuarantinedParts())
+	m.n.learnQuarantines(resp.Msg.GetQuarantines())
 	m.n.generations.Observe(resp.Msg.GetNode(), address, resp.Msg.GetGeneration(), time.Now())
 	m.recordHeartbeat(l, true, resp.Msg.GetProcess())
 	return resp, l, nil
--- a/node/peers.go
+++ b/node/peers.go
@@ -38,7 +38,7 @@
 	now, generation := time.Now(), s.n.generations.Current()
 	id, holding := s.n.session.identity(now)
 	return connect.NewResponse(&peerpb.HeartbeatResponse{
-		Node: s.n.cfg.Name, Process: s.n.process, Revision: s.n.store.Tree().Rev(), Holding: holding, Session: id, Generation: generation, QuarantinedParts: s.n.quarantinedParts(),
+		Node: s.n.cfg.Name, Process: s.n.process, Revision: s.n.store.Tree().Rev(), Holding: holding, Session: id, Generation: generation, Quarantines: s.n.quarantines(),
 		// A witness without a lease may have been fenced, and then counts as having promised
 		// not to agree.
 		Agreed: req.Msg.GetHold() && holding && req.Msg.GetGeneration() == generation && s.n.promises.Consent(req.Msg.GetProcess(), req.Msg.GetSessionVersion(), now),
--- a/node/prompts.go
+++ b/node/prompts.go
@@ -52,42 +52,42 @@
 	for _, c := range req.GetPromptCrashes() {
 		e.Crashes = append(e.Crashes, backend.PromptCrash{Incarnation: c.GetIncarnation(), RequestID: c.GetRequestId(), Parts: c.GetParts()})
 	}
-	for _, part := range n.cfg.Prompts.Record(time.Now(), e) {
-		n.LogQuarantine(part)
+	for _, parts := range n.cfg.Prompts.Record(time.Now(), e) {
+		n.LogQuarantine(parts)
 	}
 }
 
-// quarantinedParts returns the parts that this node has in quarantine.
-func (n *Node) quarantinedParts() (list []*peerpb.QuarantinedPart) {
+// quarantines returns the parts that this node has in quarantine.
+func (n *Node) quarantines() (list []*peerpb.Quarantine) {
 	if n.cfg.Prompts == nil {
 		return nil
 	}
-	for _, in := range n.cfg.Prompts.Quarantined(time.Now()) {
-		list = append(list, &peerpb.QuarantinedPart{Part: in.Part, LeftMs: in.Left.Milliseconds(), LengthMs: in.Length.Milliseconds()})
+	for _, in := range n.cfg.Prompts.Quarantines(time.Now()) {
+		list = append(list, &peerpb.Quarantine{Parts: in.Parts, LeftMs: in.Left.Milliseconds(), LengthMs: in.Length.Milliseconds()})
 	}
 	return list
 }
 
 // learnQuarantines takes the quarantines of another node.
-func (n *Node) learnQuarantines(list []*peerpb.QuarantinedPart) {
+func (n *Node) learnQuarantines(list []*peerpb.Quarantine) {
 	if n.cfg.Prompts == nil || len(list) == 0 {
 		return
 	}
-	parts := make([]backend.QuarantinedPart, len(list))
+	quarantines := make([]backend.Quarantine, len(list))
 	for i, in := range list {
-		parts[i] = backend.QuarantinedPart{
-			Part: in.GetPart(), Left: time.Duration(in.GetLeftMs()) * time.Millisecond, Length: time.Duration(in.GetLengthMs()) * time.Millisecond,
+		quarantines[i] = backend.Quarantine{
+			Parts: in.GetParts(), Left: time.Duration(in.GetLeftMs()) * time.Millisecond, Length: time.Duration(in.GetLengthMs()) * time.Millisecond,
 		}
 	}
-	n.cfg.Prompts.Learn(time.Now(), parts)
+	n.cfg.Prompts.Learn(time.Now(), quarantines)
 }
 
-// LogQuarantine logs that a part of prompts is quarantined.
-func (n *Node) LogQuarantine(part string) {
-	n.log.Warn("prompts with one part crash engines; rejecting requests with it", "prompt-part", part)
+// LogQuarantine logs that parts of prompts are quarantined.
+func (n *Node) LogQuarantine(parts string) {
+	n.log.Warn("prompts with these parts crash engines; rejecting requests with all of them", "prompt-parts", parts)
 }
 
-// IsTrialNode reports whether this node is the one that tries a quarantined part again.
-func (n *Node) IsTrialNode(part string) bool {
-	return n.members.preferredOwner("prompt-part/"+part, "") == n.cfg.Name
+// IsTrialNode reports whether this node is the one that tests a quarantine.
+func (n *Node) IsTrialNode(parts string) bool {
+	return n.members.preferredOwner("prompt-parts/"+parts, "") == n.cfg.Name
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -60,7 +60,7 @@
 		if !res.notRun || g.ID == "" {
 			excluded = g.Engine // it failed, or lacks the adapter that it was believed to hold
 		}
-		canRetry := res.notRun || x.route.Resumable && possibleRuns < x.route.MaxAttempts
+		canRetry := !x.promptTrial && (res.notRun || x.route.Resumable && possibleRuns < x.route.MaxAttempts)
 		if attempts >= maxAttempts || !canRetry || !res.unsent && !x.spendRetry() {
 			return x.finishFailedStream(res)
 		}
@@ -169,7 +169,9 @@
 		if err != nil {
 			return 0, err
 		}
-		x.observeResponse()
+		if ev.hasData {
+			x.observeResponse()
+		}
 		if x.headerWritten && !ev.isAfter(x.lastEventID) {
 			continue // already sent to the caller
 		}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -80,8 +80,8 @@
 	RecordPause func(s *backend.Server, d time.Duration, err error)
 	// Prompts, which is optional, finds prompts that crash engines.
 	Prompts *backend.PromptQuarantine
-	// OnQuarantine, which is optional, is called when a part of prompts is quarantined.
-	OnQuarantine func(part string)
+	// OnQuarantine, which is optional, is called when parts of prompts are quarantined.
+	OnQuarantine func(parts string)
 	// ShuttingDown, which is optional, reports whether the node is shutting
 	// down. If so, responses ask callers to close their connection.
 	ShuttingDown func() bool
--- a/relay/prompt.go
+++ b/relay/prompt.go
@@ -8,7 +8,7 @@
 )
 
 // promptCrashes is the reason of an [Error] for a prompt that may not be sent.
-const promptCrashes = "prompts with one of its parts crash engines"
+const promptCrashes = "prompts with some of its parts crash engines"
 
 // admitPrompt rejects a new request whose prompt may not be sent.
 func (x *exchange) admitPrompt() error {
@@ -38,19 +38,18 @@
 	case x.mayHaveRun:
 		return &Error{Op: op, Kind: ServerFailed, Reason: promptCrashes}
 	}
-	return &Error{Op: op, Kind: PromptQuarantined, Reason: promptCrashes, RetryAfter: left}
+	return &Error{Op: op, Kind: PromptQuarantined, Reason: promptCrashes, RetryAfter: min(left, time.Until(x.deadline))}
 }
 
 // observeCrash records that an engine broke off the request before its response began,
-// unless the caller or the deadline ended it. A trial is over then.
+// unless the caller or the deadline ended it.
 func (x *exchange) observeCrash(ctx context.Context, s *backend.Server) {
 	if x.handler.Prompts == nil || ctx.Err() != nil {
 		return
 	}
-	x.promptTrial = false
-	part := x.handler.Prompts.ObserveCrash(time.Now(), backend.PromptCrash{Incarnation: s.Incarnation(), RequestID: x.head.ID, Parts: x.head.PromptParts})
-	if part != "" && x.handler.OnQuarantine != nil {
-		x.handler.OnQuarantine(part)
+	parts := x.handler.Prompts.ObserveCrash(time.Now(), backend.PromptCrash{Incarnation: s.Incarnation(), RequestID: x.head.ID, Parts: x.head.PromptParts})
+	if parts != "" && x.handler.OnQuarantine != nil {
+		x.handler.OnQuarantine(parts)
 	}
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -17,8 +17,9 @@
 
 // streamEvent is one complete event, with the bytes as the server sent them.
 type streamEvent struct {
-	raw []byte
-	id  string
+	raw     []byte
+	id      string
+	hasData bool
 }
 
 // isAfter reports whether the event comes after the one with the given ID. It
@@ -69,6 +70,7 @@
 			return ev, nil
 		}
 		hasField = hasField || line[0] != ':' && len(bytes.TrimSpace(line)) > 0
+		ev.hasData = ev.hasData || bytes.HasPrefix(line, []byte("data:"))
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(id))
 		}
