--- a/node/lease_fuzz_test.go
+++ b/node/lease_fuzz_test.go
@@ -113,7 +113,7 @@
 }
 
 // At no time may a node be able to send commands to an engine under a fencing token that
-// another node had, or a lower one, also while the store comes back from copies some
+// another ownership had, or a lower one, also while the store comes back from copies some
 // seconds old and writes are applied late.
 func TestTokensGrowWhileStoreIsRestored(t *testing.T) {
 	if !*randomSeeds {
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -15,14 +15,15 @@
 	"github.com/vanilladrift/vanilladrift/table"
 )
 
-// sender is a node that may send commands to an engine, and its fencing token.
+// sender is a node that may send commands to an engine, with its ownership and fencing token.
 type sender struct {
-	node  string
-	token int64
+	node      string
+	token     int64
+	ownership *ownedEngine
 }
 
 // checkSenders returns a violation if a node may send commands to an engine under a fencing
-// token that another node had before, or under a lower one.
+// token that another ownership, also of the same node, had before, or under a lower one.
 func (c *leaseCluster) checkSenders() (violation string) {
 	if c.senders == nil {
 		c.senders = make(map[string]sender)
@@ -32,8 +33,8 @@
 			if !o.canSendCommand() {
 				continue
 			}
-			s, last := sender{n.Name(), o.token}, c.senders[o.name]
-			if s.token < last.token || s.token == last.token && s.node != last.node {
+			s, last := sender{n.Name(), o.token, o}, c.senders[o.name]
+			if s.token < last.token || s.token == last.token && s.ownership != last.ownership {
 				violation = fmt.Sprintf("%s may send commands to %s with token %d after %s had token %d", s.node, o.name, s.token, last.node, last.token)
 				continue
 			}
@@ -59,6 +60,12 @@
 		after func(c *leaseCluster) // what happens between the copy and the restore
 	}{
 		{"engines were handed over", func(c *leaseCluster) { c.nodes[1].HandOverEngines(c.nodes[1].ctx) }},
+		{"engines were handed over twice", func(c *leaseCluster) {
+			for _, n := range c.nodes[1:3] {
+				n.HandOverEngines(n.ctx)
+				time.Sleep(time.Second) // until the next owners have taken them over
+			}
+		}},
 		{"a node joined", func(c *leaseCluster) { c.join() }},
 		{"an owner was killed", func(c *leaseCluster) { c.kill(c.nodes[2]) }},
 		{"an owner was restarted", func(c *leaseCluster) {
