--- /dev/null
+++ b/node/handover.go
@@ -0,0 +1,65 @@
+package node
+
+import "context"
+
+// handOver stops grants, waits for commands in flight and releases the engine. Running
+// streams continue; the new owner learns of them from their entry nodes.
+func (n *Node) handOver(ctx context.Context, o *ownedEngine) {
+	if !o.beginHandover() {
+		return
+	}
+	if !o.awaitCommands(ctx) {
+		o.abortHandover()
+		return
+	}
+	switch o.releaseRow(ctx) {
+	case rowUnchanged:
+		o.abortHandover()
+	case rowWritten:
+		n.endReleased(ctx, o)
+	case rowLost:
+		n.endOwnership(o)
+	case rowUnknown:
+		// The write may be applied later, and then another node takes the engine over at once.
+		n.log.Warn("the release of an engine got no response; ending the ownership and releasing it again", "engine", o.name)
+		n.endOwnership(o)
+		n.tasks.Go(func() { n.releaseAgain(o) })
+	}
+}
+
+// endReleased ends the ownership of an engine whose row names no owner any more.
+func (n *Node) endReleased(ctx context.Context, o *ownedEngine) {
+	n.log.Info("released the engine", "engine", o.name)
+	n.endOwnership(o)
+	if b, ok := n.store.Tree().Backend(o.name); ok { // otherwise nobody should own it
+		n.members.announceRelease(ctx, b)
+	}
+}
+
+// releaseAgain writes that an engine has no owner until the row is known to have changed.
+func (n *Node) releaseAgain(o *ownedEngine) {
+	for n.ctx.Err() == nil {
+		sleep(n.ctx, recoveryRetryPause)
+		switch o.releaseRow(n.ctx) {
+		case rowWritten:
+			n.endReleased(n.ctx, o)
+			return
+		case rowLost:
+			return
+		}
+	}
+}
+
+func (n *Node) handOverAll(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, o := range n.ownedEngines() {
+			n.handOver(ctx, o)
+		}
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
