Wait for own former commands only on engines that cannot tell them apart

Found when reading the change: on other engines a command may hang for as long as the engine is silent, and the node could not take the engine over again meanwhile; there former owners are listed in the row, and waited for after the takeover. Tests of node pass.

--- a/node/takeover.go
+++ b/node/takeover.go
@@ -25,8 +25,8 @@
 			return false
 		}
 	}
-	if n.hasCommandsInFlight(b.Name) {
-		return false // they must not arrive after those under a later token
+	if b.UnloadWaitsForRequests && n.hasCommandsInFlight(b.Name) {
+		return false // such an engine does not tell them from those under a later token
 	}
 	if m, ok := n.members.get(old.Node); ok && m.expired && !n.ownerSessionEnded(old) && n.members.fence(ctx, m) {
 		return true
