--- a/demo/prompt_crash_test.go
+++ b/demo/prompt_crash_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -26,20 +27,17 @@
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(2)) // more threads add only contention in virtual time
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var sys *platformSystem
+		var started atomic.Pointer[platformSystem] // set once all replicas have their addresses
 		pipes := &standin.PipeNetwork{}
 		dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-			for _, r := range sys.replicas {
-				if r.Self.Address == address && r.IsDown() {
-					return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
-				}
+			if sys := started.Load(); sys != nil && slices.ContainsFunc(sys.replicas, func(r *standin.Replica) bool { return r.Self.Address == address && r.IsDown() }) {
+				return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 			}
 			return pipes.Dial(ctx, network, address)
 		}
-		sys = &platformSystem{}
-		started, err := newPlatformSystem(entry.Network{Listen: pipes.Listen, Dial: dial}, io.Discard)
+		sys, err := newPlatformSystem(entry.Network{Listen: pipes.Listen, Dial: dial}, io.Discard)
 		is.NoErr(err)
-		sys = started
+		started.Store(sys)
 		defer time.Sleep(time.Minute) // lets background goroutines time out
 		defer sys.close()
 		is.NoErr(sys.waitReady())
