--- a/cmd/vanilladrift/explain.go
+++ b/cmd/vanilladrift/explain.go
@@ -120,5 +120,6 @@
 // dependencyMessages are the log messages about a node's dependencies and state.
 var dependencyMessages = map[string]bool{
 	"started": true, "stopping": true, "store lost": true, "store regained": true, "session was fenced": true, "the table was restored from a copy; registering again": true,
+	"prompts with these parts crash engines; rejecting requests with all of them": true, "server is leaving; it gets no new requests": true,
 	"configuration in force": true, "server row removed": true, "servers did not come back after the outage": true,
 }
--- a/entry/state.go
+++ b/entry/state.go
@@ -178,7 +178,12 @@
 	if len(removed)+len(added) == 0 {
 		return
 	}
-	s.log.Warn("servers after an outage or a restore of the store", "did-not-come-back", strings.Join(removed, ","), "alive-after-all", strings.Join(added, ","))
+	if len(removed) > 0 {
+		s.log.Warn("servers did not come back after the outage", "servers", strings.Join(removed, ","))
+	}
+	if len(added) > 0 {
+		s.log.Info("servers that were removed before a restore of the store are alive", "servers", strings.Join(added, ","))
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.installEngines()
