Name more witnesses as soon as more nodes are known

Cause: a node that starts first renews its session when it knows one or two others, names those as its witnesses and keeps them until the next renewal in the table, up to 5.5 s later. If they end together with it, no witness is left to promise, and the session is fenced only after they count as ended.

Evidence: the nodes' debug logs of a failing run show "expired session may still have a lease, witnesses=2 promised=0" at each poll from 8 s on, the owner having renewed at 1 s and being due again at 6 s, when it was killed.

Fix: a node whose set can grow renews at once, which writes the larger set. TestWitnessesAreAddedWhenNodesJoin fails before (1 witness, not 5).

--- a/membership/set.go
+++ b/membership/set.go
@@ -31,6 +31,11 @@
 	return chosen
 }
 
+// CanGrow reports whether [Choose] would name more witnesses than the set has.
+func CanGrow(set, candidates []table.Witness) bool {
+	return len(set) < min(maxWitnesses, len(candidates))
+}
+
 // MayReplace reports whether enough witnesses of a node have promised to give it no
 // more consent, so that its session may be ended.
 func MayReplace(set []table.Witness, promised map[string]bool) bool {
--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -165,3 +165,25 @@
 		})
 	}
 }
+
+// Guards against engines without an owner for ten seconds after their owner ended together
+// with its only two witnesses, chosen when it knew no other node yet.
+func TestWitnessesAreAddedWhenNodesJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newLeaseCluster(3, 8)
+		defer c.close()
+		time.Sleep(1500 * time.Millisecond) // the first three have renewed their sessions since they saw each other
+		for range 4 {
+			c.join()
+		}
+		time.Sleep(3 * time.Second)
+		for _, n := range c.nodes[:3] {
+			rows := c.table.Rows(table.WitnessKey(n.Name()))
+			is.Equal(len(rows), 1)
+			w, err := table.DecodeWitnesses(rows[0])
+			is.NoErr(err)
+			is.Equal(len(w.List), 5)
+		}
+	})
+}
--- a/node/session.go
+++ b/node/session.go
@@ -92,6 +92,7 @@
 }
 
 func (s *session) renewalDue(now time.Time) bool {
+	candidates := s.n.members.witnessCandidates()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cfg := s.n.cfg
@@ -100,6 +101,8 @@
 		return true
 	case s.leaving, len(s.possibleSets) != 1, len(s.possibleSets[0]) == 0:
 		return true
+	case membership.CanGrow(s.possibleSets[0], candidates):
+		return true // an owner that ends together with its few witnesses cannot be replaced soon
 	}
 	// The witnesses were asked with more than a renewal interval left.
 	return s.lease.Remaining(now) < cfg.RenewEvery
