Tell the next owners of a fenced node's engines

Callers saw engines of a dead owner without grants for up to one more poll interval (2 s; longer in large systems) after its session had been fenced.

Cause: each node sees a session expire by its own timers. The one that fences it takes over only the engines that it should own itself; the others, whose last poll came before, wait for their next one. The listed failure of TestNodesThatFenceAtOnceTakeOverTogether ("1 != 5", 8 of 30 runs today) shows this: in its debug logs n3 fences at 12.840 s, while the others have polled at 12.780 s, when the session had not expired for them, and not since.

Fix: the node that fences a session reads the ownership rows once and sends the next owner of each of its engines the message that follows a release. A receiver whose view of the sessions is older reads them again. One read and one message per engine for each node that dies; a lost message costs what it cost before.

TestEnginesOfFencedOwnerDoNotWaitForPolls, where nodes poll at different times, fails before (4 of its engines have no owner 100 ms after the first). The listed test asked that all nodes take over in the same poll, which their own timers do not allow; it now asks for it within a tenth of the poll interval, as the new one. Both fail in 0 of 500 runs (100 on 1 and on 2 processors, 300 on 8); with 100 ms they failed 2 of 180 times, since six responses of the store at 20 ms take 120 ms there.

--- a/node/fence.go
+++ b/node/fence.go
@@ -42,6 +42,7 @@
 		m.n.log.Info("fencing of an expired session finished", "of", other.Node, "process", other.Process, "err", err)
 		if err == nil {
 			m.recordFenced(fenced, ver, other.readIn)
+			m.n.tasks.Go(func() { m.n.announceEnginesOf(m.n.ctx, fenced) })
 		}
 		changed = table.IsKind(err, table.Conflict)
 	})
@@ -117,6 +118,31 @@
 	return err == nil && resp.Msg.GetPromised() && resp.Msg.GetSession() == w.Session
 }
 
+// announceEnginesOf tells the next owners of a fenced session's engines, which otherwise learn
+// of it with their next poll.
+func (n *Node) announceEnginesOf(ctx context.Context, fenced table.Session) {
+	rows, err := n.table.Scan(ctx, table.OwnerPrefix)
+	if err != nil {
+		n.log.Info("cannot tell the next owners of a fenced node's engines; they will find out", "of", fenced.Node, "err", err)
+		return
+	}
+	for _, row := range rows {
+		o, err := table.DecodeOwner(row)
+		if err != nil {
+			n.log.Error("cannot decode an ownership row; skipping it", "err", err)
+			continue
+		}
+		b, ok := n.store.Tree().Backend(o.Engine)
+		switch {
+		case !ok || o.Node != fenced.Node || o.Process != fenced.Process:
+		case n.members.preferredOwner(b.Name, b.DataCenter) == n.cfg.Name:
+			n.takeOverReleased(b.Name)
+		default:
+			n.tasks.Go(func() { n.members.announceRelease(ctx, b) })
+		}
+	}
+}
+
 // recordFenced updates the local view after a member was fenced.
 func (m *members) recordFenced(s table.Session, version, generation int64) {
 	m.mu.Lock()
--- a/node/fence_test.go
+++ b/node/fence_test.go
@@ -12,6 +12,10 @@
 	"github.com/vanilladrift/vanilladrift/standin"
 )
 
+// takeoverTime is how long after the first one the other engines of a fenced owner may be taken
+// over: a tenth of the time between two polls, and ten responses of the store.
+const takeoverTime = 200 * time.Millisecond
+
 // Guards against engines of a dead owner that wait for the next poll. All nodes poll at the
 // same time and fence the owner's session; the store takes the write of one, and those of
 // the others conflict, since the session row has changed.
@@ -45,6 +49,42 @@
 			}
 			time.Sleep(500 * time.Millisecond)
 		}
+		time.Sleep(takeoverTime) // some see the session expire after this poll
 		is.Equal(taken(), len(owned))
 	})
 }
+
+// Guards against engines of a dead owner that wait for up to a poll interval after its session
+// was fenced, since the nodes that should own them poll at other times.
+func TestEnginesOfFencedOwnerDoNotWaitForPolls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newLeaseCluster(1, 16)
+		defer c.close()
+		for range 4 {
+			time.Sleep(400 * time.Millisecond)
+			c.join()
+		}
+		is.Equal(c.watch(10*time.Second), "")
+		i := slices.IndexFunc(c.nodes, func(n *Node) bool { return len(n.ownedEngines()) > 2 })
+		owned := c.nodes[i].ownedEngines()
+		c.kill(c.nodes[i])
+		ownerless := func() (n int) {
+			owners := c.owners()
+			for _, o := range owned {
+				if !slices.ContainsFunc(owners[o.name], func(name string) bool { return name != c.nodes[i].Name() }) {
+					n++
+				}
+			}
+			return n
+		}
+		for range 1000 {
+			if ownerless() < len(owned) {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(takeoverTime)
+		is.Equal(ownerless(), 0)
+	})
+}
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -159,8 +159,8 @@
 	return ok && (m.Process != old.Process || m.Epoch != old.Epoch || m.Fenced)
 }
 
-// takeOverReleased takes over an engine that its owner has released, if it is
-// configured here, without waiting for the next poll.
+// takeOverReleased takes over an engine that has no owner any more, if it is configured
+// here, without waiting for the next poll.
 func (n *Node) takeOverReleased(name string) {
 	b, ok := n.store.Tree().Backend(name)
 	if !ok || n.session.isLeaving() || n.ownedEngine(name) != nil {
@@ -170,9 +170,12 @@
 		if n.reconcileLock.Acquire(n.ctx, 1) != nil {
 			return
 		}
-		defer n.reconcileLock.Release(1)
 		if n.ownedEngine(name) == nil {
 			n.takeOver(n.ctx, *b)
 		}
+		n.reconcileLock.Release(1)
+		if n.ownedEngine(name) == nil {
+			n.pollMembers(n.ctx) // its owner may have been fenced since the sessions were read
+		}
 	})
 }
