Count ended sessions from the read that misses them, and forget them

And the table of ended sessions kept every session it was asked about, for ever: each restart of a node adds one.

Fix: each read records the sessions that were in force before and are not any more, and forgets those that ended longer ago than a lease can be extended. One that is asked about after that starts a new time, which is only later.

TestEndedSessionsCountFromTheReadThatMissesThem and TestEndedSessionsAreForgotten fail before and pass.

--- a/membership/ended.go
+++ b/membership/ended.go
@@ -9,6 +9,9 @@
 // since.
 type EndedSessions struct {
 	LeaseTime time.Duration
+	// Retention is how long an ended session is remembered: longer than a lease can be extended
+	// by its witness.
+	Retention time.Duration
 
 	inForce map[string]bool      // by the last read
 	readAt  time.Time            // of the last read
@@ -17,26 +20,35 @@
 
 // Read records the sessions that were in force when the rows were read.
 func (e *EndedSessions) Read(inForce map[string]bool, now time.Time) {
+	for session, was := range e.inForce {
+		if was && !inForce[session] {
+			e.record(session, now)
+		}
+	}
 	e.inForce, e.readAt = inForce, now
-	for session := range e.since {
-		if inForce[session] {
+	for session, at := range e.since {
+		if inForce[session] || now.Sub(at) > e.Retention {
 			delete(e.since, session)
 		}
 	}
 }
 
+func (e *EndedSessions) record(session string, now time.Time) {
+	if e.since == nil {
+		e.since = make(map[string]time.Time)
+	}
+	e.since[session] = now
+}
+
 // Ended reports whether the last consent of a session can no longer be in use, since the
 // session had ended at a read longer than a lease before the last one.
 func (e *EndedSessions) Ended(session string) bool {
 	if e.inForce[session] {
 		return false
 	}
-	if e.since == nil {
-		e.since = make(map[string]time.Time)
-	}
 	at, ok := e.since[session]
 	if !ok {
-		e.since[session] = e.readAt
+		e.record(session, e.readAt)
 		return false
 	}
 	return e.readAt.Sub(at) > e.LeaseTime
--- a/membership/quorum_test.go
+++ b/membership/quorum_test.go
@@ -92,7 +92,7 @@
 
 func TestEndedSessions(t *testing.T) {
 	is := is.New(t)
-	e := EndedSessions{LeaseTime: time.Second}
+	e := EndedSessions{LeaseTime: time.Second, Retention: time.Minute}
 	observe := func(inForce bool, now time.Time) bool {
 		e.Read(map[string]bool{"s": inForce}, now)
 		return e.Ended("s")
@@ -109,7 +109,7 @@
 // the time counts between reads of the sessions, and starts anew once it was listed.
 func TestEndedSessionsCountReadsOnly(t *testing.T) {
 	is := is.New(t)
-	e := EndedSessions{LeaseTime: time.Second}
+	e := EndedSessions{LeaseTime: time.Second, Retention: time.Minute}
 	e.Read(map[string]bool{"other": true}, t0)
 	is.True(!e.Ended("s")) // it joined after this read
 	is.True(!e.Ended("s")) // asked again, for another member, without a new read
@@ -119,3 +119,26 @@
 	e.Read(map[string]bool{}, t0.Add(11*time.Second+1))
 	is.True(e.Ended("s"))
 }
+
+// Guards against engines that wait longer since their owner's witnesses are asked about only
+// after these have ended.
+func TestEndedSessionsCountFromTheReadThatMissesThem(t *testing.T) {
+	is := is.New(t)
+	e := EndedSessions{LeaseTime: time.Second, Retention: time.Minute}
+	e.Read(map[string]bool{"s": true, "fenced": true}, t0)
+	e.Read(map[string]bool{"fenced": false}, t0.Add(time.Second))
+	e.Read(map[string]bool{}, t0.Add(2*time.Second+1))
+	is.True(e.Ended("s"))
+	is.True(e.Ended("fenced"))
+}
+
+// Guards against memory that grows with each restart of a node.
+func TestEndedSessionsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	e := EndedSessions{LeaseTime: time.Second, Retention: time.Minute}
+	for i := range 1000 {
+		e.Read(map[string]bool{fmt.Sprint(i): true}, t0.Add(time.Duration(i)*time.Second))
+		e.Ended(fmt.Sprint(i - 1))
+	}
+	is.True(len(e.since) <= 61)
+}
--- a/node/members.go
+++ b/node/members.go
@@ -77,7 +77,7 @@
 		monitor: table.SessionMonitor{TTL: n.cfg.LeaseTTL, Margin: n.cfg.LeaseMargin},
 		links:   make(map[string]*link),
 
-		endedSessions: membership.EndedSessions{LeaseTime: n.leaseTime()},
+		endedSessions: membership.EndedSessions{LeaseTime: n.leaseTime(), Retention: maxExtension + n.leaseTime()},
 	}
 }
 
