Build heartbeats in one place, with the generation in each

The message to the next owner of an engine had no generation, which a receiver takes for a table that states none. A node that registers again knows the generation and does not read its row for it.

--- a/node/fence.go
+++ b/node/fence.go
@@ -138,7 +138,7 @@
 		case n.members.preferredOwner(b.Name, b.DataCenter) == n.cfg.Name:
 			n.takeOverReleased(b.Name)
 		default:
-			n.tasks.Go(func() { n.members.announceRelease(ctx, b) })
+			n.tasks.Go(func() { n.members.tellNextOwner(ctx, b) })
 		}
 	}
 }
--- a/node/handover.go
+++ b/node/handover.go
@@ -32,7 +32,7 @@
 	n.log.Info("released the engine", "engine", o.name)
 	n.endOwnership(o)
 	if b, ok := n.store.Tree().Backend(o.name); ok { // otherwise nobody should own it
-		n.members.announceRelease(ctx, b)
+		n.members.tellNextOwner(ctx, b)
 	}
 }
 
--- a/node/members.go
+++ b/node/members.go
@@ -301,16 +301,22 @@
 	}
 }
 
+// newHeartbeat returns a heartbeat with what every one of this node's states.
+func (n *Node) newHeartbeat() *peerpb.HeartbeatRequest {
+	return &peerpb.HeartbeatRequest{
+		Node: n.cfg.Name, Process: n.process, Revision: n.store.Tree().Rev(), Generation: n.generations.Current(),
+	}
+}
+
 // sendHeartbeat sends a heartbeat. With a session version it asks the peer, as a
 // witness, for consent to extend the lease of that session.
 func (m *members) sendHeartbeat(ctx context.Context, address string, sessionVersion int64) (*connect.Response[peerpb.HeartbeatResponse], *link, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.n.cfg.ProbeTimeout)
 	defer cancel()
 	l := m.link(address)
-	resp, err := l.client.Heartbeat(ctx, connect.NewRequest(&peerpb.HeartbeatRequest{
-		Node: m.n.cfg.Name, Process: m.n.process, Revision: m.n.store.Tree().Rev(),
-		Hold: sessionVersion > 0, SessionVersion: sessionVersion, Generation: m.n.generations.Current(),
-	}))
+	req := m.n.newHeartbeat()
+	req.Hold, req.SessionVersion = sessionVersion > 0, sessionVersion
+	resp, err := l.client.Heartbeat(ctx, connect.NewRequest(req))
 	if err != nil {
 		m.recordHeartbeat(l, false, "")
 		return nil, l, err
--- a/node/node.go
+++ b/node/node.go
@@ -142,7 +142,9 @@
 // join registers the session. After a restart it first has to replace the row of the
 // earlier process, which takes more than one write.
 func (n *Node) join() {
-	_, _ = n.table.Get(n.ctx, table.Session{Node: n.cfg.Name}.Key()) // its response states the generation
+	if n.generations.Current() == 0 {
+		_, _ = n.table.Get(n.ctx, table.Session{Node: n.cfg.Name}.Key()) // its response states the generation, if any
+	}
 	for range joinAttempts {
 		n.session.renew(n.ctx)
 		if n.session.leaseValid(time.Now()) || n.ctx.Err() != nil {
--- a/node/placement.go
+++ b/node/placement.go
@@ -6,7 +6,6 @@
 	"connectrpc.com/connect"
 
 	"github.com/vanilladrift/vanilladrift/engine"
-	"github.com/vanilladrift/vanilladrift/peer/peerpb"
 	"github.com/vanilladrift/vanilladrift/settings"
 )
 
@@ -62,19 +61,18 @@
 	return m.get(owner)
 }
 
-// announceRelease tells the next owner of an engine that it was released. If the message is
-// lost, the next owner finds out by itself.
-func (m *members) announceRelease(ctx context.Context, b *settings.BackendServer) {
+// tellNextOwner tells the next owner of an engine that it has no owner any more. If the
+// message is lost, the next owner finds out by itself.
+func (m *members) tellNextOwner(ctx context.Context, b *settings.BackendServer) {
 	next, ok := m.nextOwner(b.Name, b.DataCenter)
 	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.n.cfg.ProbeTimeout)
 	defer cancel()
-	_, err := m.link(next.Address).client.Heartbeat(ctx, connect.NewRequest(&peerpb.HeartbeatRequest{
-		Node: m.n.cfg.Name, Process: m.n.process, Revision: m.n.store.Tree().Rev(), Released: b.Name,
-	}))
-	if err != nil {
-		m.n.log.Info("cannot tell the next owner that an engine was released; it will find out", "engine", b.Name, "node", next.Node, "err", err)
+	req := m.n.newHeartbeat()
+	req.Released = b.Name
+	if _, err := m.link(next.Address).client.Heartbeat(ctx, connect.NewRequest(req)); err != nil {
+		m.n.log.Info("cannot tell the next owner that an engine has no owner any more; it will find out", "engine", b.Name, "node", next.Node, "err", err)
 	}
 }
