Look at the caller's connection before each send

Cause: a client gives up an idempotent request that a node has not read after one second. The node that reads it later finds the request and, behind it, the end of the connection. net/http starts to read on, which finds the end, in a goroutine that it starts just before the handler. On one processor the handler runs on, up to the write on an idle connection to the server, before that goroutine does. The context says nothing until then, so all such requests were sent on.

Ruled out by reading and by the new test: the queue for a grant and late grants, unless the end is read late; a slow dial, unless the end is read late (http.Transport looks at the context after the dial, and singleUseBody keeps it from sending again); bodies that are not read to their end (the relay reads them whole first); requests forwarded through another node (there are none, only grants are asked for).

Fix: before each send the relay asks whether the caller's connection is closed, with poll and POLLRDHUP, which sees the end also behind unread bytes (so pipelined ones don't hide it) and does not wait for the read in progress. The attempt is not counted against the server.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -165,7 +165,7 @@
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine,
 		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordPause: d.recordPause, ShuttingDown: d.shuttingDown.Load, Observe: d.observe,
-		ServerDraining: d.state.setDraining,
+		ServerDraining: d.state.setDraining, CallerLeft: d.callerLeft,
 	}
 	return d, nil
 }
@@ -261,7 +261,7 @@
 		{d.settings.ReadinessAddress, &http.Server{Handler: http.HandlerFunc(d.serveReadiness)}},
 		{d.settings.PeerAddress, peer.NewHTTPServer(d.node.Peers(), nil)},
 		{d.settings.OperatorAddress, &http.Server{Handler: d.node.Operators()}},
-		{d.settings.CallerAddress, &http.Server{Handler: d.relayHandler, ReadHeaderTimeout: headTimeout}},
+		{d.settings.CallerAddress, &http.Server{Handler: d.relayHandler, ReadHeaderTimeout: headTimeout, ConnContext: withCallerConn}},
 	} {
 		ln, err := d.network.Listen(l.address)
 		if err != nil {
--- a/entry/network.go
+++ b/entry/network.go
@@ -38,6 +38,9 @@
 type Network struct {
 	Listen func(address string) (net.Listener, error)
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// PeerLeft reports whether the other end of an accepted connection has closed it,
+	// also while bytes that it sent before are unread.
+	PeerLeft func(c net.Conn) bool
 }
 
 // withDefaults returns n with TCP for unset functions.
@@ -48,6 +51,9 @@
 	if n.Dial == nil {
 		n.Dial = dial
 	}
+	if n.PeerLeft == nil {
+		n.PeerLeft = peerLeft
+	}
 	return n
 }
 
@@ -86,3 +92,25 @@
 	}
 	return d.DialContext(ctx, network, address)
 }
+
+// peerLeft reports whether the other end of a TCP connection has closed or reset it. It
+// does not wait, and takes nothing from the connection.
+func peerLeft(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	const closed = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	left := false
+	// Control, other than Read, does not wait for a read in progress.
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		left = err == nil && n > 0 && fds[0].Revents&closed != 0
+	})
+	return err == nil && left
+}
--- a/entry/pause_test.go
+++ b/entry/pause_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -31,8 +32,27 @@
 	client  *http.Client
 	closers []io.Closer
 
-	mu  sync.Mutex
-	log strings.Builder
+	mu        sync.Mutex
+	log       strings.Builder
+	dialDelay time.Duration        // of new connections to servers
+	arrivals  map[string]time.Time // of callers' requests at servers, by request ID
+}
+
+// dial connects to servers after the delay, whatever becomes of the context meanwhile.
+func (f *daemonFixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	f.mu.Lock()
+	d := f.dialDelay
+	f.mu.Unlock()
+	if address == f.engine.Self.Address || address == f.ledger.Self.Address {
+		time.Sleep(d)
+	}
+	return f.network.Dial(ctx, network, address)
+}
+
+func (f *daemonFixture) setDialDelay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dialDelay = d
 }
 
 // Write implements io.Writer for the log.
@@ -58,12 +78,17 @@
 
 func (f *daemonFixture) startReplica(is *is.I, r *standin.Replica) {
 	r.WriteRow = func(row []byte) { f.store.Put(platform.ServersTable+"/"+r.Self.ID, row) }
-	f.serve(is, r.Self.Address, r)
+	f.serve(is, r.Self.Address, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		f.mu.Lock()
+		f.arrivals[req.Header.Get(platform.RequestIDHeader)] = time.Now()
+		f.mu.Unlock()
+		r.ServeHTTP(w, req)
+	}))
 	r.Start()
 }
 
 func newDaemonFixture(is *is.I) *daemonFixture {
-	f := &daemonFixture{}
+	f := &daemonFixture{arrivals: map[string]time.Time{}}
 	f.serve(is, "store:1", &f.store)
 	f.store.Put(platform.ConfigRowKey, platform.ExampleConfig)
 	f.engine = &standin.Replica{
@@ -73,7 +98,7 @@
 	f.ledger = &standin.Replica{Self: backend.Server{ID: "ledger", Pool: "ledger", Address: "10.0.0.3:1", MaxRequests: 16}, QueueSize: 16}
 	f.startReplica(is, f.engine)
 	f.startReplica(is, f.ledger)
-	n := Network{Listen: f.network.Listen, Dial: f.network.Dial}
+	n := Network{Listen: f.network.Listen, Dial: f.dial, PeerLeft: isLeft}
 	var err error
 	f.daemon, err = New(platform.Settings{
 		Node: "n", IP: netip.MustParseAddr("10.0.0.1"), CallerAddress: "10.0.0.1:1", ReadinessAddress: "10.0.0.1:2", PeerAddress: "10.0.0.1:3", OperatorAddress: "10.0.0.1:4",
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -82,6 +82,11 @@
 	Prompts *backend.PromptQuarantine
 	// OnQuarantine, which is optional, is called when parts of prompts are quarantined.
 	OnQuarantine func(parts string)
+	// CallerLeft, which is optional, reports whether the caller of a request has closed its
+	// connection, given the context of the caller's request. It is called before each send:
+	// the context ends only once the HTTP server has read the end of the connection, which
+	// it begins to do when it starts the handler.
+	CallerLeft func(ctx context.Context) bool
 	// ShuttingDown, which is optional, reports whether the node is shutting
 	// down. If so, responses ask callers to close their connection.
 	ShuttingDown func() bool
@@ -225,6 +230,9 @@
 // to read: a failed round trip, or a rejection by the server. If the returned
 // result is nil, the caller must read and close the response body.
 func (x *exchange) forward(ctx context.Context, s ServerRequest) (*http.Response, ResponseHead, *result) {
+	if x.handler.CallerLeft != nil && x.handler.CallerLeft(x.r.Context()) {
+		return nil, ResponseHead{}, &result{done: true, notRun: true, err: callerLeftError(nil)}
+	}
 	resp, head, err := x.roundTrip(ctx, s)
 	switch {
 	case err != nil && transport.IsDialError(err):
@@ -331,13 +339,17 @@
 	const op = "serve"
 	switch {
 	case x.r.Context().Err() != nil:
-		return &Error{Op: op, Kind: CallerDisconnected, Reason: "the caller closed its connection", Err: ctx.Err()}
+		return callerLeftError(ctx.Err())
 	case x.mayHaveRun:
 		return &Error{Op: op, Kind: TimedOut, Reason: "no answer came in time"}
 	}
 	return &Error{Op: op, Kind: ExpiredUnsent, Reason: "no server could take it in time", RetryAfter: x.retryAfter()}
 }
 
+func callerLeftError(err error) error {
+	return &Error{Op: "serve", Kind: CallerDisconnected, Reason: "the caller closed its connection", Err: err}
+}
+
 // finish writes the error response if err is not nil, and reports the request.
 func (x *exchange) finish(err error) {
 	x.event.Final = true
--- a/standin/pipe_network.go
+++ b/standin/pipe_network.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// Deliver hands a connection that the caller made to the listener at an address.
+func (n *PipeNetwork) Deliver(address string, c net.Conn) error {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return errors.NotFoundf("listener at %s", address)
+	}
+	select {
+	case l.conns <- c:
+		return nil
+	case <-l.closed:
+		return net.ErrClosed
+	}
+}
+
 // Accept implements net.Listener.
 func (l *pipeListener) Accept() (net.Conn, error) {
 	select {
