Look again before a request's first bytes if they come late

What callers saw: nothing, they had left; servers got their requests about a second later, in VMs that lack processor time.

Cause: the look before a send is followed by the wait for one of the pool's places and for a connection. http.Transport asks the context after the dial, but on a busy VM the goroutine that reads the end of the caller's connection, and so ends the context, runs late too.

Fix: connections to servers ask once more, in the goroutine that writes, when the first bytes of a request come over 100 ms after the last look. Nothing of the request is sent then, and the connection, which cannot be used again, is closed. A send that fails when the caller has left is neither counted against the server or the prompt nor tried again.

--- a/entry/caller_left_test.go
+++ b/entry/caller_left_test.go
@@ -106,6 +106,9 @@
 		{"first packet sent again", "/status/x", slowDials, staysFor, 0, false},
 		{"first packet sent again", "/orders/x", slowDials, staysFor, 0, false},
 		{"first packet sent again", "/chat/x", slowDials, staysFor, 0, false},
+		{"first packet sent again, busy", "/status/x", slowDials, staysFor, 0, true},
+		{"first packet sent again, busy", "/orders/x", slowDials, staysFor, 0, true},
+		{"first packet sent again, busy", "/chat/x", slowDials, staysFor, 0, true},
 		{"late grant", "/chat/x", lateGrants, staysFor, 0, false},
 		{"late grant, busy", "/chat/x", lateGrants, staysFor, 0, true},
 	} {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -155,7 +155,7 @@
 	d.store.OnGeneration = d.node.ObserveGeneration
 	prompts.IsTrialNode = d.node.IsTrialNode
 	d.state.store, d.state.enginesChanged = d.node.Store(), d.node.ReconcileOwnership
-	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, usable: d.state.isUsable, paused: d.isPaused}
+	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, usable: d.state.isUsable, paused: d.isPaused, callerLeft: d.callerLeft}
 	d.metrics = newMetrics(d.node.Meter())
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
 	d.acquirer.CanUse = func(name string) bool { return !d.isEnginePaused(name) }
--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -28,6 +29,9 @@
 	// usable, which is optional, reports whether the server at an address may get new
 	// requests. It is called when a request had to wait for a connection.
 	usable func(address string) bool
+	// callerLeft, which is optional, reports whether the caller of a request has left,
+	// given the context of the request.
+	callerLeft func(ctx context.Context) bool
 
 	mu    sync.Mutex
 	pools map[string]*poolTransport
@@ -93,6 +97,7 @@
 // RoundTrip implements http.RoundTripper. An error before the request was sent is a dial
 // error.
 func (t *poolTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = t.parent.withLook(r, time.Now())
 	h := t.host(r.URL.Host)
 	waited, err := h.acquire(r.Context())
 	if err == nil && waited && t.parent.usable != nil && !t.parent.usable(r.URL.Host) {
@@ -141,6 +146,7 @@
 	t.idleTimeout = d
 	t.transport = t.parent.network.newTransport(0, d)
 	t.transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	t.transport.DialContext = t.parent.dial
 }
 
 // maxIdleConnsPerHost bounds the idle connections to one server. The limit on requests
--- /dev/null
+++ b/entry/server_conn.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// lookValidFor is how long the last look at the caller's connection is relied on. A request
+// that takes longer from there to its first bytes had to wait for a connection, or for the
+// processor.
+const lookValidFor = 100 * time.Millisecond
+
+var errCallerLeft = errors.New("the caller left before the request was sent")
+
+// serverConn is a connection to a server. It does not send a request whose caller has left.
+type serverConn struct {
+	net.Conn
+	// refuses, if set, reports whether the request that begins with the next bytes may not
+	// be sent. The HTTP transport uses a connection for one request at a time.
+	refuses func() bool
+}
+
+// Write implements net.Conn.
+func (c *serverConn) Write(p []byte) (int, error) {
+	if refuses := c.refuses; refuses != nil {
+		c.refuses = nil
+		if refuses() {
+			return 0, errCallerLeft
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+// dial connects to a server.
+func (c *poolTransports) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := c.network.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &serverConn{Conn: conn}, nil
+}
+
+// withLook returns the request such that its connection asks once more, just before its
+// first bytes, whether the caller has left. looked is the time of the last look.
+func (c *poolTransports) withLook(r *http.Request, looked time.Time) *http.Request {
+	ctx := r.Context()
+	return r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*serverConn); ok {
+			conn.refuses = func() bool { return c.callerLeft != nil && time.Since(looked) > lookValidFor && c.callerLeft(ctx) }
+		}
+	}}))
+}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -230,11 +230,13 @@
 // to read: a failed round trip, or a rejection by the server. If the returned
 // result is nil, the caller must read and close the response body.
 func (x *exchange) forward(ctx context.Context, s ServerRequest) (*http.Response, ResponseHead, *result) {
-	if x.handler.CallerLeft != nil && x.handler.CallerLeft(x.r.Context()) {
+	if x.callerLeft() {
 		return nil, ResponseHead{}, &result{done: true, notRun: true, err: callerLeftError(nil)}
 	}
 	resp, head, err := x.roundTrip(ctx, s)
 	switch {
+	case err != nil && x.callerLeft(): // which may be why it was not sent
+		return nil, ResponseHead{}, &result{done: true, notRun: true, err: callerLeftError(err)}
 	case err != nil && transport.IsDialError(err):
 		return nil, head, &result{failed: true, notRun: true, reason: err.Error()}
 	case err != nil:
@@ -248,6 +250,10 @@
 	return resp, head, nil
 }
 
+func (x *exchange) callerLeft() bool {
+	return x.handler.CallerLeft != nil && x.handler.CallerLeft(x.r.Context())
+}
+
 // relayResponse forwards a response. If the server failed the request, or the response
 // breaks off before it was longer than the buffer, nothing has been sent yet.
 func (x *exchange) relayResponse(head ResponseHead, body io.Reader) result {
