--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -155,7 +155,7 @@
 	d.store.OnGeneration = d.node.ObserveGeneration
 	prompts.IsTrialNode = d.node.IsTrialNode
 	d.state.store, d.state.enginesChanged = d.node.Store(), d.node.ReconcileOwnership
-	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, usable: d.state.isUsable, paused: d.isPaused}
+	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, usable: d.state.isUsable, paused: d.isPaused, callerLeft: d.callerLeft}
 	d.metrics = newMetrics(d.node.Meter())
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
 	d.acquirer.CanUse = func(name string) bool { return !d.isEnginePaused(name) }
@@ -165,7 +165,7 @@
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine,
 		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordPause: d.recordPause, ShuttingDown: d.shuttingDown.Load, Observe: d.observe,
-		ServerDraining: d.state.setDraining,
+		ServerDraining: d.state.setDraining, CallerLeft: d.callerLeft,
 	}
 	return d, nil
 }
@@ -261,7 +261,7 @@
 		{d.settings.ReadinessAddress, &http.Server{Handler: http.HandlerFunc(d.serveReadiness)}},
 		{d.settings.PeerAddress, peer.NewHTTPServer(d.node.Peers(), nil)},
 		{d.settings.OperatorAddress, &http.Server{Handler: d.node.Operators()}},
-		{d.settings.CallerAddress, &http.Server{Handler: d.relayHandler, ReadHeaderTimeout: headTimeout}},
+		{d.settings.CallerAddress, &http.Server{Handler: d.relayHandler, ReadHeaderTimeout: headTimeout, ConnContext: withCallerConn}},
 	} {
 		ln, err := d.network.Listen(l.address)
 		if err != nil {
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -82,6 +82,11 @@
 	Prompts *backend.PromptQuarantine
 	// OnQuarantine, which is optional, is called when parts of prompts are quarantined.
 	OnQuarantine func(parts string)
+	// CallerLeft, which is optional, reports whether the caller of a request has closed its
+	// connection, given the context of the caller's request. It is called before each send:
+	// the context ends only once the HTTP server has read the end of the connection, which
+	// it begins to do when it starts the handler.
+	CallerLeft func(ctx context.Context) bool
 	// ShuttingDown, which is optional, reports whether the node is shutting
 	// down. If so, responses ask callers to close their connection.
 	ShuttingDown func() bool
@@ -225,8 +230,13 @@
 // to read: a failed round trip, or a rejection by the server. If the returned
 // result is nil, the caller must read and close the response body.
 func (x *exchange) forward(ctx context.Context, s ServerRequest) (*http.Response, ResponseHead, *result) {
+	if x.callerLeft() {
+		return nil, ResponseHead{}, &result{done: true, notRun: true, err: callerLeftError(nil)}
+	}
 	resp, head, err := x.roundTrip(ctx, s)
 	switch {
+	case err != nil && x.callerLeft(): // which may be why it was not sent
+		return nil, ResponseHead{}, &result{done: true, notRun: true, err: callerLeftError(err)}
 	case err != nil && transport.IsDialError(err):
 		return nil, head, &result{failed: true, notRun: true, reason: err.Error()}
 	case err != nil:
@@ -240,6 +250,10 @@
 	return resp, head, nil
 }
 
+func (x *exchange) callerLeft() bool {
+	return x.handler.CallerLeft != nil && x.handler.CallerLeft(x.r.Context())
+}
+
 // relayResponse forwards a response. If the server failed the request, or the response
 // breaks off before it was longer than the buffer, nothing has been sent yet.
 func (x *exchange) relayResponse(head ResponseHead, body io.Reader) result {
@@ -331,13 +345,17 @@
 	const op = "serve"
 	switch {
 	case x.r.Context().Err() != nil:
-		return &Error{Op: op, Kind: CallerDisconnected, Reason: "the caller closed its connection", Err: ctx.Err()}
+		return callerLeftError(ctx.Err())
 	case x.mayHaveRun:
 		return &Error{Op: op, Kind: TimedOut, Reason: "no answer came in time"}
 	}
 	return &Error{Op: op, Kind: ExpiredUnsent, Reason: "no server could take it in time", RetryAfter: x.retryAfter()}
 }
 
+func callerLeftError(err error) error {
+	return &Error{Op: "serve", Kind: CallerDisconnected, Reason: "the caller closed its connection", Err: err}
+}
+
 // finish writes the error response if err is not nil, and reports the request.
 func (x *exchange) finish(err error) {
 	x.event.Final = true
