Do not report a request as sent that ended in a queue

Callers saw: 504, which promises nothing, for a request that waited for a grant until it ended and was never sent. A non-idempotent one was then not tried again.

Cause: when the context of a request ends while an owner on another node holds it in its queue, the call to that owner fails, which counts as "no owner". The search for a grant then returns an engine without a grant (what is right while an engine changes its owner), and the relay handed the request to the transport with a context that had ended. The transport's error is no dial error, so the request counted as possibly run.

Evidence: a stop of the real process with a request queued at the other daemon's engine: "status 504, kind timeout, attempts 1, grant-ms 7636, age-ms 7636", with no execution at the engine. A deadline that passes in a queue takes the same path.

Fix: nothing is sent for a request that has ended; it is reported as not run and not sent. Only the round trip can deliver a request, so this is true for every path that leads here.

TestRequestThatEndsInQueueIsNotSent fails before ("504 != 503").

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -225,6 +225,9 @@
 // to read: a failed round trip, or a rejection by the server. If the returned
 // result is nil, the caller must read and close the response body.
 func (x *exchange) forward(ctx context.Context, s ServerRequest) (*http.Response, ResponseHead, *result) {
+	if ctx.Err() != nil {
+		return nil, ResponseHead{}, &result{notRun: true, unsent: true, reason: "it ended before it was sent"}
+	}
 	resp, head, err := x.roundTrip(ctx, s)
 	switch {
 	case err != nil && transport.IsDialError(err):
