Ask for the end of a connection when the response is written

Callers saw: after SIGTERM, a response without "Connection: close" on a connection that the daemon then closes. What they write next on it is not read.

Cause: the relay set the header when a request arrived. A request that was being read, was queued or was running when SIGTERM came kept the header of before, however much later its response began. net/http adds it only from Shutdown on, 2.7 s after SIGTERM.

Evidence: the real process with requests held at each point: 200 without the header 1 s after SIGTERM for half a body, and 2.7 s after it for a queued and a sent request; the request that was pipelined behind the latter was not read, and nothing had said so.

Fix: caller.Server sets the header when the response's header is written, for any handler. The relay's own way is gone, and its test TestShutdownClosesConnections with it: TestStoppingServerAsksToClose asks the same of a request that began before, over a connection. A response whose header is out (a stream) cannot say it any more.

--- /dev/null
+++ b/caller/server_test.go
@@ -0,0 +1,124 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/standin"
+)
+
+const (
+	testStart   = "GET /slow HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	testStream  = "GET /stream HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	testGrace   = 10 * time.Second
+	testHandler = 2 * time.Second // time that the slow responses take
+)
+
+// serverRig is a server in virtual time that is asked to stop.
+type serverRig struct {
+	server  *caller.Server
+	network standin.PipeNetwork
+	stopped chan error
+}
+
+func newServerRig() *serverRig {
+	rig := &serverRig{stopped: make(chan error, 1)}
+	rig.server = caller.NewServer(&http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/stream" {
+			_, _ = io.WriteString(w, "begun ")
+			_ = http.NewResponseController(w).Flush()
+		}
+		if r.URL.Path != "/quick" {
+			time.Sleep(testHandler)
+		}
+		_, _ = io.WriteString(w, "whole")
+	})})
+	ln, err := rig.network.Listen("server:1")
+	if err != nil {
+		panic(err) // the first listener at an address
+	}
+	go func() { _ = rig.server.Serve(ln) }() // returns after Shutdown
+	return rig
+}
+
+func (rig *serverRig) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := rig.network.Dial(context.Background(), "tcp", "server:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn, bufio.NewReader(conn)
+}
+
+// stop begins to stop the server.
+func (rig *serverRig) stop() {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), testGrace)
+		defer cancel()
+		rig.stopped <- rig.server.Shutdown(ctx)
+	}()
+	synctest.Wait()
+}
+
+// readTestResponse returns "" if the connection ended before the first byte.
+func readTestResponse(t *testing.T, r *bufio.Reader) (status, body string, closes bool) {
+	t.Helper()
+	if _, err := r.Peek(1); err != nil {
+		return "", "", true
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.Status, string(b), resp.Close
+}
+
+// A response whose request began before the stop must ask for the connection to be closed,
+// if its header is written later: the next request on the connection would not be read.
+func TestStoppingServerAsksToClose(t *testing.T) {
+	for _, tt := range []struct {
+		name, request, body string
+		closes              bool
+	}{
+		{"header written later", testStart, "whole", true},
+		{"header written before", testStream, "begun whole", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				rig := newServerRig()
+				conn, r := rig.dial(t)
+				_, err := io.WriteString(conn, tt.request)
+				is.NoErr(err)
+				synctest.Wait()
+				rig.server.AskToClose()
+				status, body, closes := readTestResponse(t, r)
+				is.Equal(status, "200 OK")
+				is.Equal(body, tt.body)
+				is.Equal(closes, tt.closes)
+				if !closes { // it is a kept connection, and idle
+					rig.stop()
+				} else {
+					_, err = r.Peek(1)
+					is.Equal(err, io.EOF)
+					rig.stop()
+				}
+				is.NoErr(<-rig.stopped)
+			})
+		})
+	}
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -101,6 +101,7 @@
 	retryBudgets map[string]*backend.RetryBudget
 	shuttingDown atomic.Bool
 	servers      []*http.Server
+	callerServer *caller.Server
 	ctx          context.Context
 	cancel       context.CancelFunc
 	tasks        sync.WaitGroup
@@ -164,7 +165,7 @@
 		DecodeRequest: platform.DecodeRequestHead, NewServerRequest: platform.NewReplicaRequest, DecodeResponse: platform.DecodeResponseHead, RequestIDHeader: platform.RequestIDHeader,
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine,
-		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordPause: d.recordPause, ShuttingDown: d.shuttingDown.Load, Observe: d.observe,
+		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordPause: d.recordPause, Observe: d.observe,
 		ServerDraining: d.state.setDraining,
 	}
 	return d, nil
@@ -261,7 +262,6 @@
 		{d.settings.ReadinessAddress, &http.Server{Handler: http.HandlerFunc(d.serveReadiness)}},
 		{d.settings.PeerAddress, peer.NewHTTPServer(d.node.Peers(), nil)},
 		{d.settings.OperatorAddress, &http.Server{Handler: d.node.Operators()}},
-		{d.settings.CallerAddress, &http.Server{Handler: d.relayHandler, ReadHeaderTimeout: headTimeout}},
 	} {
 		ln, err := d.network.Listen(l.address)
 		if err != nil {
@@ -270,6 +270,12 @@
 		d.servers = append(d.servers, l.srv)
 		go func() { _ = l.srv.Serve(ln) }() // returns when the server is closed
 	}
+	ln, err := d.network.Listen(d.settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	d.callerServer = caller.NewServer(&http.Server{Handler: d.relayHandler, ReadHeaderTimeout: headTimeout})
+	go func() { _ = d.callerServer.Serve(ln) }() // returns after Shutdown
 	d.node.Start()
 	d.followTable(platform.OperatorTable, operatorPollWait, 0, d.state.replaceOperatorRows, d.state.applyOperatorChanges)
 	d.followTable(platform.ServersTable, 0, serversPollInterval(d.settings.DrainPeriod), d.state.replaceServerRows, d.state.applyServerChanges)
@@ -337,12 +343,12 @@
 	d.mu.Unlock()
 	d.log.Info("stopping", "grace", grace)
 	d.shuttingDown.Store(true)
+	d.callerServer.AskToClose()
 	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
 	defer cancel()
 	d.tasks.Go(func() { d.node.HandOverEngines(ctx) })
 	time.Sleep(acceptAfterSIGTERM)
-	callerServer := d.servers[len(d.servers)-1]
-	if err := callerServer.Shutdown(ctx); err != nil {
+	if err := d.callerServer.Shutdown(ctx); err != nil {
 		d.log.Warn("requests in flight were aborted at the end of the grace period", "err", err)
 	}
 	if err := d.node.Close(ctx); err != nil {
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -82,9 +82,6 @@
 	Prompts *backend.PromptQuarantine
 	// OnQuarantine, which is optional, is called when parts of prompts are quarantined.
 	OnQuarantine func(parts string)
-	// ShuttingDown, which is optional, reports whether the node is shutting
-	// down. If so, responses ask callers to close their connection.
-	ShuttingDown func() bool
 	// Observe, which is optional, is called for each finished request and each
 	// failed attempt that is followed by another.
 	Observe func(Event)
@@ -101,9 +98,6 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{handler: h, w: w, r: r, start: time.Now()}
 	w.Header().Set(h.RequestIDHeader, r.Header.Get(h.RequestIDHeader))
-	if h.ShuttingDown != nil && h.ShuttingDown() {
-		w.Header().Set("Connection", "close")
-	}
 	var err error
 	if h.active.TryAdd() {
 		defer h.active.Done()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -352,15 +352,6 @@
 	is.Equal(f.servers.requests[1].Server.ID, "i-2")
 }
 
-func TestShutdownClosesConnections(t *testing.T) {
-	is := is.New(t)
-	f := newFixture(route.Route{Kind: route.NonIdempotent, MaxAttempts: 1}, plainPool(), reply{head: testHead(200, ""), body: "whole"})
-	f.handler.ShuttingDown = func() bool { return true }
-	w, _ := f.serve("/p/x", "r1", "")
-	is.Equal(w.Code, 200)
-	is.Equal(w.Header().Get("Connection"), "close")
-}
-
 // When a caller disconnects, its request to the server is cancelled.
 func TestCallerDisconnects(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
