--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -348,6 +348,7 @@
 	defer cancel()
 	d.tasks.Go(func() { d.node.HandOverEngines(ctx) })
 	time.Sleep(acceptAfterSIGTERM)
+	d.relayHandler.Close()
 	if err := d.callerServer.Shutdown(ctx); err != nil {
 		d.log.Warn("requests in flight were aborted at the end of the grace period", "err", err)
 	}
