Answer what still waits at the end of the grace period

Callers saw: their connection closed without a byte 7.5 s after SIGTERM, for a request that was queued for a grant, that had sent half its body, or that a silent server had not answered, if its own deadline was later than that.

Cause: at the end of the grace period (less the margin to exit) the daemon closed the connections of what still ran. Nothing told the requests before.

Fix: at that moment relay.Handler.End ends the contexts of the requests and the reads of their bodies. They take the way of a deadline: 503, not run, if nothing was sent; 504 if it may have run.

TestEndAnswersRequestsInFlight fails before ("1m0s != 1s", the route's timeout), and so does TestEndAnswersIncompleteBody (no answer until the test's timeout of 50 s).

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -349,6 +349,7 @@
 	d.tasks.Go(func() { d.node.HandOverEngines(ctx) })
 	time.Sleep(acceptAfterSIGTERM)
 	d.relayHandler.Close()
+	defer context.AfterFunc(ctx, d.relayHandler.End)()
 	if err := d.callerServer.Shutdown(ctx); err != nil {
 		d.log.Warn("requests in flight were aborted at the end of the grace period", "err", err)
 	}
--- a/relay/end_test.go
+++ b/relay/end_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,3 +34,67 @@
 		is.Equal(f.events[0].Kind, ExpiredUnsent)
 	})
 }
+
+// At the end of the grace period, requests in flight were cut without an answer.
+func TestEndAnswersRequestsInFlight(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		queued bool
+		reply  reply
+		kind   ErrorKind
+		status int
+	}{
+		{"queued", true, reply{}, NotReady, http.StatusServiceUnavailable},
+		{"sent", false, reply{delay: time.Hour}, TimedOut, http.StatusGatewayTimeout},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(route.Route{Kind: route.Stream, MaxAttempts: 1, Timeout: time.Minute}, enginePool(), tt.reply)
+				if tt.queued {
+					f.handler.Acquire = func(ctx context.Context, _ []string, _ engine.Work) (caller.Grant, error) {
+						<-ctx.Done()
+						return caller.Grant{}, ctx.Err()
+					}
+				}
+				time.AfterFunc(time.Second, f.handler.End)
+				start := time.Now()
+				w, cut := f.serve("/p/x", "r1", "")
+				is.True(!cut)
+				is.Equal(time.Since(start), time.Second)
+				is.Equal(w.Code, tt.status)
+				is.Equal(f.events[0].Kind, tt.kind)
+				w, _ = f.serve("/p/x", "r2", "") // later ones are rejected
+				is.Equal(w.Code, http.StatusServiceUnavailable)
+			})
+		})
+	}
+}
+
+// A body that does not end kept its request waiting until the process ended.
+func TestEndAnswersIncompleteBody(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(route.Route{Kind: route.NonIdempotent, MaxAttempts: 1, Timeout: time.Minute}, plainPool())
+	reading := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(reading)
+		f.handler.ServeHTTP(w, r)
+	}))
+	defer srv.Close()
+	pr, pw := io.Pipe()
+	defer pw.Close()
+	go func() {
+		_, _ = io.Copy(pw, strings.NewReader("half")) // fails when the response has come
+		<-reading
+		f.handler.End()
+	}()
+	r, err := http.NewRequest(http.MethodPost, srv.URL+"/p/x", pr)
+	is.NoErr(err)
+	r.Host = "a.example"
+	r.Header.Set("Id", "r1")
+	resp, err := srv.Client().Do(r)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(len(f.servers.requests), 0)
+}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -40,6 +40,9 @@
 	refusalBodyWait = 20 * time.Millisecond
 )
 
+// shuttingDown is the reason of an [Error] of a node that stops.
+const shuttingDown = "the node is shutting down"
+
 // Handler serves callers. Set the fields before the first use; only those
 // marked optional may be nil.
 type Handler struct {
@@ -88,14 +91,29 @@
 
 	active caller.Inflight
 	once   sync.Once
+	ending context.Context // ends when requests in flight must end
+	end    context.CancelFunc
 }
 
 // Close rejects new requests. The returned channel is closed when no request
 // is in flight.
 func (h *Handler) Close() <-chan struct{} { return h.active.Close() }
 
+// End rejects new requests and ends those in flight. Each gets a response that tells
+// whether it may have run, unless its response has begun.
+func (h *Handler) End() {
+	h.init()
+	h.active.Close()
+	h.end()
+}
+
+func (h *Handler) init() {
+	h.once.Do(func() { h.ending, h.end = context.WithCancel(context.Background()) })
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.init()
 	x := &exchange{handler: h, w: w, r: r, start: time.Now()}
 	w.Header().Set(h.RequestIDHeader, r.Header.Get(h.RequestIDHeader))
 	var err error
@@ -103,7 +121,7 @@
 		defer h.active.Done()
 		err = x.serve(r.Context())
 	} else {
-		err = &Error{Op: "serve", Kind: NotReady, Reason: "the node is shutting down", RetryAfter: notReadyRetryAfter}
+		err = &Error{Op: "serve", Kind: NotReady, Reason: shuttingDown, RetryAfter: notReadyRetryAfter}
 	}
 	x.finish(err)
 }
@@ -156,6 +174,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	defer context.AfterFunc(x.handler.ending, cancel)()
 	x.handler.RetryBudget(x.pool.Name).CountRequest(x.start)
 	if x.pool.Engine == nil {
 		return x.servePlain(ctx)
@@ -171,7 +190,11 @@
 	}
 	c := http.NewResponseController(x.w)
 	canTimeOut := c.SetReadDeadline(x.deadline) == nil // not in tests without a connection
+	keepReading := context.AfterFunc(x.handler.ending, func() { _ = c.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(io.LimitReader(x.r.Body, int64(limit)+1))
+	if !keepReading() {
+		return &Error{Op: op, Kind: NotReady, Reason: shuttingDown, RetryAfter: notReadyRetryAfter, Err: err}
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return &Error{Op: op, Kind: BodyTimedOut, Reason: "the body did not end before the deadline", Err: err}
 	}
@@ -331,6 +354,8 @@
 		return &Error{Op: op, Kind: CallerDisconnected, Reason: "the caller closed its connection", Err: ctx.Err()}
 	case x.mayHaveRun:
 		return &Error{Op: op, Kind: TimedOut, Reason: "no answer came in time"}
+	case x.handler.ending.Err() != nil:
+		return &Error{Op: op, Kind: NotReady, Reason: shuttingDown, RetryAfter: notReadyRetryAfter}
 	}
 	return &Error{Op: op, Kind: ExpiredUnsent, Reason: "no server could take it in time", RetryAfter: x.retryAfter()}
 }
