Measure the deadline of a resume from the last event

Callers of resumable streams saw the stream end incomplete when an engine broke it off later than two seconds after the request (four times the target latency, if longer), although another engine had room.

Cause: the grant for the resume was asked for with the deadline for the first event of the request, which lies in the past by then. The owner is told 1 ms and refuses all work that has to be prefilled (deadline unmet).

Evidence: found by reading; TestResumeIsDueAfterTheLastEvent fails before (the second grant is due in 100 ms, not 2 s).

Fix: once an event has been sent, the next one is due within the time after which callers leave, and its target is the route's for pauses, both counted from the last event. A request without any event keeps its deadline.

--- a/relay/engine.go
+++ b/relay/engine.go
@@ -75,11 +75,15 @@
 			names = append(names, s.ID)
 		}
 	}
+	due, target := x.start.Add(x.route.FirstEventTimeout()), x.start.Add(x.route.TargetLatency)
+	if !x.lastEventAt.IsZero() {
+		due, target = x.lastEventAt.Add(x.route.FirstEventTimeout()), x.lastEventAt.Add(x.route.TargetGap)
+	}
 	return x.handler.Acquire(ctx, names, engine.Work{
 		ID: x.head.ID + "." + strconv.Itoa(n), Adapter: x.head.AdapterName(),
 		Short:          x.head.PromptTokens < longPromptTokens,
 		ExpectedTokens: x.head.OutputTokens(), PromptTokens: x.head.PromptTokens, Deadline: x.deadline,
-		FirstTokenDeadline: x.start.Add(x.route.FirstEventTimeout()), FirstTokenTarget: x.start.Add(x.route.TargetLatency),
+		FirstTokenDeadline: due, FirstTokenTarget: target,
 	})
 }
 
@@ -207,6 +211,7 @@
 	if ev.id != "" {
 		x.lastEventID = ev.id
 	}
+	x.lastEventAt = time.Now()
 	x.event.EventsSent++
 	return http.NewResponseController(x.w).Flush()
 }
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -128,11 +128,12 @@
 	body     []byte
 	deadline time.Time
 
-	headerWritten bool   // the response header has been sent to the caller
-	mayHaveRun    bool   // a server may have started the request
-	lastEventID   string // ID of the last stream event sent to the caller
-	responseBegan bool   // the last attempt had an event
-	promptTrial   bool   // a part of the prompt is tried again by this request
+	headerWritten bool      // the response header has been sent to the caller
+	mayHaveRun    bool      // a server may have started the request
+	lastEventID   string    // ID of the last stream event sent to the caller
+	lastEventAt   time.Time // when the last stream event was sent to the caller
+	responseBegan bool      // the last attempt had an event
+	promptTrial   bool      // a part of the prompt is tried again by this request
 	event         Event
 }
 
--- /dev/null
+++ b/relay/resume_test.go
@@ -0,0 +1,35 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/route"
+)
+
+// Guards against streams that broke off and are not resumed, since the owners of the other
+// engines refuse them: the deadline for the first event of the request, long past, was taken
+// for that of the next event.
+func TestResumeIsDueAfterTheLastEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := route.Route{Kind: route.Stream, MaxAttempts: 2, Resumable: true, Timeout: time.Minute, TargetLatency: 500 * time.Millisecond, TargetGap: 250 * time.Millisecond}
+		f := newFixture(r, enginePool(), reply{head: testHead(200, "stream"), delay: 1900 * time.Millisecond, body: events(1, 2), truncated: true}, reply{head: testHead(200, "stream"), body: events(3, 4)})
+		var due, target []time.Duration
+		f.handler.Acquire = func(_ context.Context, names []string, w engine.Work) (caller.Grant, error) {
+			due, target = append(due, time.Until(w.FirstTokenDeadline)), append(target, time.Until(w.FirstTokenTarget))
+			return caller.Grant{Engine: names[0], ID: w.ID}, nil
+		}
+		w, cut := f.serve("/p/x", "r1", "")
+		is.True(!cut)
+		is.Equal(w.Body.String(), events(1, 4))
+		is.Equal(due, []time.Duration{2 * time.Second, 2 * time.Second})
+		is.Equal(target, []time.Duration{500 * time.Millisecond, 250 * time.Millisecond})
+	})
+}
--- a/route/route.go
+++ b/route/route.go
@@ -68,7 +68,7 @@
 )
 
 // FirstEventTimeout returns how long a caller waits for the first event of a
-// stream.
+// stream, and for each later one.
 func (r *Route) FirstEventTimeout() time.Duration {
 	return max(minFirstEventTimeout, targetLatencyFactor*r.TargetLatency, targetGapFactor*r.TargetGap)
 }
