End streams that stall, and go on with them elsewhere

Callers of streams whose server stopped, but stayed connected and sent a byte, a comment, an empty event or white space now and then (or nothing at all), got no further event before the deadline of the route.

Cause: nothing but the deadline ended the wait for the next event, and any block of lines counted as an event, also in the pace that is reported to the engine's owner. An event with an ID and no data moved the point of a resume, so a piece could be lost.

Ruled out: a time limit, which cuts sound streams on slow engines; ending the attempt first and then looking for an engine, which loses a preempted but sound stream when no other engine has room.

Fix: progress is a whole event with content that the attempt has not sent before. backend.Paces keeps the last 32 times to the first event (scaled by the length of the prompt) and between events of each incarnation; the pace is the one of rank 0.9, known from 8 on, else the slowest of the pool. Once a stream has had no event for 20 times that, 400 ms and longer than the target, the watch looks for another server while the stream is still read, if the route lets it go on there, the attempts and the deadline allow it and the budget has a retry; only with a grant in hand is the attempt ended. Otherwise the stream goes on, and ends half a second after the caller must have left by the users' rules (later if 20 times the pace is longer), never as complete: 502 before the first byte, a closed connection after it. Time in which the caller does not read is not the server's. Event streams of routes that are no stream routes are not watched.

Result (virtual time): 13 kinds of drip, before the first and after the third event, engines and plain pools, 50 cases: all failed before (the stream ended at the deadline), and all go on within 20 times the pace (400 ms after an event, 800 ms before the first) with each event once. TestDrippingStreamEnds failed before in all 10 cases. Sound streams pass before and after: a tenth of the pace, a prompt 200 times as long, an engine that pauses 1.8 s and then 10 s, a caller that reads slowly. Watching other routes too fails TestEventsOfOtherRoutesHaveNoPace.

--- a/backend/balancer.go
+++ b/backend/balancer.go
@@ -22,6 +22,7 @@
 type Balancer struct {
 	DataCenter string // data centre of this node
 	Pauses     Pauses // pauses that servers have asked for
+	Paces      Paces  // times that servers take from event to event of a stream
 
 	mu    sync.Mutex
 	loads map[string]*serverLoad
@@ -42,7 +43,7 @@
 	var best *Server
 	var bestCost float64
 	for _, s := range servers {
-		if s.Draining || excluded[s.ID] || b.Pauses.Left(now, s) > 0 {
+		if !b.isUsable(now, s, excluded) {
 			continue
 		}
 		cost := b.cost(now, s) + rand.Float64()/2 // break ties at random
@@ -65,6 +66,20 @@
 	}
 }
 
+// HasServer reports whether there is a server that [Balancer.Pick] would return.
+func (b *Balancer) HasServer(now time.Time, servers []*Server, excluded map[string]bool) bool {
+	for _, s := range servers {
+		if b.isUsable(now, s, excluded) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Balancer) isUsable(now time.Time, s *Server, excluded map[string]bool) bool {
+	return !s.Draining && !excluded[s.ID] && b.Pauses.Left(now, s) == 0
+}
+
 func (b *Balancer) cost(now time.Time, s *Server) float64 {
 	cost := 0.0
 	if l := b.loads[s.Incarnation()]; l != nil {
--- a/demo/platform.go
+++ b/demo/platform.go
@@ -37,9 +37,12 @@
 	t.run(portion)
 	logf("publishing versions while replicas lose commands and apply them late")
 	t.publishVersions(portion)
-	logf("restarting a replica without adapters while streams are cut, responses are lost, and some end with their connection")
+	logf("restarting a replica without adapters while streams are cut or stall, responses are lost, and some end with their connection")
 	sys.replicas[1].SetFault(standin.ReplicaFault{CutStreams: 5})
-	sys.replicas[2].SetFault(standin.ReplicaFault{CutStreams: 5, Unframed: true})
+	sys.replicas[2].SetFault(standin.ReplicaFault{
+		CutStreams: 5, Unframed: true,
+		Drip: standin.Drip{Streams: 5, After: 2, Text: ": ping\n\n", Interval: 100 * time.Millisecond},
+	})
 	sys.ledgers[0].SetFault(standin.ReplicaFault{LoseResponses: 5})
 	sys.ledgers[1].SetFault(standin.ReplicaFault{Unframed: true})
 	sys.replicas[0].Restart()
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -29,25 +29,39 @@
 	}
 	excluded := ""
 	possibleRuns := 0
+	var next *caller.Grant // acquired for the next attempt while the last one ran
+	defer func() {
+		if next != nil {
+			x.handler.Release(*next, false, 0)
+		}
+	}()
 	for attempts := 1; ; attempts++ {
 		if err := x.checkPrompt(); err != nil {
 			return err
 		}
-		isExcluded := func(s *backend.Server) bool { return s.ID == excluded }
-		if err := x.awaitPauses(ctx, isExcluded); err != nil {
-			return err
-		}
-		g, err := x.acquireGrant(ctx, attempts, excluded)
-		if err != nil && ctx.Err() == nil && x.isPaused(isExcluded) {
-			continue // the engines asked for a pause while the request was queued
-		}
-		if err != nil {
-			return x.acquireError(ctx, err)
+		var g caller.Grant
+		if next != nil {
+			g, next = *next, nil
+		} else {
+			isExcluded := func(s *backend.Server) bool { return s.ID == excluded }
+			if err := x.awaitPauses(ctx, isExcluded); err != nil {
+				return err
+			}
+			var err error
+			g, err = x.acquireGrant(ctx, excluded, x.lastEventAt)
+			if err != nil && ctx.Err() == nil && x.isPaused(isExcluded) {
+				continue // the engines asked for a pause while the request was queued
+			}
+			if err != nil {
+				return x.acquireError(ctx, err)
+			}
 		}
 		if x.event.TimeToGrant == 0 {
 			x.event.TimeToGrant = time.Since(x.start)
 		}
-		res := x.tryEngine(ctx, g)
+		mayResume := !x.promptTrial && possibleRuns+1 < x.route.MaxAttempts && attempts < maxAttempts
+		res := x.tryEngine(ctx, g, mayResume)
+		next = res.next
 		if res.done {
 			return res.err
 		}
@@ -61,14 +75,16 @@
 			excluded = g.Engine // it failed, or lacks the adapter that it was believed to hold
 		}
 		canRetry := !x.promptTrial && (res.notRun || x.route.Resumable && possibleRuns < x.route.MaxAttempts)
-		if attempts >= maxAttempts || !canRetry || !res.unsent && !x.spendRetry() {
+		if attempts >= maxAttempts || !canRetry || !res.unsent && !res.retrySpent && !x.spendRetry() {
 			return x.finishFailedStream(res)
 		}
 		x.observeRetry(ServerFailed, res.head.Status, res.reason)
 	}
 }
 
-func (x *exchange) acquireGrant(ctx context.Context, n int, excluded string) (caller.Grant, error) {
+// acquireGrant acquires a grant for an engine. lastEventAt is when the caller got its last
+// event, or zero.
+func (x *exchange) acquireGrant(ctx context.Context, excluded string, lastEventAt time.Time) (caller.Grant, error) {
 	var names []string
 	for _, s := range x.handler.Servers().Pool(x.pool.Name) {
 		if !s.Draining && s.ID != excluded && x.handler.Balancer.Pauses.Left(time.Now(), s) == 0 {
@@ -76,11 +92,12 @@
 		}
 	}
 	due, target := x.start.Add(x.route.FirstEventTimeout()), x.start.Add(x.route.TargetLatency)
-	if !x.lastEventAt.IsZero() {
-		due, target = x.lastEventAt.Add(x.route.FirstEventTimeout()), x.lastEventAt.Add(x.route.TargetGap)
+	if !lastEventAt.IsZero() {
+		due, target = lastEventAt.Add(x.route.FirstEventTimeout()), lastEventAt.Add(x.route.TargetGap)
 	}
+	x.grants++
 	return x.handler.Acquire(ctx, names, engine.Work{
-		ID: x.head.ID + "." + strconv.Itoa(n), Adapter: x.head.AdapterName(),
+		ID: x.head.ID + "." + strconv.Itoa(x.grants), Adapter: x.head.AdapterName(),
 		Short:          x.head.PromptTokens < longPromptTokens,
 		ExpectedTokens: x.head.OutputTokens(), PromptTokens: x.head.PromptTokens, Deadline: x.deadline,
 		FirstTokenDeadline: due, FirstTokenTarget: target,
@@ -104,8 +121,9 @@
 	return &Error{Op: op, Kind: Busy, Reason: reason, RetryAfter: max(r.RetryAfter, x.retryAfter())}
 }
 
-// tryEngine sends the request to the granted engine, and releases the grant.
-func (x *exchange) tryEngine(ctx context.Context, g caller.Grant) (res result) {
+// tryEngine sends the request to the granted engine, and releases the grant. If mayResume
+// is set, a stalled stream may go on at another engine.
+func (x *exchange) tryEngine(ctx context.Context, g caller.Grant, mayResume bool) (res result) {
 	adapterMissing := false
 	var tokenTime time.Duration
 	defer func() { x.handler.Release(g, adapterMissing, tokenTime) }()
@@ -124,6 +142,17 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	w := x.watch(s, cancel, mayResume)
+	lastEventAt := x.lastEventAt
+	w.find = func(ctx context.Context, at time.Time) (caller.Grant, bool) {
+		if at.IsZero() {
+			at = lastEventAt
+		}
+		g, err := x.acquireGrant(ctx, g.Engine, at)
+		return g, err == nil
+	}
+	w.start()
+	defer func() { w.close(&res) }()
 	resp, head, failed := x.forward(ctx, ServerRequest{
 		Server: s, IsEngine: true, Priority: x.route.Priority, LastEventID: x.lastEventID,
 		AdapterVersion: x.handler.RequiredVersion(x.head.Model, x.head.Adapter),
@@ -137,10 +166,11 @@
 	}
 	defer resp.Body.Close()
 	if head.Status != http.StatusOK || !head.Stream {
+		w.stop()
 		return x.relayResponse(head, resp.Body)
 	}
 	x.responseBegan = false
-	perEvent, err := x.relayStream(head, resp.Body)
+	perEvent, err := x.relayStream(head, resp.Body, w)
 	tokenTime = perEvent / time.Duration(x.pool.Engine.TokensPerEvent)
 	if err == nil {
 		return result{done: true}
@@ -160,8 +190,8 @@
 }
 
 // relayStream forwards complete events until the stream ends. It returns the
-// mean time between events.
-func (x *exchange) relayStream(head ResponseHead, body io.Reader) (perEvent time.Duration, err error) {
+// mean time between events with content.
+func (x *exchange) relayStream(head ResponseHead, body io.Reader, watch *stallWatch) (perEvent time.Duration, err error) {
 	events := newEventReader(body)
 	var first, last time.Time
 	n := 0
@@ -173,21 +203,27 @@
 		if err != nil {
 			return 0, err
 		}
-		if ev.hasData {
+		if ev.hasContent {
 			x.observeResponse()
 		}
+		now := time.Now()
+		isProgress := watch.add(now, ev)
 		if x.headerWritten && !ev.isAfter(x.lastEventID) {
 			continue // already sent to the caller
 		}
-		now := time.Now()
-		if n == 0 {
-			first = now
-		} else {
-			x.event.MaxEventGap = max(x.event.MaxEventGap, now.Sub(last))
-		}
-		last = now
-		n++
-		if err := x.writeEvent(head, ev); err != nil {
+		if isProgress {
+			if n == 0 {
+				first = now
+			} else {
+				x.event.MaxEventGap = max(x.event.MaxEventGap, now.Sub(last))
+			}
+			last = now
+			n++
+		}
+		watch.startWrite()
+		err = x.writeEvent(head, ev)
+		watch.endWrite()
+		if err != nil {
 			return 0, err
 		}
 	}
@@ -208,10 +244,12 @@
 	if _, err := x.w.Write(ev.raw); err != nil {
 		return err
 	}
-	if ev.id != "" {
+	if ev.hasContent && ev.id != "" { // the content of an event without any may follow
 		x.lastEventID = ev.id
 	}
-	x.lastEventAt = time.Now()
+	if ev.hasContent {
+		x.lastEventAt = time.Now()
+	}
 	x.event.EventsSent++
 	return http.NewResponseController(x.w).Flush()
 }
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -130,10 +130,11 @@
 
 	headerWritten bool      // the response header has been sent to the caller
 	mayHaveRun    bool      // a server may have started the request
-	lastEventID   string    // ID of the last stream event sent to the caller
-	lastEventAt   time.Time // when the last stream event was sent to the caller
+	lastEventID   string    // ID of the last event with content sent to the caller
+	lastEventAt   time.Time // when that event was sent
 	responseBegan bool      // the last attempt had an event
 	promptTrial   bool      // a part of the prompt is tried again by this request
+	grants        int       // number of grants that were asked for
 	event         Event
 }
 
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/caller"
 )
 
 // maxAttempts limits the attempts of a request on engines, including those
@@ -28,7 +29,7 @@
 			return x.noServerError(len(tried) > 0)
 		}
 		tried[s.ID] = true
-		res := x.tryPlain(ctx, s)
+		res := x.tryPlain(ctx, s, len(tried) < x.route.MaxAttempts, tried)
 		done(time.Now(), res.failed)
 		if res.done {
 			return res.err
@@ -37,7 +38,7 @@
 			return x.contextError(ctx)
 		}
 		canRetry := res.notRun || x.route.Retryable() && (x.route.Resumable || !x.headerWritten)
-		if !canRetry || len(tried) >= x.route.MaxAttempts || !x.spendRetry() {
+		if !canRetry || len(tried) >= x.route.MaxAttempts || !res.retrySpent && !x.spendRetry() {
 			return x.finishFailedStream(res)
 		}
 		x.observeRetry(ServerFailed, res.head.Status, res.reason)
@@ -51,23 +52,36 @@
 	failed bool // the failure counts against the server
 	notRun bool // the server did not run the request
 	unsent bool // nothing was sent, so the attempt costs no retry
-	reason string
-	head   ResponseHead // set with body if the server returned a complete error response
-	body   []byte
+	// retrySpent is set if the retry was taken from the budget, and next if its grant
+	// was acquired.
+	retrySpent bool
+	next       *caller.Grant
+	reason     string
+	head       ResponseHead // set with body if the server returned a complete error response
+	body       []byte
 }
 
-func (x *exchange) tryPlain(ctx context.Context, s *backend.Server) result {
+// tryPlain sends the request to a server. If mayResume is set, a stalled stream may go on
+// at a server that was not tried.
+func (x *exchange) tryPlain(ctx context.Context, s *backend.Server, mayResume bool, tried map[string]bool) (res result) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, head, res := x.forward(ctx, ServerRequest{Server: s, LastEventID: x.lastEventID})
-	if res != nil {
-		return *res
+	w := x.watch(s, cancel, mayResume)
+	w.find = func(context.Context, time.Time) (caller.Grant, bool) {
+		return caller.Grant{}, x.handler.Balancer.HasServer(time.Now(), x.handler.Servers().Pool(x.pool.Name), tried)
+	}
+	w.start()
+	defer func() { w.close(&res) }()
+	resp, head, failed := x.forward(ctx, ServerRequest{Server: s, LastEventID: x.lastEventID})
+	if failed != nil {
+		return *failed
 	}
 	defer resp.Body.Close()
 	if head.Status != http.StatusOK || !head.Stream {
+		w.stop()
 		return x.relayResponse(head, resp.Body)
 	}
-	if _, err := x.relayStream(head, resp.Body); err != nil {
+	if _, err := x.relayStream(head, resp.Body, w); err != nil {
 		return result{failed: true, reason: err.Error()}
 	}
 	return result{done: true}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -17,9 +17,9 @@
 
 // streamEvent is one complete event, with the bytes as the server sent them.
 type streamEvent struct {
-	raw     []byte
-	id      string
-	hasData bool
+	raw        []byte
+	id         string
+	hasContent bool // it has data other than white space
 }
 
 // isAfter reports whether the event comes after the one with the given ID. It
@@ -70,7 +70,8 @@
 			return ev, nil
 		}
 		hasField = hasField || line[0] != ':' && len(bytes.TrimSpace(line)) > 0
-		ev.hasData = ev.hasData || bytes.HasPrefix(line, []byte("data:"))
+		data, ok := bytes.CutPrefix(line, []byte("data:"))
+		ev.hasContent = ev.hasContent || ok && len(bytes.TrimSpace(data)) > 0
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(id))
 		}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -25,6 +25,7 @@
 	ForeignChunks   int           // number of streams with chunks of another request
 	DuplicateChunks int           // number of streams that send each chunk twice
 	Delay           time.Duration // delay of every response
+	Drip            Drip          // streams that stall
 }
 
 // Engine is a stand-in for a model engine.
@@ -331,6 +332,7 @@
 	duplicateChunks, foreignChunk := e.useFault(&e.fault.DuplicateChunks), e.useFault(&e.fault.ForeignChunks)
 	e.mu.Lock()
 	cutAfter := e.fault.CutAfterTokens
+	drip, drips := e.fault.Drip.take()
 	e.mu.Unlock()
 	cut := cutAfter > 0 && e.useFault(&e.fault.CutStreams)
 	sent := 0
@@ -348,6 +350,9 @@
 		if cut && sent == cutAfter {
 			panic(http.ErrAbortHandler)
 		}
+		if drips && sent == drip.After && !drip.write(w, r) {
+			return
+		}
 		if foreignChunk {
 			writeEvent(w, s.chunk("another-request", i))
 		}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -31,6 +31,11 @@
 	// their connection. Streams of CutStreams then end inside an event.
 	Unframed bool
 	KeepRow  bool // changes of the state are not written to the row
+	Drip     Drip // streams that stall
+	// SlowStreams are streams that take SlowFactor times as long for their first and
+	// between all events.
+	SlowStreams int
+	SlowFactor  int
 }
 
 // Replica is a stand-in for a server of the platform: a model engine that accepts
@@ -307,9 +312,18 @@
 	if cut {
 		r.fault.CutStreams--
 	}
+	drip, drips := r.fault.Drip.take()
+	eventTime := r.EventTime
+	if r.fault.SlowStreams > 0 {
+		r.fault.SlowStreams--
+		eventTime *= time.Duration(r.fault.SlowFactor)
+	}
 	r.mu.Unlock()
 	for i := lastSent + 1; i <= head.MaxTokens; i++ {
-		time.Sleep(r.EventTime)
+		if drips && i == lastSent+drip.After+1 && !drip.write(w, req) {
+			return
+		}
+		time.Sleep(eventTime)
 		r.mu.Lock()
 		ended := r.startMS != startMS || cut && i > lastSent+3
 		r.mu.Unlock()
