Do not wait for the body of a request that is rejected before it is read

Callers saw: no answer to a request that was rejected at once (no route, the node is stopping) until they had sent all of its body.

Cause: net/http reads up to 256 KiB of a body that the handler did not read before it writes the response, without a deadline.

--- a/relay/end_test.go
+++ b/relay/end_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -98,3 +100,36 @@
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(len(f.servers.requests), 0)
 }
+
+// Guards against requests that are rejected at once, and whose callers wait for the answer as long
+// as they do not send the rest of the body.
+func TestRejectionDoesNotWaitForTheBody(t *testing.T) {
+	for _, tt := range []struct {
+		name, path string
+		closed     bool
+		status     int
+	}{
+		{"no route", "/other", false, http.StatusNotFound},
+		{"shutting down", "/p/x", true, http.StatusServiceUnavailable},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(route.Route{Kind: route.NonIdempotent, MaxAttempts: 1, Timeout: time.Minute}, plainPool())
+			if tt.closed {
+				f.handler.Close()
+			}
+			srv := httptest.NewServer(f.handler)
+			defer srv.Close()
+			conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "POST "+tt.path+" HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nContent-Length: 8\r\n\r\nhalf")
+			is.NoErr(err)
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Second)))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, tt.status)
+			is.NoErr(resp.Body.Close())
+		})
+	}
+}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -128,6 +128,10 @@
 	} else {
 		err = &Error{Op: "serve", Kind: NotReady, Reason: shuttingDown, RetryAfter: notReadyRetryAfter}
 	}
+	if err != nil && !x.bodyRead {
+		// net/http reads the rest of the body before it writes a response.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusalBodyWait)) // fails without a connection
+	}
 	x.finish(err)
 }
 
@@ -145,6 +149,7 @@
 	body     []byte
 	deadline time.Time
 
+	bodyRead      bool      // the body was read, or its end was waited for
 	headerWritten bool      // the response header has been sent to the caller
 	mayHaveRun    bool      // a server may have started the request
 	lastEventID   string    // ID of the last event with content sent to the caller
@@ -191,6 +196,7 @@
 
 func (x *exchange) readBody() error {
 	const op = "read"
+	x.bodyRead = true
 	limit := x.table.Limits().BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
