Count the age of a session from its first confirmed write

A review of the witness rule: a session was taken for established at once, so young nodes became witnesses, and two nodes owned an engine after a restore ([n0 n4] own e6 in the history of TestFreshProcessKnowsOnlyTheCopy with one lost response for each node that joins).

Cause: the time of registration was set with the renewal that follows a counter of zero. If the first write is applied, but its response and the read after it are lost, a later read finds the row, the counter is above zero, and the time stays zero, or that of an earlier epoch.

Fix: the time is set with the first confirmed renewal of each epoch, and a session without one is not established.

TestSessionWithLostRegistrationIsNotEstablished fails before and passes.

--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -245,3 +245,45 @@
 		}
 	}
 }
+
+// Guards against sessions that count as established at once, since the first write of their row
+// got no response and was found by a later read.
+func TestSessionWithLostRegistrationIsNotEstablished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newStoreCluster(1, 4)
+		defer c.close()
+		is.Equal(c.watch(6*time.Second), "")
+		joined := c.joinUnanswered(500*time.Millisecond, func(*Node) {})
+		time.Sleep(5 * time.Second)
+		rows := c.store.Rows(table.Session{Node: joined.Name()}.Key())
+		is.Equal(len(rows), 1)
+		s, err := table.DecodeSession(rows[0])
+		is.NoErr(err)
+		is.True(s.Counter > 1)
+		is.True(!s.Established)
+	})
+}
+
+// joinUnanswered starts a node that gets no response to the first write of its session, nor to
+// anything that it reads for a time.
+func (c *leaseCluster) joinUnanswered(d time.Duration, joined func(*Node)) *Node {
+	i := len(c.nodes)
+	key := table.Session{Node: fmt.Sprintf("n%d", i)}.Key()
+	once := false
+	c.store.SetFault(standin.TableFault{LoseResponse: func(tx table.Tx) bool {
+		if once || tx.Puts[0].Key != key {
+			return false
+		}
+		once = true
+		c.lossy[i].applied <- true
+		c.lossy[i].losing.Store(true)
+		return true
+	}})
+	n := c.join()
+	joined(n)
+	time.Sleep(d)
+	c.lossy[i].losing.Store(false)
+	c.store.SetFault(standin.TableFault{})
+	return n
+}
--- a/node/session.go
+++ b/node/session.go
@@ -21,7 +21,7 @@
 	version    int64     // of the row; 0 before the first write
 	attempts   int64     // writes of the row so far
 	generation int64     // of the table, in which the version was read; also guarded by mu
-	registered time.Time // when the first write of the row was known to be applied
+	registered time.Time // when a write of the row was first known to be applied; zero before
 	// witnesses is the last confirmed witness row; witnessesKnown is false while a write
 	// of it got no response.
 	witnesses      []table.Witness
@@ -156,7 +156,7 @@
 // isEstablished reports whether the session was in a table that may be restored for so long
 // that a copy lists it. The caller holds rowLock.
 func (s *session) isEstablished(now time.Time) bool {
-	return s.generation > 0 && s.row.Counter > 0 && now.Sub(s.registered) > maxRestoreLoss
+	return s.generation > 0 && !s.registered.IsZero() && now.Sub(s.registered) > maxRestoreLoss
 }
 
 // check returns a check that the session row is as last known. The caller holds rowLock.
@@ -187,7 +187,7 @@
 }
 
 func (s *session) recordRenewal(row table.Session, witnesses []table.Witness, ver int64, sent time.Time) {
-	if s.row.Counter == 0 {
+	if s.registered.IsZero() {
 		s.registered = time.Now()
 		s.n.log.Info("session registered", "epoch", row.Epoch, "row-version", ver)
 	}
@@ -270,7 +270,7 @@
 		s.row.Epoch++
 	}
 	s.row.Epoch = max(s.row.Epoch, row.Epoch)
-	s.row.Counter, s.version = 0, ver
+	s.row.Counter, s.version, s.registered = 0, ver, time.Time{}
 	s.witnesses, s.witnessesKnown = nil, false // the row is that of an earlier session
 	s.mu.Lock()
 	defer s.mu.Unlock()
