Read the sessions of a generation before its older leases count as ended

A node that was cut from the store and hears of the restore from another counted the members of before in the same way.

Cause: Generations.Settled asked which known nodes have confirmed, but not whether the nodes were read in this generation at all.

Fix: it needs a read of all sessions since the generation became known, except once the longest extension is over.

TestNodeThatHasNotReadSessionsTakesNothingOver fails before in both cases ("[n1 n4] own e10", "[n0 n2] own e3"). TestGenerationsSettle modelled no read and has one now, with a new case without it that settles last. The table client of the tests gives up after a second, as the daemon's does: before, a node that was cut off hung in its call for good, and was never seen to return.

--- a/membership/generations.go
+++ b/membership/generations.go
@@ -24,7 +24,8 @@
 //
 // A lease that was renewed in the table before the restore ends within LeaseTime after it.
 // It can be extended only by witnesses that do not know of the restore. Once all nodes
-// but one have confirmed that they do, a lease ago, no such lease is left. Nodes that
+// but one have confirmed that they do, a lease ago, no such lease is left. Which nodes there
+// are is known only once the sessions were read in the current generation. Nodes that
 // cannot be reached are outwaited.
 //
 // It is safe for concurrent use.
@@ -39,6 +40,7 @@
 	current int64
 	since   time.Time
 	settled bool
+	listed  bool                 // the sessions were read in the current generation
 	nodes   map[string]knownNode // other nodes that may hold a lease, by name
 }
 
@@ -71,7 +73,7 @@
 	if generation <= g.current {
 		return false
 	}
-	g.current, g.since, g.settled = generation, now, false
+	g.current, g.since, g.settled, g.listed = generation, now, false, false
 	for name, n := range g.nodes {
 		n.confirmed = false
 		g.nodes[name] = n
@@ -94,12 +96,14 @@
 	g.nodes[name] = n
 }
 
-// Retain forgets the nodes whose session rows are gone. Before the leases of earlier
+// Retain takes note of a read of all sessions in the current generation, and forgets the nodes
+// whose session rows are gone. Before the leases of earlier
 // generations have ended, it keeps those that may have agreed to one, since their rows
 // may merely be missing in the copy.
 func (g *Generations) Retain(hasSession func(name string) bool, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.listed = true
 	settled := g.isSettled(now)
 	for name, n := range g.nodes {
 		if (settled || !n.mayHaveAgreed(now, g.LeaseTime)) && !hasSession(name) {
@@ -132,7 +136,7 @@
 	if len(g.nodes) >= minNodesForUnconfirmed {
 		allowed = maxUnconfirmed
 	}
-	g.settled = age > g.LeaseTime && mayHaveAgreed <= allowed
+	g.settled = g.listed && age > g.LeaseTime && mayHaveAgreed <= allowed
 	return g.settled
 }
 
--- a/membership/generations_test.go
+++ b/membership/generations_test.go
@@ -11,17 +11,25 @@
 	const lease, extension = 3 * time.Second, time.Minute
 	names := []string{"a", "b", "c", "d"}
 	at := func(d time.Duration) time.Time { return t0.Add(d) }
+	read := func(g *Generations) { g.Retain(func(string) bool { return true }, t0) }
 	for _, tt := range []struct {
 		name    string
 		confirm func(g *Generations)
 		from    time.Duration // when leases of before have ended
 	}{
 		{"all confirm at once", func(g *Generations) {
+			read(g)
 			for _, name := range names {
 				g.Observe(name, name, 2, t0)
 			}
 		}, lease},
+		{"all known ones confirm, and the sessions are not read", func(g *Generations) {
+			for _, name := range names {
+				g.Observe(name, name, 2, t0)
+			}
+		}, extension + lease},
 		{"one never confirms", func(g *Generations) {
+			read(g)
 			for _, name := range names[:3] {
 				g.Observe(name, name, 2, t0)
 			}
@@ -33,6 +41,7 @@
 			}
 		}, extension + lease},
 		{"one confirms late, and may have agreed to an extension just before", func(g *Generations) {
+			read(g)
 			g.Observe("a", "a", 2, t0)
 			g.Observe("b", "b", 2, t0)
 			g.Observe("c", "c", 2, at(2*time.Second))
--- a/node/lossy_test.go
+++ b/node/lossy_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/table"
@@ -20,8 +21,13 @@
 	return &lossyTable{store: store, applied: make(chan bool, 1)}
 }
 
+// storeTimeout ends calls to a store that is cut off, as the daemon's client does.
+const storeTimeout = time.Second
+
 // Read implements the Read function of [table.Client].
 func (l *lossyTable) Read(ctx context.Context, q table.Query) ([]table.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	if l.losing.Load() {
 		return nil, &table.Error{Op: "read", Kind: table.Unavailable}
 	}
@@ -30,6 +36,8 @@
 
 // Apply implements the Apply function of [table.Client].
 func (l *lossyTable) Apply(ctx context.Context, tx table.Tx) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	if !l.losing.Load() {
 		return l.store.Apply(ctx, tx)
 	}
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -227,11 +227,8 @@
 					is.Equal(c.watch(lost), "")
 					for _, joined := range c.nodes[inCopy:] {
 						c.cutFromStore(joined, true)
-						for _, n := range c.nodes[:inCopy] {
-							c.net.SetBlocked(joined.Name(), n.Name(), true)
-							c.net.SetBlocked(n.Name(), joined.Name(), true)
-						}
 					}
+					c.cutFromEachOther(c.nodes[inCopy:], c.nodes[:inCopy])
 					for _, n := range c.nodes[:inCopy] {
 						c.kill(n)
 					}
@@ -265,6 +262,59 @@
 	})
 }
 
+// Guards against two owners after a restore: a node that has learned of it, but not read the
+// sessions since, knows of no nodes whose leases it must outwait, or only those of before.
+func TestNodeThatHasNotReadSessionsTakesNothingOver(t *testing.T) {
+	t.Run("joined", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newStoreCluster(4, 24)
+			defer c.close()
+			is.Equal(c.watch(40*time.Second), "")
+			before := c.store.Copy()
+			is.Equal(c.watch(2*time.Second), "")
+			for _, n := range c.nodes {
+				c.cutFromStore(n, true)
+			}
+			c.restore(before, 300*time.Millisecond)
+			c.joinUnanswered(5*time.Second, func(joined *Node) { c.cutFromEachOther([]*Node{joined}, c.nodes[:4]) })
+			is.Equal(c.watch(15*time.Second), "")
+		})
+	})
+	t.Run("was cut from the store", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newStoreCluster(2, 24)
+			defer c.close()
+			is.Equal(c.watch(30*time.Second), "")
+			c.cutFromStore(c.nodes[0], true)
+			for range 4 {
+				c.join()
+			}
+			is.Equal(c.watch(30*time.Second), "")
+			before := c.store.Copy()
+			is.Equal(c.watch(3*time.Second), "")
+			for _, joined := range c.nodes[2:] {
+				c.cutFromStore(joined, true)
+			}
+			c.cutFromEachOther(c.nodes[2:], c.nodes[:2])
+			c.restore(before, 300*time.Millisecond)
+			is.Equal(c.watch(6*time.Second), "")
+			c.cutFromStore(c.nodes[0], false)
+			is.Equal(c.watch(20*time.Second), "")
+		})
+	})
+}
+
+func (c *leaseCluster) cutFromEachOther(some, others []*Node) {
+	for _, n := range some {
+		for _, o := range others {
+			c.net.SetBlocked(n.Name(), o.Name(), true)
+			c.net.SetBlocked(o.Name(), n.Name(), true)
+		}
+	}
+}
+
 // joinUnanswered starts a node that gets no response to the first write of its session, nor to
 // anything that it reads for a time.
 func (c *leaseCluster) joinUnanswered(d time.Duration, joined func(*Node)) *Node {
