Do not end sessions of before a restore by the witnesses of the copy

A node that knows the restore fenced their rows by the promises of the few. Rows that are fenced count as leases that have ended, so its next process counted none of them and took over.

Cause: the witnesses in a copy need not be those of the leases in use.

Fix: rows of sessions of an earlier generation are neither fenced nor removed until its leases have ended. They serve no takeover before that anyway.

--- a/node/fence.go
+++ b/node/fence.go
@@ -16,8 +16,8 @@
 // still hold a lease by the consent of its witnesses. The local view then shows it as
 // fenced. It returns true if a row had changed since the sessions were read.
 func (m *members) fence(ctx context.Context, other member) (changed bool) {
-	if other.fenceRefused || m.n.promises.HasContact(other.Process, time.Now()) {
-		return false // it cannot reach the table, but has sent heartbeats
+	if m.witnessesMayBeLost(other) || other.fenceRefused || m.n.promises.HasContact(other.Process, time.Now()) {
+		return false // it may have a lease, although it cannot reach the table
 	}
 	witnesses, check, ok := m.readWitnesses(ctx, other)
 	if !ok {
@@ -49,6 +49,12 @@
 	return changed
 }
 
+// witnessesMayBeLost reports whether the row of a session is of before a restore, and later rows,
+// which named other witnesses, may be lost while leases of that time are in use.
+func (m *members) witnessesMayBeLost(other member) bool {
+	return other.Generation < m.n.generations.Current() && !m.n.generations.Settled(time.Now())
+}
+
 // readWitnesses reads the witnesses of a member's session, and returns a check that they
 // stay the same.
 func (m *members) readWitnesses(ctx context.Context, other member) ([]table.Witness, table.Check, bool) {
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -306,6 +306,31 @@
 	})
 }
 
+// Guards against two owners after a restore: the sessions in the copy are ended by the consent
+// of witnesses that were replaced in the writes that are lost.
+func TestSessionsOfTheCopyAreNotFencedByItsWitnesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newStoreCluster(2, 24)
+		defer c.close()
+		is.Equal(c.watch(40*time.Second), "")
+		c.join()
+		c.join()
+		is.Equal(c.watch(13*time.Second), "")
+		before := c.store.Copy() // the two that joined are not established
+		is.Equal(c.watch(10*time.Second), "")
+		for _, n := range c.nodes[1:] {
+			c.cutFromStore(n, true)
+		}
+		c.cutFromEachOther(c.nodes[1:], c.nodes[:1])
+		c.restore(before, 300*time.Millisecond)
+		is.Equal(c.watch(11*time.Second), "")
+		c.kill(c.nodes[0])
+		c.start(0)
+		is.Equal(c.watch(15*time.Second), "")
+	})
+}
+
 func (c *leaseCluster) cutFromEachOther(some, others []*Node) {
 	for _, n := range some {
 		for _, o := range others {
