Renew a session each second while it has too few witnesses to extend

Cause: a set of one witness cannot extend a lease where the table may be restored, but only an empty set made the session renew at each interval.

Fix: every set that is smaller than the consents needed does.

--- a/node/expiry.go
+++ b/node/expiry.go
@@ -25,10 +25,7 @@
 	}
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	round := &membership.Round{}
-	if m.n.generations.Current() > 0 {
-		round.MinConsents = membership.MinConsentsAcrossRestores
-	}
+	round := &membership.Round{MinConsents: m.n.minConsents()}
 	for session, address := range addresses {
 		wg.Go(func() {
 			resp, _, err := m.sendHeartbeat(ctx, address, version)
@@ -43,6 +40,14 @@
 	m.n.session.extendLease(round, version, now)
 }
 
+// minConsents is the number of witnesses without whose consent a lease cannot be extended.
+func (n *Node) minConsents() int {
+	if n.generations.Current() > 0 {
+		return membership.MinConsentsAcrossRestores
+	}
+	return 1
+}
+
 // expiredSessionRetention is how long an expired session keeps its row: longer than an
 // ordinary restart takes.
 const expiredSessionRetention = 6 * time.Second
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -331,6 +331,35 @@
 	})
 }
 
+// Guards against leases that end while the store is slow, since a session with too few witnesses
+// to extend its lease is not renewed often enough.
+func TestLeaseWithOneWitnessOutlastsSlowStore(t *testing.T) {
+	for _, nodes := range []int{1, 2, 3} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newStoreCluster(nodes, 4)
+				defer c.close()
+				is.Equal(c.watch(30*time.Second), "")
+				c.setFault(standin.TableFault{Delay: 250 * time.Millisecond})
+				time.Sleep(3 * time.Second)
+				ended := 0
+				for range 1000 {
+					time.Sleep(30 * time.Millisecond)
+					for _, n := range c.nodes {
+						if !n.session.leaseValid(time.Now()) {
+							ended++
+						}
+					}
+				}
+				c.setFault(standin.TableFault{})
+				time.Sleep(time.Second) // ends the calls in progress
+				is.Equal(ended, 0)
+			})
+		})
+	}
+}
+
 func (c *leaseCluster) cutFromEachOther(some, others []*Node) {
 	for _, n := range some {
 		for _, o := range others {
--- a/node/session.go
+++ b/node/session.go
@@ -103,7 +103,7 @@
 	switch {
 	case cfg.TableRenewEvery <= cfg.RenewEvery, now.Sub(s.renewed) >= cfg.TableRenewEvery-cfg.RenewEvery/2:
 		return true
-	case s.leaving, len(s.possibleSets) != 1, len(s.possibleSets[0]) == 0:
+	case s.leaving, len(s.possibleSets) != 1, len(s.possibleSets[0]) < s.n.minConsents():
 		return true
 	case membership.CanGrow(s.possibleSets[0], candidates):
 		return true // an owner that ends together with its few witnesses cannot be replaced soon
