Start stalled completions at another engine by the engine's own pace

Callers of the OpenAI front whose engine stopped, but stayed connected (and sent comments, empty lines, bytes, chunks of another request or chunks without text), waited ten seconds for the next token, or up to the deadline for the first; on branches without hedges nothing helped before that.

Cause: a fixed stall timeout of ten seconds, and a chunk without text counted as a token if the engine sends no usage, so that it was progress and a resume would have skipped a token.

Ruled out: a shorter timeout, which gives sound streams on slow engines up.

Fix: the front keeps a backend.Pace of each engine. An attempt that has had no token for 20 times its engine's usual time, and for a second, gets a speculative attempt beside it, paid by the retry budget; it takes over once it is ahead, and the first one goes on until then. The last attempt is left for failures. The stall timeout is now the lower bound of those 20 times. The time in which the caller does not read is not the engine's. Only chunks with text or a finish reason are tokens and samples.

--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -17,7 +17,9 @@
 	events chan event
 	cancel context.CancelFunc
 
-	grantedEngine atomic.Value // string: the engine that granted the attempt
+	grantedEngine atomic.Value              // string: the engine that granted the attempt
+	sentAt        atomic.Pointer[time.Time] // when the request was sent to the engine
+	began         bool                      // the caller has a token of it; used by the run only
 }
 
 // engineName returns the engine of the attempt, or "" before it has a grant.
@@ -96,6 +98,8 @@
 		a.send(ctx, event{err: &engine.Error{Op: "open", Kind: engine.NotSent, Engine: g.Engine}})
 		return false, 0
 	}
+	sentAt := time.Now()
+	a.sentAt.Store(&sentAt)
 	s, err := client.OpenStream(ctx, engine.CompletionRequest{
 		Path: c.path, Body: c.body, Model: c.model.Name, ID: g.ID, Priority: priority(c), ResumeFrom: resumeTokens,
 	})
@@ -104,7 +108,10 @@
 		return engine.IsKind(err, engine.AdapterMissing), 0
 	}
 	defer s.Close()
-	var first, last time.Time
+	pace := h.paceOf(sentAt, g.Engine)
+	var first time.Time
+	last := sentAt
+	var blocked time.Duration // time for handing on the last chunks
 	chunks := 0
 	for {
 		chunk, err := s.Next()
@@ -113,16 +120,22 @@
 			a.send(ctx, event{err: err, mayHaveRun: true, tokens: s.Tokens()})
 			break
 		}
-		if chunks > 0 {
-			h.observeToken(now, g.Engine, now.Sub(last))
-		} else {
-			first = now
+		if chunk.HasContent() {
+			if blocked <= now.Sub(last) { // else the chunk may have waited for the caller
+				pace.Observe(chunks == 0, c.promptTokens, now.Sub(last))
+			}
+			if chunks > 0 {
+				h.observeToken(now, g.Engine, now.Sub(last))
+			} else {
+				first = now
+			}
+			chunks++
+			last, blocked = now, 0
 		}
-		chunks++
-		last = now
 		if !a.send(ctx, event{chunk: chunk, tokens: s.Tokens()}) {
 			break
 		}
+		blocked += time.Since(now)
 	}
 	if chunks > 1 {
 		tokenTime = last.Sub(first) / time.Duration(chunks-1)
--- a/caller/completion_run.go
+++ b/caller/completion_run.go
@@ -17,7 +17,7 @@
 	hedgeDelayFactor    = 8                // delay before a hedge, in median times between tokens
 	stallFactor         = 5                // gap that is reported to the router, in median times between tokens
 	migrationCostFactor = 12               // cost of migrating a stream, in median times between tokens
-	stallTimeout        = 10 * time.Second // longest time without a token before an attempt is abandoned
+	stallTimeout        = 10 * time.Second // shortest time without a token before an attempt is abandoned
 	deadlineGrace       = time.Second      // time after the deadline for the owner's refusal to arrive
 	minCheckInterval    = 20 * time.Millisecond
 	speculativeInterval = 300 * time.Millisecond // shortest time between speculative attempts of a request
@@ -41,6 +41,8 @@
 	timeToFirstToken time.Duration
 	attempts         int
 	hedged           bool
+	isRetry          bool      // the speculative attempt is paid by the retry budget, not as a hedge
+	searchedAt       time.Time // last speculative attempt since the current one has stalled
 	nextSpeculative  time.Time // earliest time of the next speculative attempt
 	mayHaveRun       bool      // an engine may have received the request
 }
@@ -207,10 +209,13 @@
 	if cr.sentTokens > 0 {
 		cr.tokenGap = (cr.tokenGap + now.Sub(cr.lastToken)) / 2
 	}
-	cr.sentTokens, cr.lastToken = max(cr.sentTokens, ev.tokens), now
+	cr.sentTokens = max(cr.sentTokens, ev.tokens)
 	if err := cr.writer.writeChunk(ev.chunk); err != nil {
 		return &Error{Op: "complete", Kind: Incomplete, Outcome: Unknown, Reason: "the caller went away", Err: err}
 	}
+	if ev.chunk.HasContent() {
+		cr.lastToken, cr.current.began = time.Now(), true // a caller that reads slowly is no stall
+	}
 	return nil
 }
 
@@ -221,7 +226,7 @@
 		cr.mayHaveRun = cr.mayHaveRun || ev.mayHaveRun
 		cr.speculative.stop()
 		cr.speculative = nil
-		if !ev.mayHaveRun {
+		if !ev.mayHaveRun && !cr.isRetry {
 			cr.handler.refundHedge()
 		}
 		return nil
@@ -247,29 +252,42 @@
 // attempt, and starts a speculative attempt beside a slow one.
 func (cr *completionRun) checkProgress(ctx context.Context) error {
 	now := time.Now()
+	limit, isStalled := cr.stall(now)
 	switch {
 	case cr.sentTokens == 0 && now.After(cr.completion.deadline.Add(deadlineGrace)):
 		cr.mayHaveRun = cr.mayHaveRun || cr.current.engineName() != ""
 		return &Error{Op: "complete", Kind: DeadlineExceeded, Outcome: cr.outcome(), Reason: "no token came before the deadline", RetryAfter: noEngineRetryAfter}
-	case cr.sentTokens > 0 && now.Sub(cr.lastToken) > stallTimeout:
+	case cr.sentTokens > 0 && now.Sub(cr.lastToken) > max(stallTimeout, limit):
 		cr.lastToken = now // restarts the stall timeout for the next attempt
 		timeout := &engine.Error{Op: "read", Kind: engine.Failed, Engine: cr.current.engineName(), Err: errors.New("no token came")}
 		_, err := cr.handle(ctx, event{err: timeout, mayHaveRun: true})
 		return err
 	}
-	if cr.speculative != nil || !cr.completion.hedge || now.Before(cr.nextSpeculative) {
+	if cr.speculative != nil {
+		return nil
+	}
+	if isStalled && now.Sub(cr.searchedAt) > limit && cr.attempts < maxAttempts-1 && cr.handler.spendRetry() {
+		cr.searchedAt, cr.isRetry = now, true
+		cr.startSpeculative(ctx, 0)
+		return nil
+	}
+	if !cr.completion.hedge || now.Before(cr.nextSpeculative) {
 		return nil
 	}
 	maxQueueWait, ok := cr.shouldSpeculate(now)
 	if !ok {
 		return nil
 	}
-	cr.hedged = true
+	cr.hedged, cr.isRetry = true, false
 	cr.nextSpeculative = now.Add(speculativeInterval)
-	cr.speculative = cr.startNext(ctx, attemptOptions{resumeTokens: cr.sentTokens, excludedEngine: cr.current.engineName(), speculative: true, maxQueueWait: maxQueueWait})
+	cr.startSpeculative(ctx, maxQueueWait)
 	return nil
 }
 
+func (cr *completionRun) startSpeculative(ctx context.Context, maxQueueWait time.Duration) {
+	cr.speculative = cr.startNext(ctx, attemptOptions{resumeTokens: cr.sentTokens, excludedEngine: cr.current.engineName(), speculative: true, maxQueueWait: maxQueueWait})
+}
+
 // shouldSpeculate reports whether to start a speculative attempt, and takes
 // its cost from the hedge budget.
 func (cr *completionRun) shouldSpeculate(now time.Time) (maxQueueWait time.Duration, ok bool) {
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/vanilladrift/vanilladrift/backend"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/peer"
 	"github.com/vanilladrift/vanilladrift/service"
@@ -71,6 +72,7 @@
 
 	mu          sync.Mutex // guards Router and retryBudget
 	retryBudget engine.ProportionalBudget
+	paces       backend.Paces
 	once        sync.Once
 	limits      Limiter
 	active      Inflight
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -85,7 +85,7 @@
 	switch {
 	case c.Usage != nil:
 		s.tokens = c.Usage.CompletionTokens
-	case len(c.Choices) > 0:
+	case c.HasContent():
 		s.tokens++
 	}
 	if len(c.Choices) > 0 && c.Choices[0].FinishReason != nil {
--- a/engine/wire.go
+++ b/engine/wire.go
@@ -30,6 +30,16 @@
 	Usage   *Usage   `json:"usage,omitempty"`
 }
 
+// HasContent reports whether the chunk has text or ends the response.
+func (c Chunk) HasContent() bool {
+	for _, ch := range c.Choices {
+		if ch.Text != "" || ch.Delta != nil && ch.Delta.Content != "" || ch.FinishReason != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Choice is one choice of a chunk. Completions set Text, chat completions set
 // Delta.
 type Choice struct {
--- a/standin/drip.go
+++ b/standin/drip.go
@@ -11,7 +11,7 @@
 type Drip struct {
 	Streams  int           // number of streams that stall; decremented for each
 	After    int           // number of whole events before
-	Text     string        // sent at each Interval; a stream without one is silent
+	Text     string        // sent at each Interval; a stream without one is silent. An [Engine] replaces {id} and {model}
 	Interval time.Duration // time between two sendings of Text
 	Length   time.Duration // after which the stream goes on with its events; 0 means never
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -333,6 +334,7 @@
 	e.mu.Lock()
 	cutAfter := e.fault.CutAfterTokens
 	drip, drips := e.fault.Drip.take()
+	drip.Text = strings.NewReplacer("{id}", s.job.ID, "{model}", s.model).Replace(drip.Text)
 	e.mu.Unlock()
 	cut := cutAfter > 0 && e.useFault(&e.fault.CutStreams)
 	sent := 0
