Measure the deadline of a resumed completion from the resume

Callers of the OpenAI front whose engine broke a stream off later than the deadline for the first token (30 s by default) got an incomplete response, although another engine had room.

Cause: the grant for the resume was asked for with the deadline for the first token of the request. Owners refuse work whose deadline has passed, and the node does not wait for their answer either.

TestStreamIsResumedAfterItsDeadline fails before (incomplete).

Fix: a resume may take as long as the first token might.

--- a/caller/acquire.go
+++ b/caller/acquire.go
@@ -20,11 +20,15 @@
 
 // acquireGrant acquires a grant for an engine that will run the request.
 func (h *Handler) acquireGrant(ctx context.Context, c completion, id string, opts attemptOptions) (Grant, error) {
+	deadline := c.deadline
+	if opts.resumeTokens > 0 {
+		deadline = time.Now().Add(c.tokenTimeout)
+	}
 	acquirer := Acquirer{Router: h.Router, Mu: &h.mu, RequestGrant: h.registerAndRequest, SpendRetry: h.spendRetry}
 	return acquirer.Acquire(ctx, GrantRequest{
 		Work: engine.Work{
 			ID: id, Adapter: c.model.Name, EntryNode: h.NodeName, Short: c.short,
-			ExpectedTokens: c.maxTokens - opts.resumeTokens, PromptTokens: c.promptTokens, Deadline: c.deadline,
+			ExpectedTokens: c.maxTokens - opts.resumeTokens, PromptTokens: c.promptTokens, Deadline: deadline,
 		},
 		Engines: h.candidateEngines(c, opts), Speculative: opts.speculative, MaxQueueWait: opts.maxQueueWait,
 	})
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -23,6 +23,7 @@
 	if err := c.applyHeaders(r.Header, start); err != nil {
 		return err
 	}
+	c.tokenTimeout = c.deadline.Sub(start)
 	rw := newRespWriter(w, c)
 	run := &completionRun{handler: h, completion: c, writer: rw, start: start}
 	err = run.run(r.Context())
--- a/caller/request.go
+++ b/caller/request.go
@@ -37,8 +37,9 @@
 	stream       bool
 	hedge        bool
 	maxTokens    int
-	promptTokens int // estimated from the length of the prompt
-	deadline     time.Time
+	promptTokens int           // estimated from the length of the prompt
+	deadline     time.Time     // for the first token
+	tokenTimeout time.Duration // how long the caller waits for the first token
 }
 
 // completionRequest lists the request fields that the node reads.
--- a/node/stall_test.go
+++ b/node/stall_test.go
@@ -78,3 +78,15 @@
 	}
 	return n
 }
+
+// Guards against streams that broke off after the deadline for their first token and are not
+// resumed, since the owners of the other engines refuse work whose deadline has passed.
+func TestStreamIsResumedAfterItsDeadline(t *testing.T) {
+	runInCluster(t, 3, 2, func(t *testing.T, c *cluster) {
+		for _, e := range c.engines {
+			e.SetFault(standin.EngineFault{Slowdown: 10, CutAfterTokens: 200, CutStreams: 1}) // after 40 s; the deadline is 30 s
+		}
+		c.sendRequest(0, "depot", 0, "", 250, true)
+		is.NewRelaxed(t).Equal(c.outcomes, map[string]int{"served": 1})
+	})
+}
