Count crashes in responses that are no event stream

Prompts with a bad part would have crashed one engine after the other on routes whose engines respond with a plain body.

Cause: relay/engine.go observed crashes and responses only for event streams. A plain response that broke off was no crash, and a whole one cleared no part, so that suspicions of sound parts stayed. A response with neither length nor chunks hid a third case, for streams too: after a crash behind the header, the closed connection looks like a whole response without content.

Evidence: TestCrashInPlainResponseIsObserved failed before in six of its cases (no crash seen before the first byte, after it and in an error response; nothing cleared by a whole response, an empty one and one longer than the buffer), TestCrashAfterHeaderWithoutLengthIsObserved in five. TestDeadlineInPlainResponseIsNoCrash guards the other side and passed before.

Change: each attempt returns whether it was broken off, and observeAttempt alone decides, with whether the response had begun. A plain success has begun when it is whole or longer than the buffer, the point from which bytes go to the caller, as with the first event of a stream. An error response shows nothing about the prompt. A success without content that only the end of its connection ends counts as a crash, except in a resumed stream, which may have nothing left; the caller gets it as before. The quarantine needs four apart and forgets them with the next response, so a sound engine that responds like that keeps no prompt out for long.

What remains: such a response that ends after some bytes cannot be told from a whole one.

--- a/relay/connection_end_test.go
+++ b/relay/connection_end_test.go
@@ -48,6 +48,8 @@
 type rawServers struct {
 	ln net.Listener
 
+	prompts backend.PromptQuarantine
+
 	mu        sync.Mutex
 	responses []rawResponse
 	requests  []*http.Request
@@ -122,13 +124,14 @@
 			return caller.Grant{Engine: names[0], ID: w.ID}, nil
 		},
 		Release: func(caller.Grant, bool, time.Duration) {}, RetryBudget: func(string) *backend.RetryBudget { return budget }, Balancer: &backend.Balancer{},
+		Prompts: &servers.prompts,
 	}
 	front := httptest.NewServer(h)
 	t.Cleanup(front.Close)
 	req, err := http.NewRequest(http.MethodPost, front.URL+"/p/x", strings.NewReader("body"))
 	is.NoErr(err)
 	req.Host = "a.example"
-	platform.EncodeRequestHead(req.Header, relay.RequestHead{ID: "r1", Timeout: 5 * time.Second, Model: "m", Adapter: "a", MaxTokens: 10})
+	platform.EncodeRequestHead(req.Header, relay.RequestHead{ID: "r1", Timeout: 5 * time.Second, Model: "m", Adapter: "a", MaxTokens: 10, PromptParts: []string{"part"}})
 	resp, err := front.Client().Do(req)
 	is.NoErr(err)
 	defer resp.Body.Close()
@@ -293,3 +296,32 @@
 	is.True(complete)
 	is.Equal(len(servers.requests), 2)
 }
+
+// Guards against crashes that look like a whole response without content, as only the end of the
+// connection ends it: the engine crashed between the header and the first byte or event.
+func TestCrashAfterHeaderWithoutLengthIsObserved(t *testing.T) {
+	const stream = "Content-Type: text/event-stream\r\n"
+	for _, tt := range []struct {
+		name    string
+		resp    rawResponse
+		crashed bool
+	}{
+		{"plain, without content", rawResponse{}, true},
+		{"plain, HTTP/1.0, without content", rawResponse{proto: "HTTP/1.0"}, true},
+		{"plain, of no length", rawResponse{header: "Content-Length: 0\r\n"}, false},
+		{"plain, of no chunks", rawResponse{header: "Transfer-Encoding: chunked\r\n", body: "0\r\n\r\n"}, false},
+		{"plain, reset", rawResponse{body: "{", end: resets}, true},
+		{"plain, with content", rawResponse{body: "whole"}, false},
+		{"stream, without content", rawResponse{header: stream}, true},
+		{"stream, after a comment", rawResponse{header: stream, body: ": begin\n"}, true},
+		{"stream, in the first event", rawResponse{header: stream, body: "id: 1\n"}, true},
+		{"stream, of no chunks", rawResponse{header: stream + "Transfer-Encoding: chunked\r\n", body: "0\r\n\r\n"}, false},
+		{"stream, with an event", rawResponse{header: stream, body: "id: 1\ndata: x\n\n"}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			enginePool := route.Pool{Name: "engines", Engine: &route.Engine{BatchSize: 4, TokensPerEvent: 5}}
+			servers, _, _, _ := serveRaw(t, route.Route{Kind: route.Stream, MaxAttempts: 1}, enginePool, tt.resp)
+			is.New(t).Equal(len(servers.prompts.TakeEvents().Crashes) == 1, tt.crashed)
+		})
+	}
+}
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -120,31 +120,26 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	x.responseBegan = false
+	defer func() { x.observeAttempt(ctx, s, res) }() // before the context is cancelled
 	resp, head, failed := x.forward(ctx, ServerRequest{
 		Server: s, IsEngine: true, Priority: x.route.Priority, LastEventID: x.lastEventID,
 		AdapterVersion: x.handler.RequiredVersion(x.head.Model, x.head.Adapter),
 	})
 	if failed != nil {
 		adapterMissing = head.Misdirected
-		if !failed.notRun && head.Status == 0 {
-			x.observeCrash(ctx, s)
-		}
 		return *failed
 	}
 	defer resp.Body.Close()
 	if head.Status != http.StatusOK || !head.Stream {
 		return x.relayResponse(head, resp.Body)
 	}
-	x.responseBegan = false
 	perEvent, err := x.relayStream(head, resp.Body)
 	tokenTime = perEvent / time.Duration(x.pool.Engine.TokensPerEvent)
 	if err == nil {
-		return result{done: true}
-	}
-	if !x.responseBegan {
-		x.observeCrash(ctx, s)
+		return result{done: true, brokenOff: head.EndsWithConnection && x.lastEventID == ""}
 	}
-	return result{failed: true, reason: err.Error()}
+	return result{failed: true, brokenOff: true, reason: err.Error()}
 }
 
 // finishFailedStream ends the request after its last failed attempt.
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -131,7 +131,7 @@
 	headerWritten bool   // the response header has been sent to the caller
 	mayHaveRun    bool   // a server may have started the request
 	lastEventID   string // ID of the last stream event sent to the caller
-	responseBegan bool   // the last attempt had an event
+	responseBegan bool   // the last attempt had an event, or the first bytes of another success
 	promptTrial   bool   // a part of the prompt is tried again by this request
 	event         Event
 }
@@ -231,7 +231,7 @@
 		return nil, head, &result{failed: true, notRun: true, reason: err.Error()}
 	case err != nil:
 		x.mayHaveRun = true
-		return nil, head, &result{failed: true, reason: err.Error()}
+		return nil, head, &result{failed: true, brokenOff: head.Status == 0, reason: err.Error()}
 	case head.NotRun:
 		discardBody(resp.Body)
 		return nil, head, &result{failed: !head.Misdirected, notRun: true, reason: "the server refused it", head: head}
@@ -245,9 +245,13 @@
 func (x *exchange) relayResponse(head ResponseHead, body io.Reader) result {
 	content, err := io.ReadAll(io.LimitReader(body, maxBufferedResponse+1))
 	complete := len(content) <= maxBufferedResponse
+	isSuccess := head.Status < http.StatusMultipleChoices
+	if err == nil && isSuccess && (len(content) > 0 || !head.EndsWithConnection) {
+		x.observeResponse()
+	}
 	switch {
 	case err != nil:
-		return result{failed: true, reason: err.Error()}
+		return result{failed: true, brokenOff: true, reason: err.Error()}
 	case head.Status >= http.StatusInternalServerError && !complete:
 		return result{failed: true, reason: "the server failed it, and its error response is too long"}
 	case head.Status >= http.StatusInternalServerError:
@@ -257,7 +261,7 @@
 	}
 	x.writeResponse(head, content)
 	if complete || x.event.Kind != "" {
-		return result{done: true}
+		return result{done: true, brokenOff: isSuccess && !x.responseBegan}
 	}
 	return x.relayRest(body)
 }
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -51,9 +51,12 @@
 	failed bool // the failure counts against the server
 	notRun bool // the server did not run the request
 	unsent bool // nothing was sent, so the attempt costs no retry
-	reason string
-	head   ResponseHead // set with body if the server returned a complete error response
-	body   []byte
+	// brokenOff is set if the server broke off the attempt. If its response has not begun, it
+	// may also be set for a success that ends as if it were broken off.
+	brokenOff bool
+	reason    string
+	head      ResponseHead // set with body if the server returned a complete error response
+	body      []byte
 }
 
 func (x *exchange) tryPlain(ctx context.Context, s *backend.Server) result {
--- a/relay/prompt.go
+++ b/relay/prompt.go
@@ -41,10 +41,10 @@
 	return &Error{Op: op, Kind: PromptQuarantined, Reason: promptCrashes, RetryAfter: min(left, time.Until(x.deadline))}
 }
 
-// observeCrash records that an engine broke off the request before its response began,
-// unless the caller or the deadline ended it.
-func (x *exchange) observeCrash(ctx context.Context, s *backend.Server) {
-	if x.handler.Prompts == nil || ctx.Err() != nil {
+// observeAttempt records a crash if an engine broke off the request before its response
+// began, unless the caller or the deadline ended it.
+func (x *exchange) observeAttempt(ctx context.Context, s *backend.Server, res result) {
+	if x.handler.Prompts == nil || !res.brokenOff || x.responseBegan || ctx.Err() != nil {
 		return
 	}
 	parts := x.handler.Prompts.ObserveCrash(time.Now(), backend.PromptCrash{Incarnation: s.Incarnation(), RequestID: x.head.ID, Parts: x.head.PromptParts})
@@ -53,11 +53,15 @@
 	}
 }
 
-// observeResponse records the first event of an attempt.
+// observeResponse records that the response of an attempt has begun: its first event has
+// arrived, or another success in whole or as far as it is buffered.
 func (x *exchange) observeResponse() {
-	if x.responseBegan || x.handler.Prompts == nil {
+	if x.responseBegan {
 		return
 	}
 	x.responseBegan = true
+	if x.handler.Prompts == nil {
+		return
+	}
 	x.handler.Prompts.ObserveResponse(time.Now(), x.head.PromptParts)
 }
--- a/relay/prompt_test.go
+++ b/relay/prompt_test.go
@@ -72,3 +72,47 @@
 		is.Equal(w.Code, http.StatusBadGateway)
 	})
 }
+
+// Guards against prompts that crash engines where the response is no event stream: its end was
+// not taken for a crash, nor a sound one for a response that clears the prompt's parts.
+func TestCrashInPlainResponseIsObserved(t *testing.T) {
+	for _, tt := range []struct {
+		name             string
+		reply            reply
+		crashed, cleared bool
+	}{
+		{"before the header", reply{err: errors.New("connection reset")}, true, false},
+		{"before the first byte", reply{head: testHead(200, ""), truncated: true}, true, false},
+		{"after the first byte", reply{head: testHead(200, ""), body: "{", truncated: true}, true, false},
+		{"after it was forwarded in part", reply{head: testHead(200, ""), body: strings.Repeat("x", maxBufferedResponse+1), truncated: true}, false, true},
+		{"not at all", reply{head: testHead(200, ""), body: "whole"}, false, true},
+		{"not at all, without a body", reply{head: testHead(200, "")}, false, true},
+		{"in an error response", reply{head: testHead(500, ""), body: "{", truncated: true}, true, false},
+		{"not at all, with an error response", reply{head: testHead(500, ""), body: "failed"}, false, false},
+		{"not at all, with a rejection", reply{head: testHead(503, "notrun")}, false, false},
+		{"not at all, with a response to another request", reply{head: testHead(200, "other")}, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f, _ := newPromptFixture(1, tt.reply)
+			p := f.handler.Prompts
+			for _, engine := range []string{"a", "b"} { // suspected twice: other nodes are told of a response
+				p.ObserveCrash(time.Now(), backend.PromptCrash{Incarnation: engine, RequestID: engine, Parts: []string{"bad"}})
+			}
+			p.TakeEvents()
+			f.serve("/p/x", "r1", "")
+			e := p.TakeEvents()
+			is.Equal(len(e.Crashes) == 1, tt.crashed)
+			is.Equal(len(e.Cleared) == 1, tt.cleared)
+		})
+	}
+}
+
+// Guards against engines that a leaving caller, or the deadline, seems to crash.
+func TestDeadlineInPlainResponseIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := newPromptFixture(1, reply{head: testHead(200, ""), body: "{", truncated: true, bodyDelay: time.Minute})
+		f.serve("/p/x", "r1", "")
+		is.New(t).True(f.handler.Prompts.TakeEvents().IsEmpty())
+	})
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -30,7 +30,8 @@
 	delay     time.Duration // delay before the response
 	head      ResponseHead
 	body      string
-	truncated bool // the body fails after its last byte
+	truncated bool          // the body fails after its last byte
+	bodyDelay time.Duration // delay before it fails
 }
 
 // stubServers is a round tripper that stands for the servers of a pool. Each
@@ -70,14 +71,25 @@
 	head.Signed = head.Status < 300
 	var body io.Reader = strings.NewReader(next.body)
 	if next.truncated {
-		body = io.MultiReader(body, errReader{})
+		body = io.MultiReader(body, errReader{r.Context(), next.bodyDelay})
 	}
 	return &http.Response{StatusCode: head.Status, Body: io.NopCloser(body), Request: r, Header: http.Header{"X-Answer": {fmt.Sprint(head)}}}, nil
 }
 
-type errReader struct{}
+// errReader fails after a delay, or when the request ends.
+type errReader struct {
+	ctx   context.Context
+	delay time.Duration
+}
 
-func (errReader) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
+func (r errReader) Read([]byte) (int, error) {
+	select {
+	case <-time.After(r.delay):
+		return 0, errors.New("connection reset")
+	case <-r.ctx.Done():
+		return 0, r.ctx.Err()
+	}
+}
 
 var errDial = &net.OpError{Op: "dial", Err: errors.New("refused")}
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -51,11 +51,14 @@
 	Status      int
 	RequestID   string // ID of the request that it responds to
 	Header      http.Header
-	Signed      bool          // the response carries the server's signature
-	NotRun      bool          // the server states that it did not run the request
-	Misdirected bool          // wrong server, or a server without the adapter or its version
-	Stream      bool          // the body is an event stream
-	Pause       time.Duration // how long the server wants no requests from this node; 0 if it did not say
-	PauseErr    error         // the time that it asked for cannot be read
-	Draining    bool          // the server states that it is draining
+	Signed      bool // the response carries the server's signature
+	NotRun      bool // the server states that it did not run the request
+	Misdirected bool // wrong server, or a server without the adapter or its version
+	Stream      bool // the body is an event stream
+	// EndsWithConnection is set if only the end of the connection ends the body, so that a
+	// closed connection does not show whether it is complete.
+	EndsWithConnection bool
+	Pause              time.Duration // how long the server wants no requests from this node; 0 if it did not say
+	PauseErr           error         // the time that it asked for cannot be read
+	Draining           bool          // the server states that it is draining
 }
