Place crashes that other nodes tell of at the time they were seen

What callers saw: nothing yet; found while measuring the messages about prompts that crash engines. After the loss of a rack, requests of a sound caller would have been rejected for a minute.

Cause: a crash that another node told of was recorded at the arrival of the message. Nodes send once in 100 ms, each at its own phase, so that engines that ended at one moment seemed to have ended up to 180 ms apart, over the 50 ms within which crashes count as one.

Evidence: TestJointCrashesStayJointOnOtherNodes plays 20 engines that end at one moment, each with one request of one of 7 nodes, and delays of up to 80 ms. It failed before: a node had the parts that the requests share in quarantine. With three requests an engine it passed, as the first report of an engine counts.

Change: the message states how long ago the crash was seen. Clocks of different nodes are not compared; what a message takes on the way is still added. A crash of the future counts as of now.

--- a/backend/prompt_cause.go
+++ b/backend/prompt_cause.go
@@ -17,7 +17,7 @@
 // recordCrash returns the name of the quarantine that begins, if any.
 func (q *PromptQuarantine) recordCrash(now time.Time, c PromptCrash) string {
 	q.expire(now)
-	crash := q.crash(now, c.Incarnation)
+	crash := q.crash(c.At, c.Incarnation)
 	crash.requests[c.RequestID] = c.Parts
 	if q.longest(now, c.Parts) != nil {
 		q.explain(crash)
@@ -27,7 +27,7 @@
 	}
 	for _, part := range c.Parts {
 		if _, ok := crash.parts[part]; !ok {
-			crash.parts[part] = now
+			crash.parts[part] = c.At
 			q.suspects[part]++
 		}
 	}
@@ -54,7 +54,7 @@
 }
 
 // crash returns the record of an engine's crash. If there are too many, the oldest is dropped.
-func (q *PromptQuarantine) crash(now time.Time, incarnation string) *engineCrash {
+func (q *PromptQuarantine) crash(at time.Time, incarnation string) *engineCrash {
 	if q.crashes == nil {
 		q.crashes, q.suspects = make(map[string]*engineCrash), make(map[string]int)
 	}
@@ -66,7 +66,7 @@
 		q.explain(q.crashes[oldest])
 		delete(q.crashes, oldest)
 	}
-	crash := &engineCrash{at: now, requests: make(map[string][]string), parts: make(map[string]time.Time)}
+	crash := &engineCrash{at: at, requests: make(map[string][]string), parts: make(map[string]time.Time)}
 	q.crashes[incarnation] = crash
 	return crash
 }
--- a/backend/prompt_quarantine.go
+++ b/backend/prompt_quarantine.go
@@ -61,7 +61,8 @@
 
 // PromptCrash tells that an engine broke off a request before its response began.
 type PromptCrash struct {
-	Incarnation string // of the engine; see [Server.Incarnation]
+	At          time.Time // set by [PromptQuarantine.ObserveCrash]; the zero value in an event of another node means now
+	Incarnation string    // of the engine; see [Server.Incarnation]
 	RequestID   string
 	Parts       []string // of the prompt
 }
@@ -144,6 +145,7 @@
 	if len(c.Parts) == 0 {
 		return ""
 	}
+	c.At = now
 	q.unshared.Crashes = append(q.unshared.Crashes, c)
 	return q.recordCrash(now, c)
 }
@@ -167,6 +169,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, c := range e.Crashes {
+		if c.At.IsZero() || c.At.After(now) {
+			c.At = now
+		}
 		if name := q.recordCrash(now, c); name != "" {
 			begun = append(begun, name)
 		}
--- a/node/prompts.go
+++ b/node/prompts.go
@@ -31,30 +31,39 @@
 func (m *members) sendPromptEvents(ctx context.Context, address string, e backend.PromptEvents) {
 	ctx, cancel := context.WithTimeout(ctx, m.n.cfg.ProbeTimeout)
 	defer cancel()
-	req := &peerpb.HeartbeatRequest{
-		Node: m.n.cfg.Name, Process: m.n.process, Revision: m.n.store.Tree().Rev(),
-		Generation: m.n.generations.Current(), ClearedPromptParts: e.Cleared,
-	}
-	for _, c := range e.Crashes {
-		req.PromptCrashes = append(req.PromptCrashes, &peerpb.PromptCrash{Incarnation: c.Incarnation, RequestId: c.RequestID, Parts: c.Parts})
-	}
+	req := encodePromptEvents(time.Now(), e)
+	req.Node, req.Process, req.Revision, req.Generation = m.n.cfg.Name, m.n.process, m.n.store.Tree().Rev(), m.n.generations.Current()
 	if _, err := m.link(address).client.Heartbeat(ctx, connect.NewRequest(req)); err != nil {
 		m.n.log.Debug("cannot tell a node of prompts that may crash engines", "address", address, "err", err)
 	}
 }
 
+func encodePromptEvents(now time.Time, e backend.PromptEvents) *peerpb.HeartbeatRequest {
+	req := &peerpb.HeartbeatRequest{ClearedPromptParts: e.Cleared}
+	for _, c := range e.Crashes {
+		req.PromptCrashes = append(req.PromptCrashes, &peerpb.PromptCrash{Incarnation: c.Incarnation, RequestId: c.RequestID, Parts: c.Parts, AgeMs: now.Sub(c.At).Milliseconds()})
+	}
+	return req
+}
+
 // recordPromptEvents takes the events of another node.
 func (n *Node) recordPromptEvents(req *peerpb.HeartbeatRequest) {
 	if n.cfg.Prompts == nil || len(req.GetPromptCrashes())+len(req.GetClearedPromptParts()) == 0 {
 		return
 	}
+	now := time.Now()
+	for _, parts := range n.cfg.Prompts.Record(now, decodePromptEvents(now, req)) {
+		n.LogQuarantine(parts)
+	}
+}
+
+func decodePromptEvents(now time.Time, req *peerpb.HeartbeatRequest) backend.PromptEvents {
 	e := backend.PromptEvents{Cleared: req.GetClearedPromptParts()}
 	for _, c := range req.GetPromptCrashes() {
-		e.Crashes = append(e.Crashes, backend.PromptCrash{Incarnation: c.GetIncarnation(), RequestID: c.GetRequestId(), Parts: c.GetParts()})
-	}
-	for _, parts := range n.cfg.Prompts.Record(time.Now(), e) {
-		n.LogQuarantine(parts)
+		at := now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
+		e.Crashes = append(e.Crashes, backend.PromptCrash{At: at, Incarnation: c.GetIncarnation(), RequestID: c.GetRequestId(), Parts: c.GetParts()})
 	}
+	return e
 }
 
 // quarantines returns the parts that this node has in quarantine.
--- /dev/null
+++ b/node/prompts_test.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/peer/peerpb"
+)
+
+const (
+	promptStep  = 10 * time.Millisecond
+	promptDelay = 80 * time.Millisecond // maximum of a message
+)
+
+// promptNodes plays what nodes see of prompts, and the messages in which they tell each other.
+type promptNodes struct {
+	rng      *rand.Rand
+	now      time.Time
+	steps    int
+	nodes    []*backend.PromptQuarantine
+	phase    []int                                      // of the nodes' messages
+	inFlight map[int]map[int][]*peerpb.HeartbeatRequest // by step of arrival and receiver
+
+	perEngine               int // requests in flight
+	engines, requests       int
+	messages, bytes, clears int
+}
+
+func newPromptNodes(n int, seed uint64) *promptNodes {
+	p := &promptNodes{perEngine: 3, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), inFlight: make(map[int]map[int][]*peerpb.HeartbeatRequest)}
+	for range n {
+		p.nodes, p.phase = append(p.nodes, &backend.PromptQuarantine{}), append(p.phase, p.rng.IntN(int(promptShareInterval/promptStep)))
+	}
+	return p
+}
+
+func (p *promptNodes) any() *backend.PromptQuarantine { return p.nodes[p.rng.IntN(len(p.nodes))] }
+
+// crash lets engines end at the same moment, each with requests of different nodes.
+func (p *promptNodes) crash(engines int, parts func() []string) {
+	for range engines {
+		p.engines++
+		for range p.perEngine {
+			p.requests++
+			p.any().ObserveCrash(p.now, backend.PromptCrash{
+				Incarnation: fmt.Sprintf("i-%010x/%d", p.engines, 1790000000000+p.engines), RequestID: fmt.Sprintf("%016x", p.requests), Parts: parts(),
+			})
+		}
+	}
+}
+
+// step lets messages arrive, and nodes send theirs.
+func (p *promptNodes) step() {
+	p.now = p.now.Add(promptStep)
+	p.steps++
+	for to, list := range p.inFlight[p.steps] {
+		for _, req := range list {
+			p.nodes[to].Record(p.now, decodePromptEvents(p.now, req))
+		}
+	}
+	delete(p.inFlight, p.steps)
+	for i, q := range p.nodes {
+		if p.steps%int(promptShareInterval/promptStep) != p.phase[i] {
+			continue
+		}
+		e := q.TakeEvents()
+		if e.IsEmpty() {
+			continue
+		}
+		req := encodePromptEvents(p.now, e)
+		p.messages, p.bytes, p.clears = p.messages+len(p.nodes)-1, p.bytes+(len(p.nodes)-1)*proto.Size(req), p.clears+len(e.Cleared)
+		for to := range p.nodes {
+			if to == i {
+				continue
+			}
+			at := p.steps + 1 + p.rng.IntN(int(promptDelay/promptStep))
+			if p.inFlight[at] == nil {
+				p.inFlight[at] = make(map[int][]*peerpb.HeartbeatRequest)
+			}
+			p.inFlight[at][to] = append(p.inFlight[at][to], req)
+		}
+	}
+}
+
+// Guards against a quarantine after the loss of a rack: its engines end together, but the
+// nodes tell of it at different times, which seemed to be crashes apart from each other.
+func TestJointCrashesStayJointOnOtherNodes(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		p := newPromptNodes(7, seed)
+		p.perEngine = 1
+		p.crash(20, func() []string { return []string{"common", "caller"} })
+		for range 100 {
+			p.step()
+		}
+		for _, q := range p.nodes {
+			is.Equal(len(q.Quarantines(p.now)), 0)
+		}
+	}
+}
