Tell nodes once, not many times, that a part of prompts has a response

What callers saw: nothing. After many engines had ended, the nodes told each other the same thing hundreds of times, at the price of the control traffic that a node has.

Cause: when parts are suspected on all nodes, each node that has a response to one tells all others, although another has told it in the meantime.

Evidence and bound: TestPromptMessagesStayWithinControlBudget calculates the messages of 360 nodes with 30,000 requests a second, three requests in flight on an engine that ends, messages that take up to 80 ms, 160 bytes a heartbeat (docs/capacity-slopes.json) and the size of the encoded events. The bound is the stated 2 KB/s for control. It failed before with a rack of 50 engines.

Change: a node drops from what it is about to tell which parts another node has told of. Crash reports still go to all at once, so the time until a quarantine is the same.

Tried and left: not to tell of parts whose crashes are not apart from each other. Ruled out: to tell of parts only after three crashes. A node that rarely has requests with a part would count to four on its own, although others had responses.

--- a/backend/prompt_quarantine.go
+++ b/backend/prompt_quarantine.go
@@ -179,6 +179,8 @@
 	for _, part := range e.Cleared {
 		q.clear(now, part)
 	}
+	// Many nodes have responses to a part at the same time; the message of one is enough.
+	q.unshared.Cleared = slices.DeleteFunc(q.unshared.Cleared, func(part string) bool { return slices.Contains(e.Cleared, part) })
 	return begun
 }
 
--- a/node/prompts_test.go
+++ b/node/prompts_test.go
@@ -104,3 +104,51 @@
 		}
 	}
 }
+
+// heartbeatBytes is what a heartbeat takes on the wire without events, in both directions; see
+// heartbeat-bytes in docs/capacity-slopes.json.
+const heartbeatBytes = 160
+
+// Guards against nodes that tell each other of crashes and responses so often that it takes more
+// than the two kilobytes a second that a node has for control.
+func TestPromptMessagesStayWithinControlBudget(t *testing.T) {
+	const (
+		nodes             = 360
+		requestsPerSecond = 30000
+		seconds           = 60
+		maxBytesPerSecond = 2000
+	)
+	names := make([]string, 3000)
+	for i := range names {
+		names[i] = fmt.Sprintf("%08x", i)
+	}
+	for _, tt := range []struct {
+		name    string
+		every   time.Duration
+		engines int
+	}{
+		{"one in 32 s, as planned for", 32 * time.Second, 1},
+		{"one a second", time.Second, 1},
+		{"a rack of 50 a minute", time.Minute, 50},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPromptNodes(nodes, 1)
+			parts := func() []string {
+				return []string{names[p.rng.IntN(7)], names[10+p.rng.IntN(300)], names[1000+p.rng.IntN(2000)]}
+			}
+			const steps = int(seconds * time.Second / promptStep)
+			for i := range steps {
+				if i%int(tt.every/promptStep) == 0 {
+					p.crash(tt.engines, parts)
+				}
+				for range requestsPerSecond / int(time.Second/promptStep) {
+					p.any().ObserveResponse(p.now, parts())
+				}
+				p.step()
+			}
+			bytes := 2 * float64(p.bytes+heartbeatBytes*p.messages) / nodes / seconds // a node receives as much as it sends
+			t.Logf("a node: %.2f messages and %.0f bytes a second", float64(p.messages)/nodes/seconds, bytes)
+			is.New(t).True(bytes <= maxBytesPerSecond)
+		})
+	}
+}
