Count crashes apart although an engine's row does not show its restart yet

Cause: crashes were told apart by the incarnation in the engine's row alone. All crashes before the row changes counted as one, and for ever if the engine crashes again before it writes its row, so that a small pool never came to four.

Change: a crash report states how long the request was in flight. One that was sent more than a second after the first sign of a crash, when the engine can be back, belongs to another crash of that incarnation. A request in flight whose end is seen late still belongs to the first. As an engine that breaks off responses without ending now gives several crashes, four crashes must be of two incarnations at least, which keeps one such engine from quarantining anything, as before.

The stand-in's rows can lag behind a crash (CrashRowLag).

--- a/backend/prompt_cause.go
+++ b/backend/prompt_cause.go
@@ -8,16 +8,17 @@
 
 // engineCrash is a crash of an engine, and the requests that were in flight there.
 type engineCrash struct {
-	at        time.Time
-	explained bool // by a quarantine
-	requests  map[string][]string
-	parts     map[string]time.Time // suspected parts, and since when
+	at          time.Time
+	incarnation string // according to its row, which may lag behind
+	explained   bool   // by a quarantine
+	requests    map[string][]string
+	parts       map[string]time.Time // suspected parts, and since when
 }
 
 // recordCrash returns the name of the quarantine that begins, if any.
 func (q *PromptQuarantine) recordCrash(now time.Time, c PromptCrash) string {
 	q.expire(now)
-	crash := q.crash(c.At, c.Incarnation)
+	crash := q.crash(c)
 	crash.requests[c.RequestID] = c.Parts
 	if q.longest(now, c.Parts) != nil {
 		q.explain(crash)
@@ -53,21 +54,25 @@
 	return quarantineName(cause)
 }
 
-// crash returns the record of an engine's crash. If there are too many, the oldest is dropped.
-func (q *PromptQuarantine) crash(at time.Time, incarnation string) *engineCrash {
-	if q.crashes == nil {
-		q.crashes, q.suspects = make(map[string]*engineCrash), make(map[string]int)
-	}
-	if crash := q.crashes[incarnation]; crash != nil {
-		return crash
+// crash returns the record of the crash that broke off a request. A request that was sent when
+// the engine can have started again belongs to another crash, although its row shows the same
+// incarnation. If there are too many records, the first is dropped.
+func (q *PromptQuarantine) crash(c PromptCrash) *engineCrash {
+	if q.suspects == nil {
+		q.suspects = make(map[string]int)
+	}
+	sent := c.At.Add(-c.InFlight)
+	for _, crash := range q.crashes {
+		if crash.incarnation == c.Incarnation && sent.Before(crash.at.Add(engineRestartTime)) && crash.at.Before(c.At.Add(engineRestartTime)) {
+			return crash
+		}
 	}
 	if len(q.crashes) >= maxCrashes {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(q.crashes)), func(a, b string) int { return q.crashes[a].at.Compare(q.crashes[b].at) })
-		q.explain(q.crashes[oldest])
-		delete(q.crashes, oldest)
+		q.explain(q.crashes[0])
+		q.crashes = slices.Delete(q.crashes, 0, 1)
 	}
-	crash := &engineCrash{at: at, requests: make(map[string][]string), parts: make(map[string]time.Time)}
-	q.crashes[incarnation] = crash
+	crash := &engineCrash{at: c.At, incarnation: c.Incarnation, requests: make(map[string][]string), parts: make(map[string]time.Time)}
+	q.crashes = append(q.crashes, crash)
 	return crash
 }
 
@@ -93,20 +98,21 @@
 		return nil
 	}
 	var times []time.Time
-	requests := make(map[string][]string)
+	requests, incarnations := make(map[string][]string), make(map[string]bool)
 	for _, crash := range q.crashes {
 		at, ok := crash.parts[part]
 		if !ok {
 			continue
 		}
 		times = append(times, at)
+		incarnations[crash.incarnation] = true
 		for id, parts := range crash.requests {
 			if slices.Contains(parts, part) {
 				requests[id] = parts
 			}
 		}
 	}
-	if len(requests) < quarantineRequests || countApart(times) < quarantineCrashes {
+	if len(requests) < quarantineRequests || len(incarnations) < quarantineIncarnations || countApart(times) < quarantineCrashes {
 		return nil
 	}
 	common = append(common, part)
--- a/backend/prompt_quarantine.go
+++ b/backend/prompt_quarantine.go
@@ -15,6 +15,11 @@
 	// quarantineRequests is the number of different requests among them. One request crashes
 	// several engines when it is retried.
 	quarantineRequests = 2
+	// quarantineIncarnations is the number of different incarnations of engines among them. One
+	// that breaks off responses may be at fault itself.
+	quarantineIncarnations = 2
+	// engineRestartTime is the shortest time in which an engine is back after a crash.
+	engineRestartTime = time.Second
 	// sameCrashTime is the time within which crashes count as one: a failure of several
 	// engines at once has a cause outside of the prompts.
 	sameCrashTime = 50 * time.Millisecond
@@ -52,10 +57,10 @@
 	IsTrialNode func(name string) bool
 
 	mu          sync.Mutex
-	crashes     map[string]*engineCrash // by incarnation
-	suspects    map[string]int          // number of crashes by part
-	quarantines map[string]*quarantine  // by name
-	cleared     map[string]time.Time    // parts that were cleared, so that they are not learned again
+	crashes     []*engineCrash
+	suspects    map[string]int         // number of crashes by part
+	quarantines map[string]*quarantine // by name
+	cleared     map[string]time.Time   // parts that were cleared, so that they are not learned again
 	unshared    PromptEvents
 }
 
@@ -64,7 +69,8 @@
 	At          time.Time // set by [PromptQuarantine.ObserveCrash]; the zero value in an event of another node means now
 	Incarnation string    // of the engine; see [Server.Incarnation]
 	RequestID   string
-	Parts       []string // of the prompt
+	Parts       []string      // of the prompt
+	InFlight    time.Duration // from when the request was sent
 }
 
 // PromptEvents is what one node has seen.
@@ -279,12 +285,13 @@
 
 // expire deletes what is too old to count.
 func (q *PromptQuarantine) expire(now time.Time) {
-	for incarnation, crash := range q.crashes {
-		if now.Sub(crash.at) > crashRetention {
+	q.crashes = slices.DeleteFunc(q.crashes, func(crash *engineCrash) bool {
+		isOld := now.Sub(crash.at) > crashRetention
+		if isOld {
 			q.explain(crash)
-			delete(q.crashes, incarnation)
 		}
-	}
+		return isOld
+	})
 	maps.DeleteFunc(q.quarantines, func(_ string, in *quarantine) bool { return now.Sub(in.until) > quarantineLapse })
 	maps.DeleteFunc(q.cleared, func(_ string, at time.Time) bool { return now.Sub(at) > crashRetention })
 }
--- a/backend/prompt_quarantine_test.go
+++ b/backend/prompt_quarantine_test.go
@@ -47,6 +47,18 @@
 				second(p)
 			}
 		}, nil},
+		{"one engine that breaks off responses", func(p *promptPlay) {
+			for i := range 9 {
+				p.crash(1, fmt.Sprint(i), "part")
+				p.now = p.now.Add(2 * engineRestartTime)
+			}
+		}, nil},
+		{"requests in flight on an engine that ends, seen late", func(p *promptPlay) {
+			for i := range 9 {
+				p.ObserveCrash(p.now, PromptCrash{Incarnation: fmt.Sprint("e", i%3), RequestID: fmt.Sprint(i), Parts: []string{"part"}, InFlight: time.Duration(i) * time.Second})
+				second(p)
+			}
+		}, nil},
 		{"several engines that fail at once", func(p *promptPlay) {
 			for i := range 9 {
 				p.crash(i, fmt.Sprint(i), "common", fmt.Sprint("part", i))
@@ -234,6 +246,46 @@
 	}
 }
 
+// Guards against crashes that count once because the row of an engine still shows the incarnation
+// that crashed before: engines that are back within a second or two crash again.
+func TestCrashesAreFoundWhileRowsLag(t *testing.T) {
+	const lag = 3 * time.Second
+	for _, downtime := range []time.Duration{1200 * time.Millisecond, 2 * time.Second} {
+		for engines := 2; engines <= 6; engines++ {
+			p := &promptPlay{now: time.Unix(1000, 0)}
+			starts := make([][]time.Time, engines) // of each engine
+			var crashes []time.Time
+			late := 0
+			for i := range 400 { // a request each 100 ms
+				p.now = p.now.Add(100 * time.Millisecond)
+				n := i % engines
+				if last := len(starts[n]) - 1; p.left("bad") > 0 || last >= 0 && starts[n][last].After(p.now) {
+					continue
+				}
+				shown := 0
+				for k, at := range starts[n] {
+					next := p.now
+					if k+1 < len(starts[n]) {
+						next = starts[n][k+1].Add(-downtime) // it crashed before its row was written
+					}
+					if at.Add(lag).Before(p.now) && at.Add(lag).Before(next) {
+						shown = k + 1
+					}
+				}
+				crashes = append(crashes, p.now)
+				if len(crashes) > 5 && p.now.Sub(crashes[4]) > 3*time.Second {
+					late++
+				}
+				p.ObserveCrash(p.now, PromptCrash{Incarnation: fmt.Sprintf("e%d/%d", n, shown), RequestID: fmt.Sprint(i), Parts: []string{"bad"}, InFlight: 50 * time.Millisecond})
+				starts[n] = append(starts[n], p.now.Add(downtime))
+			}
+			if late > 3 {
+				t.Errorf("%d engines, back after %v: %d requests more", engines, downtime, late)
+			}
+		}
+	}
+}
+
 // Under load on many engines, at most three prompts with a bad part are sent later than three
 // seconds after the fifth crash, wherever they come, and no other part is quarantined, also
 // while engines crash for other reasons.
--- a/demo/prompt_crash_test.go
+++ b/demo/prompt_crash_test.go
@@ -23,7 +23,15 @@
 
 // Guards against prompts that crash one engine after the other: each is sent to two engines,
 // at any daemon, and no daemon learns from what others saw.
-func TestPromptPartDoesNotCrashEnginesAgainAndAgain(t *testing.T) {
+func TestPromptPartDoesNotCrashEnginesAgainAndAgain(t *testing.T) { playCrashingPrompts(t, 0) }
+
+// Guards against a quarantine that comes too late, or never, as engines crash again before their rows
+// show that they have started anew: all crashes of an engine seemed to be one.
+func TestPromptPartIsFoundWhileRowsLag(t *testing.T) { playCrashingPrompts(t, 3*time.Second) }
+
+// playCrashingPrompts sends prompts that crash engines, among others. The row of an engine
+// shows its restart after rowLag.
+func playCrashingPrompts(t *testing.T, rowLag time.Duration) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(2)) // more threads add only contention in virtual time
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -42,7 +50,7 @@
 		defer sys.close()
 		is.NoErr(sys.waitReady())
 		for _, r := range sys.replicas {
-			r.SetFault(standin.ReplicaFault{CrashPart: "bad", CrashDowntime: 2 * time.Second})
+			r.SetFault(standin.ReplicaFault{CrashPart: "bad", CrashDowntime: 2 * time.Second, CrashRowLag: rowLag})
 		}
 		traffic := newPlatformTraffic(sys, 1)
 		var wg sync.WaitGroup
--- a/node/prompts.go
+++ b/node/prompts.go
@@ -41,7 +41,10 @@
 func encodePromptEvents(now time.Time, e backend.PromptEvents) *peerpb.HeartbeatRequest {
 	req := &peerpb.HeartbeatRequest{ClearedPromptParts: e.Cleared}
 	for _, c := range e.Crashes {
-		req.PromptCrashes = append(req.PromptCrashes, &peerpb.PromptCrash{Incarnation: c.Incarnation, RequestId: c.RequestID, Parts: c.Parts, AgeMs: now.Sub(c.At).Milliseconds()})
+		req.PromptCrashes = append(req.PromptCrashes, &peerpb.PromptCrash{
+			Incarnation: c.Incarnation, RequestId: c.RequestID, Parts: c.Parts,
+			AgeMs: now.Sub(c.At).Milliseconds(), InFlightMs: c.InFlight.Milliseconds(),
+		})
 	}
 	return req
 }
@@ -61,7 +64,10 @@
 	e := backend.PromptEvents{Cleared: req.GetClearedPromptParts()}
 	for _, c := range req.GetPromptCrashes() {
 		at := now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
-		e.Crashes = append(e.Crashes, backend.PromptCrash{At: at, Incarnation: c.GetIncarnation(), RequestID: c.GetRequestId(), Parts: c.GetParts()})
+		e.Crashes = append(e.Crashes, backend.PromptCrash{
+			At: at, Incarnation: c.GetIncarnation(), RequestID: c.GetRequestId(), Parts: c.GetParts(),
+			InFlight: time.Duration(c.GetInFlightMs()) * time.Millisecond,
+		})
 	}
 	return e
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -121,7 +121,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	x.responseBegan = false
-	defer func() { x.observeAttempt(ctx, s, res) }() // before the context is cancelled
+	sent := time.Now()
+	defer func() { x.observeAttempt(ctx, s, time.Since(sent), res) }() // before the context is cancelled
 	resp, head, failed := x.forward(ctx, ServerRequest{
 		Server: s, IsEngine: true, Priority: x.route.Priority, LastEventID: x.lastEventID,
 		AdapterVersion: x.handler.RequiredVersion(x.head.Model, x.head.Adapter),
--- a/relay/prompt.go
+++ b/relay/prompt.go
@@ -43,11 +43,13 @@
 
 // observeAttempt records a crash if an engine broke off the request before its response
 // began, unless the caller or the deadline ended it.
-func (x *exchange) observeAttempt(ctx context.Context, s *backend.Server, res result) {
+func (x *exchange) observeAttempt(ctx context.Context, s *backend.Server, inFlight time.Duration, res result) {
 	if x.handler.Prompts == nil || !res.brokenOff || x.responseBegan || ctx.Err() != nil {
 		return
 	}
-	parts := x.handler.Prompts.ObserveCrash(time.Now(), backend.PromptCrash{Incarnation: s.Incarnation(), RequestID: x.head.ID, Parts: x.head.PromptParts})
+	parts := x.handler.Prompts.ObserveCrash(time.Now(), backend.PromptCrash{
+		Incarnation: s.Incarnation(), RequestID: x.head.ID, Parts: x.head.PromptParts, InFlight: inFlight,
+	})
 	if parts != "" && x.handler.OnQuarantine != nil {
 		x.handler.OnQuarantine(parts)
 	}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -25,6 +25,7 @@
 	// the replica starts again after CrashDowntime.
 	CrashPart     string
 	CrashDowntime time.Duration
+	CrashRowLag   time.Duration // from the start until the row shows the new incarnation
 	Refusals      int           // requests of any kind that are turned away, and ask for RefusalPause
 	RefusalPause  time.Duration // time for which the replica wants no requests after that
 	// Unframed makes responses have neither a length nor chunks, so that they end with
@@ -61,6 +62,7 @@
 	unloading      map[string]bool // adapters to unload when their last request ends
 	draining       bool
 	isDown         bool
+	rowFrom        time.Time // when the row shows the state
 	reports        []timedState
 	requestSlots   chan struct{}
 	record         ReplicaRecord
@@ -159,7 +161,7 @@
 	st := r.state
 	st.Models, st.Loaded, st.Loading = slices.Clone(st.Models), maps.Clone(st.Loaded), maps.Clone(st.Loading)
 	r.reports = append(r.reports, timedState{time.Now(), st})
-	if r.fault.KeepRow {
+	if r.fault.KeepRow || time.Now().Before(r.rowFrom) {
 		return
 	}
 	r.WriteRow(platform.EncodeReplicaState(r.currentServer(), st))
--- a/standin/replica_crash.go
+++ b/standin/replica_crash.go
@@ -19,7 +19,16 @@
 		defer r.mu.Unlock()
 		r.isDown = false
 		r.reset()
+		r.rowFrom = time.Now().Add(r.fault.CrashRowLag)
 		r.publishState()
+		start := r.startMS
+		time.AfterFunc(r.fault.CrashRowLag, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if !r.isDown && r.startMS == start {
+				r.publishState()
+			}
+		})
 	})
 }
 
