Ask for a new prompt's quarantine once, and reject requests in one place

No change of behaviour. serveEngine asked for the quarantine twice in a row before the first grant, and three functions chose in the same way between an interrupted stream, a request that may have run, and one that has not; rejection does now. noServerError stays: its reasons differ, and it has no case for a begun stream. The comment on PromptQuarantined speaks of a set of parts.

--- a/relay/engine.go
+++ b/relay/engine.go
@@ -24,15 +24,14 @@
 // engine if the route allows it.
 func (x *exchange) serveEngine(ctx context.Context) error {
 	x.lastEventID = x.head.LastEventID
-	if err := x.admitPrompt(); err != nil {
-		return err
-	}
 	excluded := ""
 	possibleRuns := 0
+	checkPrompt := x.admitPrompt
 	for attempts := 1; ; attempts++ {
-		if err := x.checkPrompt(); err != nil {
+		if err := checkPrompt(); err != nil {
 			return err
 		}
+		checkPrompt = x.checkPrompt
 		isExcluded := func(s *backend.Server) bool { return s.ID == excluded }
 		if err := x.awaitPauses(ctx, isExcluded); err != nil {
 			return err
@@ -85,19 +84,11 @@
 
 // acquireError returns the final error when no engine accepts the request.
 func (x *exchange) acquireError(ctx context.Context, err error) error {
-	const op = "acquire"
 	var r *caller.Refusal
 	if ctx.Err() != nil && x.r.Context().Err() != nil || !errors.As(err, &r) {
 		return x.contextError(ctx)
 	}
-	reason := "no engine takes it: " + string(r.Reason)
-	switch {
-	case x.headerWritten:
-		return &Error{Op: op, Kind: StreamInterrupted, Reason: reason}
-	case x.mayHaveRun:
-		return &Error{Op: op, Kind: ServerFailed, Reason: reason}
-	}
-	return &Error{Op: op, Kind: Busy, Reason: reason, RetryAfter: max(r.RetryAfter, x.retryAfter())}
+	return x.rejection("acquire", Busy, "no engine takes it: "+string(r.Reason), max(r.RetryAfter, x.retryAfter()))
 }
 
 // tryEngine sends the request to the granted engine, and releases the grant.
--- a/relay/error.go
+++ b/relay/error.go
@@ -19,7 +19,7 @@
 	NotReady           ErrorKind = "not-ready"          // the node has no configuration yet, or is shutting down
 	Busy               ErrorKind = "busy"               // no server can take the request in time; not run
 	NoServer           ErrorKind = "no-server"          // the pool has no server; not run
-	PromptQuarantined  ErrorKind = "prompt-quarantined" // prompts with one of its parts crash engines; not run
+	PromptQuarantined  ErrorKind = "prompt-quarantined" // prompts with some of its parts crash engines; not run
 	ExpiredUnsent      ErrorKind = "deadline"           // the deadline passed before the request was sent; not run
 	TimedOut           ErrorKind = "timeout"            // the deadline passed after the request was sent
 	ServerFailed       ErrorKind = "server-failed"      // the server failed the request, which may have run
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -329,6 +329,18 @@
 	x.w.WriteHeader(head.Status)
 }
 
+// rejection returns the final error for a request that is sent to no server, or to no other
+// one. It has the given kind only if the request has not run.
+func (x *exchange) rejection(op string, kind ErrorKind, reason string, retryAfter time.Duration) error {
+	switch {
+	case x.headerWritten:
+		return &Error{Op: op, Kind: StreamInterrupted, Reason: reason}
+	case x.mayHaveRun:
+		return &Error{Op: op, Kind: ServerFailed, Reason: reason}
+	}
+	return &Error{Op: op, Kind: kind, Reason: reason, RetryAfter: retryAfter}
+}
+
 // contextError returns the final error for a request whose deadline has passed
 // or whose caller has disconnected.
 func (x *exchange) contextError(ctx context.Context) error {
--- a/relay/pause.go
+++ b/relay/pause.go
@@ -21,7 +21,7 @@
 		}
 		hold, ok := backend.HoldTime(left, spread, x.timeLeftToAnswer())
 		if !ok {
-			return x.pausedError()
+			return x.rejection("hold", Busy, everyServerPaused, x.retryAfter())
 		}
 		t := time.NewTimer(hold)
 		select {
@@ -48,17 +48,6 @@
 	return min(time.Until(x.deadline), time.Until(x.start.Add(x.route.TargetLatency)))
 }
 
-func (x *exchange) pausedError() error {
-	const op = "hold"
-	switch {
-	case x.headerWritten:
-		return &Error{Op: op, Kind: StreamInterrupted, Reason: everyServerPaused}
-	case x.mayHaveRun:
-		return &Error{Op: op, Kind: ServerFailed, Reason: everyServerPaused}
-	}
-	return &Error{Op: op, Kind: Busy, Reason: everyServerPaused, RetryAfter: x.retryAfter()}
-}
-
 // retryAfter returns the time until a server of the pool can accept another request,
 // within the caller's deadline.
 func (x *exchange) retryAfter() time.Duration {
--- a/relay/prompt.go
+++ b/relay/prompt.go
@@ -29,16 +29,10 @@
 }
 
 func (x *exchange) quarantineError(left time.Duration) error {
-	const op = "check prompt"
-	switch {
-	case left == 0:
+	if left == 0 {
 		return nil
-	case x.headerWritten:
-		return &Error{Op: op, Kind: StreamInterrupted, Reason: promptCrashes}
-	case x.mayHaveRun:
-		return &Error{Op: op, Kind: ServerFailed, Reason: promptCrashes}
 	}
-	return &Error{Op: op, Kind: PromptQuarantined, Reason: promptCrashes, RetryAfter: min(left, time.Until(x.deadline))}
+	return x.rejection("check prompt", PromptQuarantined, promptCrashes, min(left, time.Until(x.deadline)))
 }
 
 // observeAttempt records a crash if an engine broke off the request before its response
