--- a/node/prompts_test.go
+++ b/node/prompts_test.go
@@ -49,7 +49,7 @@
 		for range p.perEngine {
 			p.requests++
 			p.any().ObserveCrash(p.now, backend.PromptCrash{
-				Incarnation: fmt.Sprintf("i-%010x/%d", p.engines, 1790000000000+p.engines), RequestID: fmt.Sprintf("%016x", p.requests), Parts: parts(),
+				Incarnation: fmt.Sprintf("i-%010x/%d", p.engines, 1790000000000+p.engines), RequestID: fmt.Sprintf("%016x", p.requests), Parts: parts(), InFlight: 300 * time.Millisecond,
 			})
 		}
 	}
