--- a/backend/prompt_quarantine.go
+++ b/backend/prompt_quarantine.go
@@ -15,6 +15,11 @@
 	// quarantineRequests is the number of different requests among them. One request crashes
 	// several engines when it is retried.
 	quarantineRequests = 2
+	// quarantineIncarnations is the number of different incarnations of engines among them. One
+	// that breaks off responses may be at fault itself.
+	quarantineIncarnations = 2
+	// engineRestartTime is the shortest time in which an engine is back after a crash.
+	engineRestartTime = time.Second
 	// sameCrashTime is the time within which crashes count as one: a failure of several
 	// engines at once has a cause outside of the prompts.
 	sameCrashTime = 50 * time.Millisecond
@@ -52,18 +57,20 @@
 	IsTrialNode func(name string) bool
 
 	mu          sync.Mutex
-	crashes     map[string]*engineCrash // by incarnation
-	suspects    map[string]int          // number of crashes by part
-	quarantines map[string]*quarantine  // by name
-	cleared     map[string]time.Time    // parts that were cleared, so that they are not learned again
+	crashes     []*engineCrash
+	suspects    map[string]int         // number of crashes by part
+	quarantines map[string]*quarantine // by name
+	cleared     map[string]time.Time   // parts that were cleared, so that they are not learned again
 	unshared    PromptEvents
 }
 
 // PromptCrash tells that an engine broke off a request before its response began.
 type PromptCrash struct {
-	Incarnation string // of the engine; see [Server.Incarnation]
+	At          time.Time // set by [PromptQuarantine.ObserveCrash]; the zero value in an event of another node means now
+	Incarnation string    // of the engine; see [Server.Incarnation]
 	RequestID   string
-	Parts       []string // of the prompt
+	Parts       []string      // of the prompt
+	InFlight    time.Duration // from when the request was sent
 }
 
 // PromptEvents is what one node has seen.
@@ -144,6 +151,7 @@
 	if len(c.Parts) == 0 {
 		return ""
 	}
+	c.At = now
 	q.unshared.Crashes = append(q.unshared.Crashes, c)
 	return q.recordCrash(now, c)
 }
@@ -167,6 +175,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, c := range e.Crashes {
+		if c.At.IsZero() || c.At.After(now) {
+			c.At = now
+		}
 		if name := q.recordCrash(now, c); name != "" {
 			begun = append(begun, name)
 		}
@@ -174,6 +185,8 @@
 	for _, part := range e.Cleared {
 		q.clear(now, part)
 	}
+	// Many nodes have responses to a part at the same time; the message of one is enough.
+	q.unshared.Cleared = slices.DeleteFunc(q.unshared.Cleared, func(part string) bool { return slices.Contains(e.Cleared, part) })
 	return begun
 }
 
@@ -272,12 +285,13 @@
 
 // expire deletes what is too old to count.
 func (q *PromptQuarantine) expire(now time.Time) {
-	for incarnation, crash := range q.crashes {
-		if now.Sub(crash.at) > crashRetention {
+	q.crashes = slices.DeleteFunc(q.crashes, func(crash *engineCrash) bool {
+		isOld := now.Sub(crash.at) > crashRetention
+		if isOld {
 			q.explain(crash)
-			delete(q.crashes, incarnation)
 		}
-	}
+		return isOld
+	})
 	maps.DeleteFunc(q.quarantines, func(_ string, in *quarantine) bool { return now.Sub(in.until) > quarantineLapse })
 	maps.DeleteFunc(q.cleared, func(_ string, at time.Time) bool { return now.Sub(at) > crashRetention })
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -24,9 +24,6 @@
 // engine if the route allows it.
 func (x *exchange) serveEngine(ctx context.Context) error {
 	x.lastEventID = x.head.LastEventID
-	if err := x.admitPrompt(); err != nil {
-		return err
-	}
 	excluded := ""
 	possibleRuns := 0
 	var next *caller.Grant // acquired for the next attempt while the last one ran
@@ -35,10 +32,12 @@
 			x.handler.Release(*next, false, 0)
 		}
 	}()
+	checkPrompt := x.admitPrompt
 	for attempts := 1; ; attempts++ {
-		if err := x.checkPrompt(); err != nil {
+		if err := checkPrompt(); err != nil {
 			return err
 		}
+		checkPrompt = x.checkPrompt
 		var g caller.Grant
 		if next != nil {
 			g, next = *next, nil
@@ -106,19 +105,11 @@
 
 // acquireError returns the final error when no engine accepts the request.
 func (x *exchange) acquireError(ctx context.Context, err error) error {
-	const op = "acquire"
 	var r *caller.Refusal
 	if ctx.Err() != nil && x.r.Context().Err() != nil || !errors.As(err, &r) {
 		return x.contextError(ctx)
 	}
-	reason := "no engine takes it: " + string(r.Reason)
-	switch {
-	case x.headerWritten:
-		return &Error{Op: op, Kind: StreamInterrupted, Reason: reason}
-	case x.mayHaveRun:
-		return &Error{Op: op, Kind: ServerFailed, Reason: reason}
-	}
-	return &Error{Op: op, Kind: Busy, Reason: reason, RetryAfter: max(r.RetryAfter, x.retryAfter())}
+	return x.rejection("acquire", Busy, "no engine takes it: "+string(r.Reason), max(r.RetryAfter, x.retryAfter()))
 }
 
 // tryEngine sends the request to the granted engine, and releases the grant. If mayResume
@@ -153,15 +144,15 @@
 	}
 	w.start()
 	defer func() { w.close(&res) }()
+	x.responseBegan = false
+	sent := time.Now()
+	defer func() { x.observeAttempt(ctx, s, time.Since(sent), res) }() // before the context is cancelled
 	resp, head, failed := x.forward(ctx, ServerRequest{
 		Server: s, IsEngine: true, Priority: x.route.Priority, LastEventID: x.lastEventID,
 		AdapterVersion: x.handler.RequiredVersion(x.head.Model, x.head.Adapter),
 	})
 	if failed != nil {
 		adapterMissing = head.Misdirected
-		if !failed.notRun && head.Status == 0 {
-			x.observeCrash(ctx, s)
-		}
 		return *failed
 	}
 	defer resp.Body.Close()
@@ -169,16 +160,12 @@
 		w.stop()
 		return x.relayResponse(head, resp.Body)
 	}
-	x.responseBegan = false
 	perEvent, err := x.relayStream(head, resp.Body, w)
 	tokenTime = perEvent / time.Duration(x.pool.Engine.TokensPerEvent)
 	if err == nil {
-		return result{done: true}
-	}
-	if !x.responseBegan {
-		x.observeCrash(ctx, s)
+		return result{done: true, brokenOff: head.EndsWithConnection && x.lastEventID == ""}
 	}
-	return result{failed: true, reason: err.Error()}
+	return result{failed: true, brokenOff: true, reason: err.Error()}
 }
 
 // finishFailedStream ends the request after its last failed attempt.
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -154,7 +154,7 @@
 	mayHaveRun    bool      // a server may have started the request
 	lastEventID   string    // ID of the last event with content sent to the caller
 	lastEventAt   time.Time // when that event was sent
-	responseBegan bool      // the last attempt had an event
+	responseBegan bool      // the last attempt had an event, or the first bytes of another success
 	promptTrial   bool      // a part of the prompt is tried again by this request
 	grants        int       // number of grants that were asked for
 	event         Event
@@ -269,7 +269,7 @@
 		return nil, head, &result{failed: true, notRun: true, reason: err.Error()}
 	case err != nil:
 		x.mayHaveRun = true
-		return nil, head, &result{failed: true, reason: err.Error()}
+		return nil, head, &result{failed: true, brokenOff: head.Status == 0, reason: err.Error()}
 	case head.NotRun:
 		discardBody(resp.Body)
 		return nil, head, &result{failed: !head.Misdirected, notRun: true, reason: "the server refused it", head: head}
@@ -287,9 +287,13 @@
 func (x *exchange) relayResponse(head ResponseHead, body io.Reader) result {
 	content, err := io.ReadAll(io.LimitReader(body, maxBufferedResponse+1))
 	complete := len(content) <= maxBufferedResponse
+	isSuccess := head.Status < http.StatusMultipleChoices
+	if err == nil && isSuccess && (len(content) > 0 || !head.EndsWithConnection) {
+		x.observeResponse()
+	}
 	switch {
 	case err != nil:
-		return result{failed: true, reason: err.Error()}
+		return result{failed: true, brokenOff: true, reason: err.Error()}
 	case head.Status >= http.StatusInternalServerError && !complete:
 		return result{failed: true, reason: "the server failed it, and its error response is too long"}
 	case head.Status >= http.StatusInternalServerError:
@@ -299,7 +303,7 @@
 	}
 	x.writeResponse(head, content)
 	if complete || x.event.Kind != "" {
-		return result{done: true}
+		return result{done: true, brokenOff: isSuccess && !x.responseBegan}
 	}
 	return x.relayRest(body)
 }
@@ -367,6 +371,18 @@
 	x.w.WriteHeader(head.Status)
 }
 
+// rejection returns the final error for a request that is sent to no server, or to no other
+// one. It has the given kind only if the request has not run.
+func (x *exchange) rejection(op string, kind ErrorKind, reason string, retryAfter time.Duration) error {
+	switch {
+	case x.headerWritten:
+		return &Error{Op: op, Kind: StreamInterrupted, Reason: reason}
+	case x.mayHaveRun:
+		return &Error{Op: op, Kind: ServerFailed, Reason: reason}
+	}
+	return &Error{Op: op, Kind: kind, Reason: reason, RetryAfter: retryAfter}
+}
+
 // contextError returns the final error for a request whose deadline has passed
 // or whose caller has disconnected.
 func (x *exchange) contextError(ctx context.Context) error {
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -52,6 +52,9 @@
 	failed bool // the failure counts against the server
 	notRun bool // the server did not run the request
 	unsent bool // nothing was sent, so the attempt costs no retry
+	// brokenOff is set if the server broke off the attempt. If its response has not begun, it
+	// may also be set for a success that ends as if it were broken off.
+	brokenOff bool
 	// retrySpent is set if the retry was taken from the budget, and next if its grant
 	// was acquired.
 	retrySpent bool
--- a/relay/prompt.go
+++ b/relay/prompt.go
@@ -29,35 +29,35 @@
 }
 
 func (x *exchange) quarantineError(left time.Duration) error {
-	const op = "check prompt"
-	switch {
-	case left == 0:
+	if left == 0 {
 		return nil
-	case x.headerWritten:
-		return &Error{Op: op, Kind: StreamInterrupted, Reason: promptCrashes}
-	case x.mayHaveRun:
-		return &Error{Op: op, Kind: ServerFailed, Reason: promptCrashes}
 	}
-	return &Error{Op: op, Kind: PromptQuarantined, Reason: promptCrashes, RetryAfter: min(left, time.Until(x.deadline))}
+	return x.rejection("check prompt", PromptQuarantined, promptCrashes, min(left, time.Until(x.deadline)))
 }
 
-// observeCrash records that an engine broke off the request before its response began,
-// unless the caller or the deadline ended it.
-func (x *exchange) observeCrash(ctx context.Context, s *backend.Server) {
-	if x.handler.Prompts == nil || ctx.Err() != nil {
+// observeAttempt records a crash if an engine broke off the request before its response
+// began, unless the caller or the deadline ended it.
+func (x *exchange) observeAttempt(ctx context.Context, s *backend.Server, inFlight time.Duration, res result) {
+	if x.handler.Prompts == nil || !res.brokenOff || x.responseBegan || ctx.Err() != nil {
 		return
 	}
-	parts := x.handler.Prompts.ObserveCrash(time.Now(), backend.PromptCrash{Incarnation: s.Incarnation(), RequestID: x.head.ID, Parts: x.head.PromptParts})
+	parts := x.handler.Prompts.ObserveCrash(time.Now(), backend.PromptCrash{
+		Incarnation: s.Incarnation(), RequestID: x.head.ID, Parts: x.head.PromptParts, InFlight: inFlight,
+	})
 	if parts != "" && x.handler.OnQuarantine != nil {
 		x.handler.OnQuarantine(parts)
 	}
 }
 
-// observeResponse records the first event of an attempt.
+// observeResponse records that the response of an attempt has begun: its first event has
+// arrived, or another success in whole or as far as it is buffered.
 func (x *exchange) observeResponse() {
-	if x.responseBegan || x.handler.Prompts == nil {
+	if x.responseBegan {
 		return
 	}
 	x.responseBegan = true
+	if x.handler.Prompts == nil {
+		return
+	}
 	x.handler.Prompts.ObserveResponse(time.Now(), x.head.PromptParts)
 }
