--- a/cmd/vanilladriftd/process_test.go
+++ b/cmd/vanilladriftd/process_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -41,9 +42,9 @@
 	bin      string
 	log      *os.File          // what the processes write; shown if the test fails
 	addrs    map[string]string // addresses by process name
-	nextPort int               // next port to try
 	cmds     map[string]*exec.Cmd
 	args     map[string][]string
+	nodeArgs []string // further flags of the nodes
 
 	mu         sync.Mutex
 	violations []string
@@ -52,14 +53,14 @@
 	stopLoad   chan struct{}
 }
 
-func startProcessCluster(t *testing.T) *processCluster {
+func startProcessCluster(t *testing.T, nodeArgs ...string) *processCluster {
 	logFile, err := os.Create(filepath.Join(t.TempDir(), "processes.log"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	p := &processCluster{
-		t: t, bin: t.TempDir(), log: logFile, nextPort: firstPort + os.Getpid()%(lastPort-firstPort)/2, addrs: map[string]string{}, cmds: map[string]*exec.Cmd{},
-		args: map[string][]string{}, stopLoad: make(chan struct{}),
+		t: t, bin: t.TempDir(), log: logFile, addrs: map[string]string{}, cmds: map[string]*exec.Cmd{},
+		args: map[string][]string{}, nodeArgs: nodeArgs, stopLoad: make(chan struct{}),
 	}
 	for _, name := range []string{"standin", "vanilladriftd"} {
 		out, err := exec.Command("go", "build", "-o", filepath.Join(p.bin, name), "../"+name).CombinedOutput()
@@ -94,23 +95,34 @@
 	lastPort  = 32000
 )
 
-// address returns the loopback address of a process, the same for every start.
-func (p *processCluster) address(name string) string {
-	if a, ok := p.addrs[name]; ok {
-		return a
-	}
-	for ; p.nextPort < lastPort; p.nextPort++ {
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p.nextPort))
+// nextPort is the next port to try, for all tests of this process.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(firstPort + os.Getpid()%(lastPort-firstPort)/2)) }
+
+// freeAddress returns a loopback address without a listener, and its port.
+func freeAddress(t *testing.T) (address string, port int) {
+	t.Helper()
+	for port := int(nextPort.Add(1)); port < lastPort; port = int(nextPort.Add(1)) {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue // the port is in use
 		}
 		ln.Close()
-		p.addrs[name] = ln.Addr().String()
-		p.nextPort++
-		return p.addrs[name]
+		return ln.Addr().String(), port
 	}
-	p.t.Fatal("no free port")
-	return ""
+	t.Fatal("no free port")
+	return "", 0
+}
+
+// address returns the loopback address of a process, the same for every start.
+func (p *processCluster) address(name string) string {
+	a, ok := p.addrs[name]
+	if !ok {
+		a, _ = freeAddress(p.t)
+		p.addrs[name] = a
+	}
+	return a
 }
 
 func (p *processCluster) startProcess(name, program string, args ...string) {
@@ -134,11 +146,13 @@
 
 func (p *processCluster) startNode(i int) {
 	name := fmt.Sprintf("node%d", i)
-	p.startProcess(name, "vanilladriftd", "run", "--name", name, "--peer-address", p.address(name),
-		"--caller-address", p.address(name+" callers"), "--operator-address", p.address(name+" operators"),
-		"--table-url", "http://"+p.address("table"), "--object-url", "http://"+p.address("object"),
-		"--vm-list-url", "http://"+p.address("vm-list"), "--operator", "tester:"+operatorToken,
-		"--lease-ttl", "4s", "--lease-margin", "400ms", "--log-level", "debug")
+	p.startProcess(name, "vanilladriftd", append([]string{
+		"run", "--name", name, "--peer-address", p.address(name),
+		"--caller-address", p.address(name + " callers"), "--operator-address", p.address(name + " operators"),
+		"--table-url", "http://" + p.address("table"), "--object-url", "http://" + p.address("object"),
+		"--vm-list-url", "http://" + p.address("vm-list"), "--operator", "tester:" + operatorToken,
+		"--lease-ttl", "4s", "--lease-margin", "400ms", "--log-level", "debug",
+	}, p.nodeArgs...)...)
 }
 
 func (p *processCluster) restart(name string) {
