Answer what still waits when the time to drain is over

Callers of the OpenAI front saw: a body that did not end held the drain until its timeout, and its connection was then closed without a byte; the same for a request in a queue whose deadline was later.

Cause: as on the platform's front, nothing told the requests that the time was over. And a body had no time limit, so one caller could hold the process for the whole drain timeout.

Fix: when the time is over, caller.Handler.End ends the reads of bodies and the completions. What has no grant is refused with 503, not run; a completion that may have run gets 504 and "unknown"; a stream ends without its end marker, as before. Node.Close waits 200 ms for these responses, and returns an error only if it cut streams or calls of services. A run that its caller ended counts as unknown from its grant on; it counted as not run until its first token. Calls of services are not ended: what was sent must be recorded, and their own limit is 30 s.

TestDrainTimeoutAnswersWhatWaits (virtual time) fails without End (its requests are still blocked at the end of the test). go test -race ./caller passes, and of ./node the tests of shutdowns and orders.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,7 +11,7 @@
 
 func (h *Handler) serveCompletion(w http.ResponseWriter, r *http.Request, id string, tree *settings.Tree, branch *settings.Effective) error {
 	start := time.Now()
-	body, err := readBody(r, branch.MaxBodyBytes)
+	body, err := h.readBody(w, r, branch.MaxBodyBytes)
 	if err != nil {
 		return err
 	}
@@ -25,7 +26,10 @@
 	}
 	rw := newRespWriter(w, c)
 	run := &completionRun{handler: h, completion: c, writer: rw, start: start}
-	err = run.run(r.Context())
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(h.ending, cancel)()
+	err = run.run(ctx)
 	h.observe(run, err)
 	if err != nil && rw.headerWritten {
 		return rw.abort(err)
--- a/caller/completion_run.go
+++ b/caller/completion_run.go
@@ -69,11 +69,26 @@
 			}
 			check.Reset(cr.checkInterval())
 		case <-ctx.Done():
-			return &Error{Op: "complete", Kind: Incomplete, Outcome: cr.outcome(), Reason: "the caller went away", Err: ctx.Err()}
+			return cr.endError(ctx)
 		}
 	}
 }
 
+// endError returns the error of a run that the caller or the end of the node has ended.
+func (cr *completionRun) endError(ctx context.Context) error {
+	for _, a := range []*attempt{cr.current, cr.speculative} {
+		cr.mayHaveRun = cr.mayHaveRun || a != nil && a.engineName() != ""
+	}
+	reason := "the caller went away"
+	if cr.handler.ending.Err() != nil {
+		if cr.outcome() == NotRun {
+			return shutdownError("complete")
+		}
+		reason = "the node is shutting down"
+	}
+	return &Error{Op: "complete", Kind: Incomplete, Outcome: cr.outcome(), Reason: reason, Err: ctx.Err()}
+}
+
 func (cr *completionRun) startNext(ctx context.Context, opts attemptOptions) *attempt {
 	cr.attempts++
 	return cr.handler.startAttempt(ctx, cr.completion, cr.completion.id+"."+strconv.Itoa(cr.attempts), opts)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -74,6 +74,8 @@
 	once        sync.Once
 	limits      Limiter
 	active      Inflight
+	ending      context.Context // ends when requests in flight must end
+	end         context.CancelFunc
 }
 
 // Event describes a finished completion.
@@ -97,6 +99,7 @@
 
 func (h *Handler) init() {
 	h.once.Do(func() {
+		h.ending, h.end = context.WithCancel(context.Background())
 		h.retryBudget = engine.ProportionalBudget{Share: retryRatio, Burst: retryBurst}
 		h.retryBudget.Credit(retryBurst / retryRatio)
 		if h.Router == nil {
@@ -109,15 +112,21 @@
 // is in flight.
 func (h *Handler) Close() <-chan struct{} { return h.active.Close() }
 
+// End rejects new requests and ends those in flight, except for calls of plain services.
+// Each gets a response that tells whether it may have run, unless its response has begun.
+func (h *Handler) End() {
+	h.init()
+	h.active.Close()
+	h.end()
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.init()
 	id := h.NewRequestID()
 	w.Header().Set(engine.HeaderRequestID, id)
 	if !h.active.TryAdd() {
-		e := notRunError("serve", NotReady, "the node is shutting down")
-		e.RetryAfter = shutdownRetryAfter
-		writeError(w, e)
+		writeError(w, shutdownError("serve"))
 		return
 	}
 	defer h.active.Done()
@@ -126,6 +135,12 @@
 	}
 }
 
+func shutdownError(op string) *Error {
+	e := notRunError(op, NotReady, "the node is shutting down")
+	e.RetryAfter = shutdownRetryAfter
+	return e
+}
+
 func (h *Handler) dispatch(w http.ResponseWriter, r *http.Request, id string) error {
 	const op = "route"
 	tree := h.Tree()
--- a/caller/request.go
+++ b/caller/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -52,13 +53,17 @@
 }
 
 // readBody reads the complete body. A truncated body is rejected, never
-// forwarded.
-func readBody(r *http.Request, limit int) ([]byte, error) {
+// forwarded. It stops reading when requests in flight must end.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, error) {
 	const op = "read"
 	if r.ContentLength > int64(limit) {
 		return nil, notRunError(op, BodyTooLarge, "the limit is "+strconv.Itoa(limit)+" bytes")
 	}
+	keepReading := context.AfterFunc(h.ending, func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	if !keepReading() {
+		return nil, shutdownError(op)
+	}
 	if err != nil {
 		e := notRunError(op, BadRequest, "the body was cut short")
 		e.Err = err
--- a/caller/service.go
+++ b/caller/service.go
@@ -30,7 +30,7 @@
 	}
 	path := "/" + suffix
 	repeatable := slices.Contains(strings.Split(doc.Fields["repeatable"], ","), path)
-	body, err := readBody(r, branch.MaxBodyBytes)
+	body, err := h.readBody(w, r, branch.MaxBodyBytes)
 	if err != nil {
 		return err
 	}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -141,9 +141,11 @@
 }
 
 // closeNode shuts a node down gracefully.
-func (c *cluster) closeNode(i int) error {
+func (c *cluster) closeNode(i int) error { return c.closeNodeWithin(i, time.Minute) }
+
+func (c *cluster) closeNodeWithin(i int, timeout time.Duration) error {
 	t := c.nodes[i]
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	err := t.node.Close(ctx)
 	t.running = false
--- a/node/node.go
+++ b/node/node.go
@@ -278,8 +278,12 @@
 	n.handOverAll(ctx)
 }
 
+// endMargin is how long responses may take that are written when the time to drain is over.
+const endMargin = 200 * time.Millisecond
+
 // Close drains the node: it refuses new requests, hands over engines and finishes the
-// requests in flight. If ctx ends first, Close returns an error of kind [ShutdownTimeout].
+// requests in flight. If ctx ends first, Close answers what can still be answered. If it
+// cuts streams or calls of services, it returns an error of kind [ShutdownTimeout].
 func (n *Node) Close(ctx context.Context) error {
 	n.session.announceLeaving()
 	sleep(ctx, n.cfg.DrainGrace)
@@ -298,8 +302,17 @@
 	case <-n.callerHandler.Close():
 		return nil
 	case <-ctx.Done():
-		return &Error{Op: "close", Kind: ShutdownTimeout, Reason: strconv.Itoa(n.registry.InUse()) + " streams in flight"}
 	}
+	streams := n.registry.InUse()
+	n.callerHandler.End()
+	select {
+	case <-n.callerHandler.Close():
+		if streams == 0 {
+			return nil // each request got a response
+		}
+	case <-time.After(endMargin):
+	}
+	return &Error{Op: "close", Kind: ShutdownTimeout, Reason: strconv.Itoa(streams) + " streams in flight"}
 }
 
 // Kill stops the node at once, as a crash would: it neither drains nor releases
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -288,6 +288,24 @@
 	})
 }
 
+// Requests that still waited when the time to drain was over were cut without an answer.
+func TestDrainTimeoutAnswersWhatWaits(t *testing.T) {
+	runInCluster(t, 3, 1, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.mustEdit(settings.Branch, "/depot", map[string]string{"deadline": "10m"})
+		const requests = 80
+		for i := range requests { // more than the engine runs at once
+			c.spawn(func() { c.sendRequest(1, "depot", i%3, "", 500, false) })
+		}
+		time.Sleep(2 * time.Second)
+		is.True(c.closeNodeWithin(1, 2*time.Second) != nil) // some run, and are cut
+		c.wg.Wait()
+		refused := c.outcomes["request not-ready not-run"]
+		is.True(refused > 0)
+		is.Equal(c.outcomes["served"]+refused+c.outcomes["request incomplete unknown"], requests)
+	})
+}
+
 // A node without contact to the table or a peer must stop admitting before a change
 // that it has not received must be in force.
 func TestIsolatedNodeStopsAdmitting(t *testing.T) {
