Stop the OpenAI front as the platform's front

Callers of the OpenAI front saw: no response after SIGTERM asked for the end of its connection, so kept connections lasted until the node closed them, with requests on the way (175 of 27,210 ended without a byte under load, 10,851 were refused); half a head whose rest never came was closed without an answer (7.08 s after SIGTERM).

Cause: run served callers with a plain http.Server.

Fix: it uses caller.Server: responses ask for the end of the connection from SIGTERM on, and after the drain the server looks once more before it closes what is idle.

TestStopAtEachPointOnOpenAIFront fails before at nine of its points, and the node runs on after its limit (the drain timeout and the servers' five seconds). After: it passes, and TestStopUnderLoadOnOpenAIFront has 21 of 9,010 requests without a byte, none of which the service or the balancer's time (2 s) allows to count as accepted, and 52 refused. The load test passed before too: its bound is what callers may see, which was kept.

The points of queue and of a silent server are played on the platform's front only; for this front, TestDrainTimeoutAnswersWhatWaits has them in virtual time.

--- a/cmd/vanilladriftd/run.go
+++ b/cmd/vanilladriftd/run.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
 
+	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/node"
 	"github.com/vanilladrift/vanilladrift/peer"
 )
@@ -36,7 +37,7 @@
 		return err
 	}
 	n := node.New(cfg)
-	servers, err := c.listen(n, tc)
+	callers, servers, err := c.listen(n, tc)
 	if err != nil {
 		return err
 	}
@@ -45,38 +46,41 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
-	return c.drain(n, servers, signals, cfg.Log)
+	callers.AskToClose()
+	return c.drain(n, callers, servers, signals, cfg.Log)
 }
 
-// listen starts the servers for peers, callers and operators.
-func (c *runCommand) listen(n *node.Node, tc *tls.Config) ([]*http.Server, error) {
-	var servers []*http.Server
+// listen starts the servers for callers, peers and operators.
+func (c *runCommand) listen(n *node.Node, tc *tls.Config) (callers *caller.Server, servers []*http.Server, err error) {
+	callerHTTP := &http.Server{Handler: n.Callers()}
+	callers = caller.NewServer(callerHTTP)
+	peerServer, operatorServer := peer.NewHTTPServer(n.Peers(), tc), &http.Server{Handler: n.Operators()}
 	for _, l := range []struct {
 		address string
 		srv     *http.Server
 		tls     *tls.Config
+		serve   func(ln net.Listener) error
 	}{
-		{c.Options.PeerAddress, peer.NewHTTPServer(n.Peers(), tc), tc},
-		{c.Options.CallerAddress, &http.Server{Handler: n.Callers()}, nil},
-		{c.Options.OperatorAddress, &http.Server{Handler: n.Operators()}, nil},
+		{c.Options.PeerAddress, peerServer, tc, peerServer.Serve},
+		{c.Options.CallerAddress, callerHTTP, nil, callers.Serve},
+		{c.Options.OperatorAddress, operatorServer, nil, operatorServer.Serve},
 	} {
 		ln, err := net.Listen("tcp", l.address)
 		if err != nil {
-			return nil, errors.Annotate(err, "listen")
+			return nil, nil, errors.Annotate(err, "listen")
 		}
 		if l.tls != nil {
 			ln = tls.NewListener(ln, l.tls)
 		}
 		l.srv.ReadHeaderTimeout, l.srv.IdleTimeout, l.srv.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
-		servers = append(servers, l.srv)
-		go func() { _ = l.srv.Serve(ln) }() // returns after Shutdown
+		go func() { _ = l.serve(ln) }() // returns after Shutdown
 	}
-	return servers, nil
+	return callers, []*http.Server{peerServer, operatorServer}, nil
 }
 
 // drain closes the node and then the servers. While the node waits for streams in
 // flight, the next signal logs their number and any later one aborts them.
-func (c *runCommand) drain(n *node.Node, servers []*http.Server, signals chan os.Signal, logger *log.Logger) error {
+func (c *runCommand) drain(n *node.Node, callers *caller.Server, servers []*http.Server, signals chan os.Signal, logger *log.Logger) error {
 	logger.Info("draining node; waiting for streams in flight", "timeout", c.Options.DrainTimeout)
 	ctx, cancel := context.WithTimeout(context.Background(), c.Options.DrainTimeout)
 	defer cancel()
@@ -88,6 +92,7 @@
 		case err := <-done:
 			sctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 			defer cancel()
+			_ = callers.Shutdown(sctx) // as below
 			for _, srv := range servers {
 				_ = srv.Shutdown(sctx) // n.Close has already reported aborted streams
 			}
