Shut a node's servers down together

Cause: the servers were shut down one after the other with one limit. Callers whose head did not come used all of it, and the connections of other nodes then got what was left.

Fix: the servers of peers and operators are shut down beside the callers' one, and heads have 4 of the 5 s. The node has ended by then, so no order between them is needed.

TestStopAtEachPointOnOpenAIFront fails before and passes after, at 5s.

--- a/cmd/vanilladriftd/run.go
+++ b/cmd/vanilladriftd/run.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -23,6 +24,8 @@
 	idleTimeout     = 2 * time.Minute
 	maxHeaderBytes  = 64 << 10
 	shutdownTimeout = 5 * time.Second
+	// callersTimeout is the part of shutdownTimeout in which heads of requests may end.
+	callersTimeout = 4 * time.Second
 )
 
 // runCommand runs the node until SIGTERM or SIGINT, then drains it.
@@ -92,10 +95,14 @@
 		case err := <-done:
 			sctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 			defer cancel()
-			_ = callers.Shutdown(sctx) // as below
+			var wg sync.WaitGroup
 			for _, srv := range servers {
-				_ = srv.Shutdown(sctx) // n.Close has already reported aborted streams
+				wg.Go(func() { _ = srv.Shutdown(sctx) }) // n.Close has already reported aborted streams
 			}
+			cctx, cancelCallers := context.WithTimeout(sctx, callersTimeout)
+			defer cancelCallers()
+			_ = callers.Shutdown(cctx) // likewise
+			wg.Wait()
 			logger.Info("node stopped")
 			return err
 		case <-signals:
