Do not let a silent store hold a stopping node

Seen: SIGTERM while the store does not respond and a request lasts until the end of the grace period: "the daemon still runs 6s after SIGTERM", its grace period. It would be killed, with whatever is being written.

Cause: the node announced that it leaves with its own context, which nothing ends (a renewal waits for the one in progress, is sent and read back: a second each), and removed its session with no limit but the store call's. Both came after the grace period had been used.

Evidence: the goroutines at SIGQUIT, in renew under announceLeaving under Close.

Fix: the announcement ends with Close's context; the removal ends 100 ms after it. Other nodes then wait until the session expires, as after a crash.

A daemon that overstays gets SIGQUIT in the tests, so that the log shows what it waits for.

--- a/cmd/vanilladriftd/stop_test.go
+++ b/cmd/vanilladriftd/stop_test.go
@@ -342,6 +342,8 @@
 	case <-d.exited:
 	case <-time.After(time.Until(signalled.Add(stopGrace))):
 		t.Errorf("the daemon still runs %v after SIGTERM", stopGrace)
+		_ = d.cmd.Process.Signal(syscall.SIGQUIT) // it logs what it waits for, unless it has ended meanwhile
+		<-d.exited
 		return
 	}
 	if took := d.end.Sub(signalled); d.err != nil || took > stopGrace {
@@ -532,3 +534,23 @@
 		t.Errorf("the response does not ask the caller to close the connection: %v", a)
 	}
 }
+
+// A store that does not respond must not hold the process beyond its grace period while
+// requests are in flight to the end.
+func TestStopWhileStoreIsSilent(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := startStopPlatform(t, 1)
+	p.waitOwned("taken")
+	d := p.daemons[0]
+	c := dialStop(d.callers)
+	is.NoErr(c.err)
+	defer c.close()
+	halfBody(c, stopHead("fast", "held", 0, len(stopBody)), stopBody)
+	p.store.SetFault(standin.TableFault{Delay: 2 * stopGrace})
+	time.Sleep(100 * time.Millisecond) // the daemon reads what was written
+	is.NoErr(d.cmd.Process.Signal(syscall.SIGTERM))
+	signalled := time.Now()
+	d.checkExit(t, signalled)
+	is.Equal(c.read().verdict(platformSaysNotRun), refused)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -274,29 +274,41 @@
 // HandOverEngines hands over the node's engines. The node still serves as an entry
 // node.
 func (n *Node) HandOverEngines(ctx context.Context) {
-	n.session.announceLeaving()
+	n.session.announceLeaving(ctx)
 	n.handOverAll(ctx)
 }
 
 // endMargin is how long responses may take that are written when the time to drain is over.
 const endMargin = 200 * time.Millisecond
 
+// rowMargin is how long the removal of the session may take when that time is over.
+const rowMargin = 100 * time.Millisecond
+
 // Close drains the node: it refuses new requests, hands over engines and finishes the
 // requests in flight. If ctx ends first, Close answers what can still be answered. If it
 // cuts streams or calls of services, it returns an error of kind [ShutdownTimeout].
 func (n *Node) Close(ctx context.Context) error {
-	n.session.announceLeaving()
+	n.session.announceLeaving(ctx)
 	sleep(ctx, n.cfg.DrainGrace)
 	n.refusing.Store(true)
 	n.handOverAll(ctx)
 	err := n.waitInFlight(ctx)
 	n.ledger.Close()
-	n.session.removeRow(context.WithoutCancel(ctx))
+	n.removeSession(ctx)
 	n.cancel()
 	<-n.tasks.Close()
 	return err
 }
 
+// removeSession removes the row of the session, and gives up soon after ctx ends: a table
+// that does not respond must not hold the process.
+func (n *Node) removeSession(ctx context.Context) {
+	rowCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(rowMargin, cancel) })()
+	n.session.removeRow(rowCtx)
+}
+
 func (n *Node) waitInFlight(ctx context.Context) error {
 	select {
 	case <-n.callerHandler.Close():
--- a/node/session.go
+++ b/node/session.go
@@ -70,11 +70,11 @@
 	return s.lease.Remaining(now)
 }
 
-func (s *session) announceLeaving() {
+func (s *session) announceLeaving(ctx context.Context) {
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
-	s.renew(s.n.ctx)
+	s.renew(ctx)
 }
 
 func (s *session) isLeaving() bool {
