--- a/caller/completion_run.go
+++ b/caller/completion_run.go
@@ -58,6 +58,9 @@
 		select {
 		case ev := <-cr.current.events:
 			done, err := cr.handle(ctx, ev)
+			if err != nil && ctx.Err() != nil {
+				return cr.endError(ctx) // the event may only be a consequence of the end
+			}
 			if done || err != nil {
 				return err
 			}
@@ -71,9 +74,24 @@
 			}
 			check.Reset(cr.checkInterval())
 		case <-ctx.Done():
-			return &Error{Op: "complete", Kind: Incomplete, Outcome: cr.outcome(), Reason: "the caller went away", Err: ctx.Err()}
+			return cr.endError(ctx)
+		}
+	}
+}
+
+// endError returns the error of a run that the caller or the end of the node has ended.
+func (cr *completionRun) endError(ctx context.Context) error {
+	for _, a := range []*attempt{cr.current, cr.speculative} {
+		cr.mayHaveRun = cr.mayHaveRun || a != nil && a.engineName() != ""
+	}
+	reason := "the caller went away"
+	if cr.handler.ending.Err() != nil {
+		if cr.outcome() == NotRun {
+			return shutdownError("complete")
 		}
+		reason = "the node is shutting down"
 	}
+	return &Error{Op: "complete", Kind: Incomplete, Outcome: cr.outcome(), Reason: reason, Err: ctx.Err()}
 }
 
 func (cr *completionRun) startNext(ctx context.Context, opts attemptOptions) *attempt {
--- a/cmd/vanilladriftd/run.go
+++ b/cmd/vanilladriftd/run.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
 
+	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/node"
 	"github.com/vanilladrift/vanilladrift/peer"
 )
@@ -22,6 +24,8 @@
 	idleTimeout     = 2 * time.Minute
 	maxHeaderBytes  = 64 << 10
 	shutdownTimeout = 5 * time.Second
+	// callersTimeout is the part of shutdownTimeout in which heads of requests may end.
+	callersTimeout = 4 * time.Second
 )
 
 // runCommand runs the node until SIGTERM or SIGINT, then drains it.
@@ -36,7 +40,7 @@
 		return err
 	}
 	n := node.New(cfg)
-	servers, err := c.listen(n, tc)
+	callers, servers, err := c.listen(n, tc)
 	if err != nil {
 		return err
 	}
@@ -45,38 +49,41 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
-	return c.drain(n, servers, signals, cfg.Log)
+	callers.AskToClose()
+	return c.drain(n, callers, servers, signals, cfg.Log)
 }
 
-// listen starts the servers for peers, callers and operators.
-func (c *runCommand) listen(n *node.Node, tc *tls.Config) ([]*http.Server, error) {
-	var servers []*http.Server
+// listen starts the servers for callers, peers and operators.
+func (c *runCommand) listen(n *node.Node, tc *tls.Config) (callers *caller.Server, servers []*http.Server, err error) {
+	callerHTTP := &http.Server{Handler: n.Callers()}
+	callers = caller.NewServer(callerHTTP)
+	peerServer, operatorServer := peer.NewHTTPServer(n.Peers(), tc), &http.Server{Handler: n.Operators()}
 	for _, l := range []struct {
 		address string
 		srv     *http.Server
 		tls     *tls.Config
+		serve   func(ln net.Listener) error
 	}{
-		{c.Options.PeerAddress, peer.NewHTTPServer(n.Peers(), tc), tc},
-		{c.Options.CallerAddress, &http.Server{Handler: n.Callers()}, nil},
-		{c.Options.OperatorAddress, &http.Server{Handler: n.Operators()}, nil},
+		{c.Options.PeerAddress, peerServer, tc, peerServer.Serve},
+		{c.Options.CallerAddress, callerHTTP, nil, callers.Serve},
+		{c.Options.OperatorAddress, operatorServer, nil, operatorServer.Serve},
 	} {
 		ln, err := net.Listen("tcp", l.address)
 		if err != nil {
-			return nil, errors.Annotate(err, "listen")
+			return nil, nil, errors.Annotate(err, "listen")
 		}
 		if l.tls != nil {
 			ln = tls.NewListener(ln, l.tls)
 		}
 		l.srv.ReadHeaderTimeout, l.srv.IdleTimeout, l.srv.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
-		servers = append(servers, l.srv)
-		go func() { _ = l.srv.Serve(ln) }() // returns after Shutdown
+		go func() { _ = l.serve(ln) }() // returns after Shutdown
 	}
-	return servers, nil
+	return callers, []*http.Server{peerServer, operatorServer}, nil
 }
 
 // drain closes the node and then the servers. While the node waits for streams in
 // flight, the next signal logs their number and any later one aborts them.
-func (c *runCommand) drain(n *node.Node, servers []*http.Server, signals chan os.Signal, logger *log.Logger) error {
+func (c *runCommand) drain(n *node.Node, callers *caller.Server, servers []*http.Server, signals chan os.Signal, logger *log.Logger) error {
 	logger.Info("draining node; waiting for streams in flight", "timeout", c.Options.DrainTimeout)
 	ctx, cancel := context.WithTimeout(context.Background(), c.Options.DrainTimeout)
 	defer cancel()
@@ -88,9 +95,14 @@
 		case err := <-done:
 			sctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 			defer cancel()
+			var wg sync.WaitGroup
 			for _, srv := range servers {
-				_ = srv.Shutdown(sctx) // n.Close has already reported aborted streams
+				wg.Go(func() { _ = srv.Shutdown(sctx) }) // n.Close has already reported aborted streams
 			}
+			cctx, cancelCallers := context.WithTimeout(sctx, callersTimeout)
+			defer cancelCallers()
+			_ = callers.Shutdown(cctx) // likewise
+			wg.Wait()
 			logger.Info("node stopped")
 			return err
 		case <-signals:
