Read the sessions once for all announcements of a moment

When 20 of 60 nodes end at once, each engine that is announced as having no owner made its next owner read all session rows by itself: a review measured up to 164 reads of the store in half a second, 54 before the announcements.

Change: a node waits 20 ms and reads once for all that were announced meanwhile. The messages about prompts use the common heartbeat, too.

--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,7 @@
 	tableUp      atomic.Bool
 	tokensKnown  atomic.Bool // the registry has the fencing token of every engine
 	refusing     atomic.Bool // new requests are refused
+	pollPending  atomic.Bool // an announced read of the session rows has not begun
 	requestCount atomic.Int64
 
 	ctx    context.Context
--- a/node/poll.go
+++ b/node/poll.go
@@ -54,5 +54,19 @@
 	}
 }
 
+// announcementWindow is how long a node collects announcements of engines without an owner
+// before it reads the sessions for all of them.
+const announcementWindow = 20 * time.Millisecond
+
+// pollMembersSoon reads the session rows after the announcement of an engine without an owner.
+func (n *Node) pollMembersSoon() {
+	if n.pollPending.Swap(true) {
+		return
+	}
+	sleep(n.ctx, announcementWindow)
+	n.pollPending.Store(false)
+	n.pollMembers(n.ctx)
+}
+
 // takeoverRounds bounds the reads of the session rows in one poll.
 const takeoverRounds = 2
--- a/node/prompts.go
+++ b/node/prompts.go
@@ -31,22 +31,21 @@
 func (m *members) sendPromptEvents(ctx context.Context, address string, e backend.PromptEvents) {
 	ctx, cancel := context.WithTimeout(ctx, m.n.cfg.ProbeTimeout)
 	defer cancel()
-	req := encodePromptEvents(time.Now(), e)
-	req.Node, req.Process, req.Revision, req.Generation = m.n.cfg.Name, m.n.process, m.n.store.Tree().Rev(), m.n.generations.Current()
+	req := m.n.newHeartbeat()
+	addPromptEvents(req, time.Now(), e)
 	if _, err := m.link(address).client.Heartbeat(ctx, connect.NewRequest(req)); err != nil {
 		m.n.log.Debug("cannot tell a node of prompts that may crash engines", "address", address, "err", err)
 	}
 }
 
-func encodePromptEvents(now time.Time, e backend.PromptEvents) *peerpb.HeartbeatRequest {
-	req := &peerpb.HeartbeatRequest{ClearedPromptParts: e.Cleared}
+func addPromptEvents(req *peerpb.HeartbeatRequest, now time.Time, e backend.PromptEvents) {
+	req.ClearedPromptParts = e.Cleared
 	for _, c := range e.Crashes {
 		req.PromptCrashes = append(req.PromptCrashes, &peerpb.PromptCrash{
 			Incarnation: c.Incarnation, RequestId: c.RequestID, Parts: c.Parts,
 			AgeMs: now.Sub(c.At).Milliseconds(), InFlightMs: c.InFlight.Milliseconds(),
 		})
 	}
-	return req
 }
 
 // recordPromptEvents takes the events of another node.
--- a/node/prompts_test.go
+++ b/node/prompts_test.go
@@ -73,7 +73,8 @@
 		if e.IsEmpty() {
 			continue
 		}
-		req := encodePromptEvents(p.now, e)
+		req := &peerpb.HeartbeatRequest{}
+		addPromptEvents(req, p.now, e)
 		p.messages, p.bytes, p.clears = p.messages+len(p.nodes)-1, p.bytes+(len(p.nodes)-1)*proto.Size(req), p.clears+len(e.Cleared)
 		for to := range p.nodes {
 			if to == i {
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -175,7 +175,7 @@
 		}
 		n.reconcileLock.Release(1)
 		if n.ownedEngine(name) == nil {
-			n.pollMembers(n.ctx) // its owner may have been fenced since the sessions were read
+			n.pollMembersSoon() // its owner may have been fenced since the sessions were read
 		}
 	})
 }
