Keep the end of requests in flight in Inflight

Both fronts had the same context, its set-up and two functions for it, and the same way to end the reading of a body. They stand in caller.Inflight now, which both count their requests with: Ending, End and EndReads. relay.Handler had a sync.Once from before that nothing else used. No change of behaviour; the tests of relay and caller pass with -race, the mutants end-unanswered (remade for its context) and drain-end-unanswered die.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -29,7 +29,7 @@
 	run := &completionRun{handler: h, completion: c, writer: rw, start: start}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	defer context.AfterFunc(h.ending, cancel)()
+	defer context.AfterFunc(h.active.Ending(), cancel)()
 	err = run.run(ctx)
 	h.observe(run, err)
 	if err != nil && rw.headerWritten {
--- a/caller/completion_run.go
+++ b/caller/completion_run.go
@@ -85,7 +85,7 @@
 		cr.mayHaveRun = cr.mayHaveRun || a != nil && a.engineName() != ""
 	}
 	reason := "the caller went away"
-	if cr.handler.ending.Err() != nil {
+	if cr.handler.active.Ending().Err() != nil {
 		if cr.outcome() == NotRun {
 			return shutdownError("complete")
 		}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -76,8 +76,6 @@
 	once        sync.Once
 	limits      Limiter
 	active      Inflight
-	ending      context.Context // ends when requests in flight must end
-	end         context.CancelFunc
 }
 
 // Event describes a finished completion.
@@ -101,7 +99,6 @@
 
 func (h *Handler) init() {
 	h.once.Do(func() {
-		h.ending, h.end = context.WithCancel(context.Background())
 		h.retryBudget = engine.ProportionalBudget{Share: retryRatio, Burst: retryBurst}
 		h.retryBudget.Credit(retryBurst / retryRatio)
 		if h.Router == nil {
@@ -116,11 +113,7 @@
 
 // End rejects new requests and ends those in flight, except for calls of plain services.
 // Each gets a response that tells whether it may have run, unless its response has begun.
-func (h *Handler) End() {
-	h.init()
-	h.active.Close()
-	h.end()
-}
+func (h *Handler) End() { h.active.End() }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/caller/inflight.go
+++ b/caller/inflight.go
@@ -1,6 +1,11 @@
 package caller
 
-import "sync"
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
 
 // Inflight counts work that a shutdown must wait for. Unlike with
 // sync.WaitGroup, work may be added while another goroutine waits. The zero
@@ -10,6 +15,8 @@
 	n      int
 	closed bool
 	idle   chan struct{} // closed when the last work is done after Close
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // TryAdd adds one piece of work. It returns false after Close.
@@ -69,3 +76,26 @@
 	}
 	return done
 }
+
+// Ending returns a context that ends with [Inflight.End].
+func (i *Inflight) Ending() context.Context {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.ending == nil {
+		i.ending, i.end = context.WithCancel(context.Background())
+	}
+	return i.ending
+}
+
+// End rejects new work, and tells the work in flight to end.
+func (i *Inflight) End() {
+	i.Close()
+	i.Ending()
+	i.end()
+}
+
+// EndReads makes reads of a request's body fail from [Inflight.End] on. The returned function
+// ends that, and returns false if it has happened.
+func (i *Inflight) EndReads(w http.ResponseWriter) (stop func() bool) {
+	return context.AfterFunc(i.Ending(), func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+}
--- a/caller/request.go
+++ b/caller/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -60,7 +59,7 @@
 	if r.ContentLength > int64(limit) {
 		return nil, notRunError(op, BodyTooLarge, "the limit is "+strconv.Itoa(limit)+" bytes")
 	}
-	keepReading := context.AfterFunc(h.ending, func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+	keepReading := h.active.EndReads(w)
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
 	if !keepReading() {
 		return nil, shutdownError(op)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -8,7 +8,6 @@
 	"maps"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -95,9 +94,6 @@
 	Observe func(Event)
 
 	active caller.Inflight
-	once   sync.Once
-	ending context.Context // ends when requests in flight must end
-	end    context.CancelFunc
 }
 
 // Close rejects new requests. The returned channel is closed when no request
@@ -106,19 +102,10 @@
 
 // End rejects new requests and ends those in flight. Each gets a response that tells
 // whether it may have run, unless its response has begun.
-func (h *Handler) End() {
-	h.init()
-	h.active.Close()
-	h.end()
-}
-
-func (h *Handler) init() {
-	h.once.Do(func() { h.ending, h.end = context.WithCancel(context.Background()) })
-}
+func (h *Handler) End() { h.active.End() }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.init()
 	x := &exchange{handler: h, w: w, r: r, start: time.Now()}
 	w.Header().Set(h.RequestIDHeader, r.Header.Get(h.RequestIDHeader))
 	var err error
@@ -186,7 +173,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	defer context.AfterFunc(x.handler.ending, cancel)()
+	defer context.AfterFunc(x.handler.active.Ending(), cancel)()
 	x.handler.RetryBudget(x.pool.Name).CountRequest(x.start)
 	if x.pool.Engine == nil {
 		return x.servePlain(ctx)
@@ -203,7 +190,7 @@
 	}
 	c := http.NewResponseController(x.w)
 	canTimeOut := c.SetReadDeadline(x.deadline) == nil // not in tests without a connection
-	keepReading := context.AfterFunc(x.handler.ending, func() { _ = c.SetReadDeadline(time.Now()) })
+	keepReading := x.handler.active.EndReads(x.w)
 	body, err := io.ReadAll(io.LimitReader(x.r.Body, int64(limit)+1))
 	if !keepReading() {
 		return &Error{Op: op, Kind: NotReady, Reason: shuttingDown, RetryAfter: notReadyRetryAfter, Err: err}
@@ -392,7 +379,7 @@
 		return callerLeftError(ctx.Err())
 	case x.mayHaveRun:
 		return &Error{Op: op, Kind: TimedOut, Reason: "no answer came in time"}
-	case x.handler.ending.Err() != nil:
+	case x.handler.active.Ending().Err() != nil:
 		return &Error{Op: op, Kind: NotReady, Reason: shuttingDown, RetryAfter: notReadyRetryAfter}
 	}
 	return &Error{Op: op, Kind: ExpiredUnsent, Reason: "no server could take it in time", RetryAfter: x.retryAfter()}
