Ask in one place whether a server may get new requests

Balancer.Pick, the new HasServer and the list of engines that grants are asked from had the same condition, once more written out in relay. IsUsable is that condition; HasServer, which one caller used, is gone. No change of behaviour; the tests of backend, relay and entry pass with -race.

--- a/backend/balancer.go
+++ b/backend/balancer.go
@@ -43,7 +43,7 @@
 	var best *Server
 	var bestCost float64
 	for _, s := range servers {
-		if !b.isUsable(now, s, excluded) {
+		if excluded[s.ID] || !b.IsUsable(now, s) {
 			continue
 		}
 		cost := b.cost(now, s) + rand.Float64()/2 // break ties at random
@@ -66,18 +66,10 @@
 	}
 }
 
-// HasServer reports whether there is a server that [Balancer.Pick] would return.
-func (b *Balancer) HasServer(now time.Time, servers []*Server, excluded map[string]bool) bool {
-	for _, s := range servers {
-		if b.isUsable(now, s, excluded) {
-			return true
-		}
-	}
-	return false
-}
-
-func (b *Balancer) isUsable(now time.Time, s *Server, excluded map[string]bool) bool {
-	return !s.Draining && !excluded[s.ID] && b.Pauses.Left(now, s) == 0
+// IsUsable reports whether a server may get new requests from this node: it does not drain and
+// has not asked for a pause.
+func (b *Balancer) IsUsable(now time.Time, s *Server) bool {
+	return !s.Draining && b.Pauses.Left(now, s) == 0
 }
 
 func (b *Balancer) cost(now time.Time, s *Server) float64 {
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -86,7 +86,7 @@
 func (x *exchange) acquireGrant(ctx context.Context, excluded string, lastEventAt time.Time) (caller.Grant, error) {
 	var names []string
 	for _, s := range x.handler.Servers().Pool(x.pool.Name) {
-		if !s.Draining && s.ID != excluded && x.handler.Balancer.Pauses.Left(time.Now(), s) == 0 {
+		if s.ID != excluded && x.handler.Balancer.IsUsable(time.Now(), s) {
 			names = append(names, s.ID)
 		}
 	}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/backend"
@@ -71,7 +72,9 @@
 	defer cancel()
 	w := x.watch(s, cancel, mayResume)
 	w.find = func(context.Context, time.Time) (caller.Grant, bool) {
-		return caller.Grant{}, x.handler.Balancer.HasServer(time.Now(), x.handler.Servers().Pool(x.pool.Name), tried)
+		return caller.Grant{}, slices.ContainsFunc(x.handler.Servers().Pool(x.pool.Name), func(s *backend.Server) bool {
+			return !tried[s.ID] && x.handler.Balancer.IsUsable(time.Now(), s)
+		})
 	}
 	w.start()
 	defer func() { w.close(&res) }()
