Look up the usual time of a server in one place

The relay and the OpenAI front each took a server's own pace, or else the slowest known one of its pool, and had the factor 20 twice. Paces.UsualTime and backend.StallFactor serve both.

--- a/backend/pace.go
+++ b/backend/pace.go
@@ -15,6 +15,9 @@
 	// paceRank is the rank of the sample that is the pace: a few long waits do not change
 	// it, and neither do events that arrive together.
 	paceRank = 0.9
+	// StallFactor is how many times the usual time of its server a stream may go without an
+	// event with content. Sound streams at a tenth of the usual pace go on.
+	StallFactor = 20
 	// paceTTL is how long the paces of an incarnation are kept after its last stream.
 	paceTTL = 10 * time.Minute
 )
@@ -43,9 +46,19 @@
 	return pace
 }
 
-// Slowest returns the longest time to the first event, or between two events if isFirst
+// UsualTime returns the usual time to the first event, or between two events if isFirst is
+// false, of a server with the given pace. If that is unknown, it is the longest one of the
+// servers of its pool whose pace is known.
+func (p *Paces) UsualTime(pace *Pace, pool func() []*Server, isFirst bool, promptTokens int) (d time.Duration, ok bool) {
+	if d, ok := pace.Time(isFirst, promptTokens); ok {
+		return d, true
+	}
+	return p.slowest(pool(), isFirst, promptTokens)
+}
+
+// slowest returns the longest time to the first event, or between two events if isFirst
 // is false, of the servers whose pace is known.
-func (p *Paces) Slowest(servers []*Server, isFirst bool, promptTokens int) (d time.Duration, ok bool) {
+func (p *Paces) slowest(servers []*Server, isFirst bool, promptTokens int) (d time.Duration, ok bool) {
 	for _, s := range servers {
 		p.mu.Lock()
 		pace := p.byName[s.Incarnation()]
--- a/backend/pace_test.go
+++ b/backend/pace_test.go
@@ -57,14 +57,14 @@
 	var paces Paces
 	now := time.Unix(0, 0)
 	servers := []*Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}
-	_, ok := paces.Slowest(servers, false, 0)
+	_, ok := paces.slowest(servers, false, 0)
 	is.True(!ok)
 	for i, s := range servers[:2] {
 		for range minPaceSamples {
 			paces.Of(now, s).Observe(false, 0, time.Duration(i+1)*time.Second)
 		}
 	}
-	d, ok := paces.Slowest(servers, false, 0)
+	d, ok := paces.slowest(servers, false, 0)
 	is.True(ok)
 	is.Equal(d, 2*time.Second)
 	_, ok = paces.Of(now, &Server{ID: "a", StartMS: 1}).Time(false, 0)
--- a/caller/stall.go
+++ b/caller/stall.go
@@ -6,13 +6,9 @@
 	"github.com/vanilladrift/vanilladrift/backend"
 )
 
-const (
-	// paceFactor is how many times the usual time of its engine an attempt may go without
-	// a token before another one is started beside it.
-	paceFactor = 20
-	// minStallTime is the shortest time without a token that is a stall.
-	minStallTime = time.Second
-)
+// minStallTime is the shortest time without a token that is a stall: another attempt is then
+// started beside it.
+const minStallTime = time.Second
 
 // paceOf returns the pace of an engine.
 func (h *Handler) paceOf(now time.Time, name string) *backend.Pace {
@@ -27,19 +23,17 @@
 	if sentAt == nil {
 		return 0, false // it waits for a grant
 	}
-	isFirst, prompt := !cr.current.began, cr.completion.promptTokens
-	usual, ok := cr.handler.paceOf(now, name).Time(isFirst, prompt)
-	if !ok {
-		var pool []*backend.Server
+	pool := func() (list []*backend.Server) {
 		for _, other := range cr.handler.Engines(cr.completion.model.BaseModel) {
-			pool = append(pool, &backend.Server{ID: other})
+			list = append(list, &backend.Server{ID: other})
 		}
-		usual, ok = cr.handler.paces.Slowest(pool, isFirst, prompt)
+		return list
 	}
+	usual, ok := cr.handler.paces.UsualTime(cr.handler.paceOf(now, name), pool, !cr.current.began, cr.completion.promptTokens)
 	if !ok {
 		return 0, false
 	}
-	limit = max(minStallTime, paceFactor*usual)
+	limit = max(minStallTime, backend.StallFactor*usual)
 	since := cr.lastToken
 	if sentAt.After(since) {
 		since = *sentAt
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -1,11 +1,12 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/backend"
+)
 
 const (
-	// stallFactor is how many times the usual time of its server a stream may go without
-	// an event. Sound streams at a tenth of the usual pace go on.
-	stallFactor = 20
 	// minStall is the shortest time without an event that is a stall. A packet that is
 	// lost and sent again takes that long.
 	minStall = 400 * time.Millisecond
@@ -67,7 +68,7 @@
 	if !ok {
 		return max(aim, p.callerTimeout), end
 	}
-	return max(aim, minStall, stallFactor*usual), max(end, stallFactor*usual)
+	return max(aim, minStall, backend.StallFactor*usual), max(end, backend.StallFactor*usual)
 }
 
 // check returns what to do, and after which time to check again, or by when to have found
--- a/relay/stall_watch.go
+++ b/relay/stall_watch.go
@@ -54,10 +54,7 @@
 	w.progress = streamProgress{
 		firstAim: aim.Sub(now), gapAim: x.route.TargetGap, callerTimeout: x.route.FirstEventTimeout(), lastAt: now,
 		usualTime: func(isFirst bool) (time.Duration, bool) {
-			if d, ok := pace.Time(isFirst, w.prompt); ok {
-				return d, true
-			}
-			return paces.Slowest(x.handler.Servers().Pool(pool), isFirst, w.prompt)
+			return paces.UsualTime(pace, func() []*backend.Server { return x.handler.Servers().Pool(pool) }, isFirst, w.prompt)
 		},
 	}
 	return w
