--- a/node/expiry.go
+++ b/node/expiry.go
@@ -62,14 +62,11 @@
 	}
 	reaper := m.preferredOwner("reaper", "") == m.n.cfg.Name
 	for _, other := range m.all() {
-		if m.witnessesMayBeLost(other) {
-			continue
-		}
 		if other.expired && !other.Fenced && (reaper || m.isDown(other.Address)) {
 			m.fence(ctx, other)
 			continue
 		}
-		if !reaper || !other.expired || !other.Fenced {
+		if !reaper || !other.expired || !other.Fenced || m.witnessesMayBeLost(other) {
 			continue
 		}
 		m.mu.Lock()
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -12,11 +12,20 @@
 
 	"github.com/matryer/is"
 
-	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
 	"github.com/vanilladrift/vanilladrift/table"
 )
 
+// testOnStore runs f in virtual time on a cluster of nodes on the platform's store.
+func testOnStore(t *testing.T, nodes, engines int, f func(is *is.I, c *leaseCluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newStoreCluster(nodes, engines)
+		defer c.close()
+		f(is.New(t), c)
+	})
+}
+
 // restore restores the store from a copy after it was unavailable for a moment.
 func (c *leaseCluster) restore(from *standin.StoreCopy, away time.Duration) {
 	c.store.SetFault(standin.TableFault{Down: true})
@@ -48,10 +57,7 @@
 	} {
 		for _, age := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 8 * time.Second} {
 			t.Run(fmt.Sprintf("%s %v before", tt.name, age), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					is := is.New(t)
-					c := newStoreCluster(5, 16)
-					defer c.close()
+				testOnStore(t, 5, 16, func(is *is.I, c *leaseCluster) {
 					is.Equal(c.watch(10*time.Second), "")
 					before := c.store.Copy()
 					tt.after(c)
@@ -67,10 +73,7 @@
 // Guards against two owners of an engine: the response to a release is lost, the release is
 // applied seconds later, and the next owner takes the engine over at once.
 func TestReleaseAppliedLateEndsOwnership(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newStoreCluster(5, 16)
-		defer c.close()
+	testOnStore(t, 5, 16, func(is *is.I, c *leaseCluster) {
 		is.Equal(c.watch(10*time.Second), "")
 		c.store.SetFault(standin.TableFault{ApplyLate: func(tx table.Tx) time.Duration {
 			if strings.HasPrefix(tx.Puts[0].Key, table.OwnerPrefix) {
@@ -80,7 +83,7 @@
 		}})
 		releasing := c.nodes[slices.IndexFunc(c.nodes, func(n *Node) bool { return len(n.ownedEngines()) > 0 })]
 		o := releasing.ownedEngines()[0]
-		releasing.handOver(t.Context(), o)
+		releasing.handOver(releasing.ctx, o)
 		is.Equal(c.watch(3*time.Second), "")
 		c.store.SetFault(standin.TableFault{})
 		is.Equal(c.watch(1500*time.Millisecond), "")
@@ -94,10 +97,7 @@
 // A restore must not leave engines without an owner for longer than it takes to register
 // again, if their owners live.
 func TestOwnersOfBeforeARestoreGoOn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newStoreCluster(5, 16)
-		defer c.close()
+	testOnStore(t, 5, 16, func(is *is.I, c *leaseCluster) {
 		before := c.store.Copy() // without any owner
 		is.Equal(c.watch(10*time.Second), "")
 		owners := c.owners()
@@ -108,37 +108,9 @@
 	})
 }
 
-// Guards against a node that stands still: a tick holds the lock of an engine when it takes that
-// of the node, so a takeover must not ask engines while it holds the node's.
-func TestTakeoverBesideTickDoesNotBlock(t *testing.T) {
-	n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL})
-	o := newOwnedEngine(n, settings.BackendServer{Name: "e", Slots: 2, UnloadWaitsForRequests: true}, table.Owner{}, 1)
-	n.formerlyOwned["e"] = append(n.formerlyOwned["e"], o)
-	o.reportPending = true
-	done := make(chan bool, 2)
-	for _, f := range []func(){func() { o.tick(t.Context(), time.Now()) }, func() { n.hasCommandsInFlight("e") }} {
-		go func() {
-			for range 20000 {
-				f()
-			}
-			done <- true
-		}()
-	}
-	for range 2 {
-		select {
-		case <-done:
-		case <-time.After(30 * time.Second):
-			t.Fatal("blocked")
-		}
-	}
-}
-
 // Guards against former ownerships that are kept for ever, one for each restore or handover.
 func TestFormerOwnershipsAreForgotten(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newStoreCluster(3, 16)
-		defer c.close()
+	testOnStore(t, 3, 16, func(is *is.I, c *leaseCluster) {
 		is.Equal(c.watch(8*time.Second), "")
 		for range 4 {
 			before := c.store.Copy()
@@ -159,10 +131,7 @@
 // Guards against a release that is repeated for ever: its row is of before a restore, and nobody
 // writes it again since the engine is no longer configured.
 func TestReleaseEndsWithARestore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newStoreCluster(5, 8)
-		defer c.close()
+	testOnStore(t, 5, 8, func(is *is.I, c *leaseCluster) {
 		is.Equal(c.watch(10*time.Second), "")
 		before := c.store.Copy()
 		n := c.nodes[slices.IndexFunc(c.nodes, func(n *Node) bool { return len(n.ownedEngines()) > 0 })]
@@ -188,10 +157,7 @@
 	for _, lost := range []time.Duration{2 * time.Second, 8 * time.Second, 14 * time.Second} {
 		for _, inCopy := range []int{1, 2, 4} {
 			t.Run(fmt.Sprintf("%d nodes in the copy, %v lost", inCopy, lost), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					is := is.New(t)
-					c := newStoreCluster(inCopy, 24)
-					defer c.close()
+				testOnStore(t, inCopy, 24, func(is *is.I, c *leaseCluster) {
 					is.Equal(c.watch(6*time.Second), "")
 					before := c.store.Copy()
 					for range 4 {
@@ -219,10 +185,7 @@
 // Guards against sessions that count as established at once, since the first write of their row
 // got no response and was found by a later read.
 func TestSessionWithLostRegistrationIsNotEstablished(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newStoreCluster(1, 4)
-		defer c.close()
+	testOnStore(t, 1, 4, func(is *is.I, c *leaseCluster) {
 		is.Equal(c.watch(6*time.Second), "")
 		joined := c.joinUnanswered(500*time.Millisecond, func(*Node) {})
 		time.Sleep(5 * time.Second)
@@ -239,10 +202,7 @@
 // sessions since, knows of no nodes whose leases it must outwait, or only those of before.
 func TestNodeThatHasNotReadSessionsTakesNothingOver(t *testing.T) {
 	t.Run("joined", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			c := newStoreCluster(4, 24)
-			defer c.close()
+		testOnStore(t, 4, 24, func(is *is.I, c *leaseCluster) {
 			is.Equal(c.watch(40*time.Second), "")
 			before := c.store.Copy()
 			is.Equal(c.watch(2*time.Second), "")
@@ -255,10 +215,7 @@
 		})
 	})
 	t.Run("was cut from the store", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			c := newStoreCluster(2, 24)
-			defer c.close()
+		testOnStore(t, 2, 24, func(is *is.I, c *leaseCluster) {
 			is.Equal(c.watch(30*time.Second), "")
 			c.cutFromStore(c.nodes[0], true)
 			for range 4 {
@@ -282,10 +239,7 @@
 // Guards against two owners after a restore: the sessions in the copy are ended by the consent
 // of witnesses that were replaced in the writes that are lost.
 func TestSessionsOfTheCopyAreNotFencedByItsWitnesses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newStoreCluster(2, 24)
-		defer c.close()
+	testOnStore(t, 2, 24, func(is *is.I, c *leaseCluster) {
 		is.Equal(c.watch(40*time.Second), "")
 		c.join()
 		c.join()
@@ -309,10 +263,7 @@
 func TestLeaseWithOneWitnessOutlastsSlowStore(t *testing.T) {
 	for _, nodes := range []int{1, 2, 3} {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				c := newStoreCluster(nodes, 4)
-				defer c.close()
+			testOnStore(t, nodes, 4, func(is *is.I, c *leaseCluster) {
 				is.Equal(c.watch(30*time.Second), "")
 				c.setFault(standin.TableFault{Delay: 250 * time.Millisecond})
 				time.Sleep(3 * time.Second)
