Log why a table is read again, and which row a configuration comes from

The log could not tell the hypotheses on configurations that were behind apart: neither the reason of a complete read nor the generation and version of the row was in it, and a configuration that was not newer left no line. No decision changes.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -306,6 +306,9 @@
 				d.state.servers.StoreUnavailable()
 			}
 		},
+		OnReadAgain: func(version int64, reason string) {
+			d.log.Info("reading table again", "table", tableName, "version", version, "reason", reason)
+		},
 		OnUp: func() {
 			d.log.Info("store regained", "table", tableName)
 			if tableName == platform.ServersTable {
--- a/entry/state.go
+++ b/entry/state.go
@@ -72,7 +72,7 @@
 			s.log.Error("ignoring invalid configuration; keeping the one in force", "row-version", row.Version, "err", err)
 			return
 		}
-		s.setRoutes(t)
+		s.setRoutes(t, row)
 	case platform.IsAdapterVersionKey(key):
 		v, err := platform.DecodeAdapterVersion(row)
 		if err != nil {
@@ -85,14 +85,20 @@
 
 // setRoutes puts a configuration in force unless the current one has the same or a
 // later version.
-func (s *platformState) setRoutes(routes *route.Table) {
+func (s *platformState) setRoutes(routes *route.Table, row table.Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old := s.routes.Load(); old != nil && old.Version() >= routes.Version() {
+	var inForce int64
+	if old := s.routes.Load(); old != nil {
+		inForce = old.Version()
+	}
+	l := s.log.With("version", routes.Version(), "row-version", row.Version, "generation", row.Generation)
+	if inForce >= routes.Version() {
+		l.Info("configuration is not newer; keeping the one in force", "in-force", inForce)
 		return
 	}
 	s.routes.Store(routes)
-	s.log.Info("configuration in force", "version", routes.Version(), "pools", len(routes.Pools()))
+	l.Info("configuration in force", "replaced", inForce, "pools", len(routes.Pools()))
 	s.installEngines()
 }
 
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -38,6 +38,9 @@
 	// responds again.
 	OnDown func(err error)
 	OnUp   func()
+	// OnReadAgain, which is optional, is called before the complete table is read again,
+	// with the version that the follower had and the reason.
+	OnReadAgain func(version int64, reason string)
 	// PollWait is how long the store waits for a change before it responds.
 	// ResponseTimeout is the time allowed for a response beyond that.
 	PollWait        time.Duration
@@ -98,8 +101,11 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+f.ResponseTimeout)
 	defer cancel()
 	changes, err := f.ReadChanges(ctx, f.Table, f.version, wait)
-	if table.IsKind(err, table.HistoryLost) || err == nil && (changes.Version < f.version || changes.Generation != f.generation) {
-		f.synced = false // the changes are incomplete, so read the table again
+	if reason := f.incompleteReason(changes, err); reason != "" {
+		f.synced = false
+		if f.OnReadAgain != nil {
+			f.OnReadAgain(f.version, reason)
+		}
 		return f.poll(ctx)
 	}
 	if err != nil {
@@ -112,6 +118,21 @@
 	return nil
 }
 
+// incompleteReason returns why changes may be missing in a response, or "".
+func (f *Follower) incompleteReason(changes table.Changes, err error) string {
+	switch {
+	case table.IsKind(err, table.HistoryLost):
+		return "the store no longer has the changes"
+	case err != nil:
+		return ""
+	case changes.Generation != f.generation:
+		return "the store was restored"
+	case changes.Version < f.version:
+		return "the store's version went back"
+	}
+	return ""
+}
+
 // jitter returns a random delay between d/2 and 3d/2, so that the nodes do not
 // all call the store at once after an outage.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
