--- a/standin/pipe_network.go
+++ b/standin/pipe_network.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 )
@@ -14,7 +15,8 @@
 type PipeNetwork struct {
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
-	lastPort  int // last port that was assigned for port 0
+	silent    map[string]*atomic.Bool // by address, of the connections since the last Silence
+	lastPort  int                     // last port that was assigned for port 0
 }
 
 type pipeListener struct {
@@ -55,15 +57,15 @@
 // Dial connects to the listener at an address.
 func (n *PipeNetwork) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n.mu.Lock()
-	l := n.listeners[address]
+	l, silent := n.listeners[address], n.silentFlag(address)
 	n.mu.Unlock()
 	if l == nil {
 		return nil, &net.OpError{Op: "dial", Net: "wire", Addr: pipeAddr(address), Err: errors.New("connection refused")}
 	}
 	client, server := net.Pipe()
 	select {
-	case l.conns <- pipeConn{server, l.address}:
-		return pipeConn{client, l.address}, nil
+	case l.conns <- pipeConn{server, l.address, silent}:
+		return pipeConn{client, l.address, silent}, nil
 	case <-l.closed:
 		return nil, &net.OpError{Op: "dial", Net: "wire", Addr: l.address, Err: errors.New("connection reset")}
 	case <-ctx.Done():
@@ -71,6 +73,26 @@
 	}
 }
 
+// Silence makes the connections to an address that are open deliver nothing further. They
+// stay open, and new ones work.
+func (n *PipeNetwork) Silence(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silentFlag(address).Store(true)
+	delete(n.silent, address)
+}
+
+// silentFlag returns the flag of new connections to an address. The caller holds n.mu.
+func (n *PipeNetwork) silentFlag(address string) *atomic.Bool {
+	if n.silent == nil {
+		n.silent = make(map[string]*atomic.Bool)
+	}
+	if n.silent[address] == nil {
+		n.silent[address] = &atomic.Bool{}
+	}
+	return n.silent[address]
+}
+
 // Deliver hands a connection that the caller made to the listener at an address.
 func (n *PipeNetwork) Deliver(address string, c net.Conn) error {
 	n.mu.Lock()
@@ -115,6 +137,15 @@
 type pipeConn struct {
 	net.Conn
 	address pipeAddr
+	silent  *atomic.Bool // what is written is lost
+}
+
+// Write implements net.Conn.
+func (c pipeConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
 }
 
 // LocalAddr implements net.Conn.
