Bound the poll for configurations by the time in which a node must catch up

Callers of a node could be served by an older configuration for up to 5 s after the connections to the store had gone silent. Cause: the poll's wait of 4 s and its response timeout of 1 s were chosen by themselves, and the comment relied on TCP keep-alive, which a peer that answers it does not trip. The wait now follows from the platform's catch-up period (healthy_ms of the settings): wait, response timeout, the longest first delay and a new connection fit into it. At 3 s that is a wait of 1.3 s.

TestOperatorPollEndsWithinCatchUpPeriod derives the bound. Price: an idle node polls for configurations three times as often as before.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"runtime/debug"
@@ -26,9 +27,13 @@
 const (
 	// storeTimeout bounds a store call; it is many times the usual response time.
 	storeTimeout = time.Second
-	// operatorPollWait is how long the store holds a poll for configuration open. TCP
-	// keep-alive closes a dead connection sooner.
-	operatorPollWait = 4 * time.Second
+	// defaultCatchUpPeriod is the catch-up period if the settings state none.
+	defaultCatchUpPeriod = 3 * time.Second
+	// minOperatorPollWait bounds the calls of nodes with a short catch-up period.
+	minOperatorPollWait = 500 * time.Millisecond
+	// pollRecoveryReserve is the part of the catch-up period in which a poll without a
+	// response is replaced: after a delay, it may first need a connection.
+	pollRecoveryReserve = minStoreRetryDelay*3/2 + dialTimeout
 	// maxServersPollInterval is the longest time between two polls for servers. Their rows
 	// also tell which adapters they have loaded.
 	maxServersPollInterval = 2 * time.Second
@@ -121,6 +126,13 @@
 	return min(maxServersPollInterval, max(drainPeriod-serversPollReserve, drainPeriod/2))
 }
 
+// operatorPollWait returns how long the store may hold a poll for configuration open. If its
+// response is lost on a connection that stays open, the next poll has a response within the
+// catch-up period.
+func operatorPollWait(catchUp time.Duration) time.Duration {
+	return max(minOperatorPollWait, cmp.Or(catchUp, defaultCatchUpPeriod)-storeTimeout-pollRecoveryReserve)
+}
+
 // serverRowTTL returns how long the row of a server that is gone stays in a store that was
 // restored. The platform removes it after three intervals of silence, and the removal is
 // read one poll later.
@@ -277,7 +289,7 @@
 	d.callerServer = caller.NewServer(&http.Server{Handler: d.relayHandler, ReadHeaderTimeout: headTimeout, ConnContext: withCallerConn})
 	go func() { _ = d.callerServer.Serve(ln) }() // returns after Shutdown
 	d.node.Start()
-	d.followTable(platform.OperatorTable, operatorPollWait, 0, d.state.replaceOperatorRows, d.state.applyOperatorChanges)
+	d.followTable(platform.OperatorTable, operatorPollWait(d.settings.CatchUpPeriod), 0, d.state.replaceOperatorRows, d.state.applyOperatorChanges)
 	d.followTable(platform.ServersTable, 0, serversPollInterval(d.settings.DrainPeriod), d.state.replaceServerRows, d.state.applyServerChanges)
 	d.tasks.Go(func() {
 		t := time.NewTicker(restoredInterval)
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -54,3 +54,15 @@
 	is.True(d.Reload(next))
 	is.Equal(d.settings.StoreAddress, current.StoreAddress)
 }
+
+// Guards against a poll whose lost response is awaited for longer than a node may be behind.
+func TestOperatorPollEndsWithinCatchUpPeriod(t *testing.T) {
+	is := is.New(t)
+	for _, catchUp := range []time.Duration{2500 * time.Millisecond, 3 * time.Second, 10 * time.Second} {
+		wait := operatorPollWait(catchUp)
+		is.True(wait+storeTimeout+minStoreRetryDelay*3/2+dialTimeout <= catchUp)
+		is.True(wait > 0)
+	}
+	is.Equal(operatorPollWait(0), operatorPollWait(3*time.Second))
+	is.Equal(operatorPollWait(time.Second), minOperatorPollWait)
+}
