Take a version of the configuration that was written again with other contents

After a restore of the store, nodes could disagree for good until the next version: those that had read a version that was lost before its confirmation kept it, although the operator had since written something else under the same version, and nodes that started later had that. Callers got 404 or another pool, depending on the node.

Cause: the version alone decided which of two configurations is newer. Now the generation and version of the row decide between equal versions; a lower version is still never taken, since the copy lacks what was confirmed.

TestVersionWithOtherContentsAfterARestore failed before.

--- a/entry/state.go
+++ b/entry/state.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"bytes"
+	"cmp"
 	"maps"
 	"strconv"
 	"strings"
@@ -42,6 +44,7 @@
 	enginesChanged  func()   // called after the engines have changed
 
 	mu              sync.Mutex
+	configRow       table.Row         // of the configuration in force
 	rev             int64             // revision of the node's settings
 	engineSummaries map[string]string // settings of each engine by its ID, to detect changes
 	// serversGeneration is the generation of the store in which the servers were last read.
@@ -83,8 +86,9 @@
 	}
 }
 
-// setRoutes puts a configuration in force unless the current one has the same or a
-// later version.
+// setRoutes puts a configuration in force unless the one in force has a later version, or
+// the same version from a row that was written later. The operator may write a version
+// again with other contents if a restore of the store lost it.
 func (s *platformState) setRoutes(routes *route.Table, row table.Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -93,15 +97,25 @@
 		inForce = old.Version()
 	}
 	l := s.log.With("version", routes.Version(), "row-version", row.Version, "generation", row.Generation)
-	if inForce >= routes.Version() {
+	if inForce > routes.Version() || inForce == routes.Version() && !isWrittenAfter(row, s.configRow) {
 		l.Info("configuration is not newer; keeping the one in force", "in-force", inForce)
 		return
 	}
+	same := bytes.Equal(row.Value, s.configRow.Value)
+	s.configRow = row
+	if same {
+		return
+	}
 	s.routes.Store(routes)
 	l.Info("configuration in force", "replaced", inForce, "pools", len(routes.Pools()))
 	s.installEngines()
 }
 
+// isWrittenAfter reports whether a row was written after another version of it.
+func isWrittenAfter(row, other table.Row) bool {
+	return cmp.Or(cmp.Compare(row.Generation, other.Generation), cmp.Compare(row.Version, other.Version)) > 0
+}
+
 func (s *platformState) setAdapterVersion(v platform.AdapterVersion) {
 	name := engine.JoinAdapterName(v.Model, v.Adapter)
 	s.mu.Lock()
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -156,3 +156,27 @@
 	is.Equal(d.state.routes.Load().Version(), int64(8))
 	is.Equal(d.state.adapterVersion("base-7b", "a1"), int64(5))
 }
+
+// Guards against nodes that keep the contents of a version that was lost with a restore
+// before it was confirmed, and then written with others.
+func TestVersionWithOtherContentsAfterARestore(t *testing.T) {
+	is := is.New(t)
+	d := newStateFixture(t)
+	row := func(version, prefix string, generation, rowVersion int64) table.Row {
+		config := bytes.Replace(platform.ExampleConfig, []byte(`"version": 1`), []byte(`"version": `+version), 1)
+		return table.Row{Key: platform.ConfigRowKey, Value: bytes.Replace(config, []byte(`"/status/"`), []byte(`"`+prefix+`"`), 1), Generation: generation, Version: rowVersion}
+	}
+	hasRoute := func(prefix string) bool {
+		_, ok := d.state.routes.Load().Match("assist.example", prefix)
+		return ok
+	}
+	d.state.replaceOperatorRows(table.Snapshot{Rows: []table.Row{row("7", "/lost/", 1, 40)}, Generation: 1})
+	is.True(hasRoute("/lost/"))
+	d.state.replaceOperatorRows(table.Snapshot{Rows: []table.Row{row("6", "/copy/", 2, 30)}, Generation: 2})
+	is.True(hasRoute("/lost/")) // a version of before the restore may have been confirmed
+	d.state.applyOperatorChanges(table.Changes{Rows: []table.ChangedRow{{Row: row("7", "/kept/", 2, 35)}}, Generation: 2})
+	is.True(hasRoute("/kept/"))
+	is.True(!hasRoute("/lost/"))
+	d.state.replaceOperatorRows(table.Snapshot{Rows: []table.Row{row("7", "/old/", 2, 34)}, Generation: 2}) // a read that is out of date
+	is.True(hasRoute("/kept/"))
+}
