Do not repeat complete reads without a delay while they are out of date

After the store dropped its history, a follower whose complete reads are older than the rest polled and read again at the pace of the store's responses. The calls of all nodes share one allowance, so that others, which would have been current, would get 429: two calls a round trip and node, over the 2,000 a second of a site from seven nodes on at a few milliseconds each. Now a second complete read in a row counts as a failure of the store and waits, with the usual growing delay; the follower counts as recovered once it has read changes.

TestOutdatedReadsAreNotRepeatedWithoutDelay never ended before, as no time passed between the calls.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -7,8 +7,9 @@
 //
 // A follower reads the complete table first, and then polls for changes since
 // that version. It reads the complete table again if the store no longer has
-// those changes, or was restored from a copy and gives out versions again. Every call has a timeout, since a connection may hang without
-// an error.
+// those changes, or was restored from a copy and gives out versions again. While complete
+// reads are older than the changes that the store keeps, it retries as after a failure. Every
+// call has a timeout, since a connection may hang without an error.
 //
 // # Not covered
 //
@@ -20,6 +21,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/vanilladrift/vanilladrift/table"
 )
 
@@ -55,6 +58,7 @@
 	version    int64
 	generation int64 // in which the version was read
 	synced     bool
+	unproved   bool // no changes were read since the last complete read
 	down       bool
 }
 
@@ -72,6 +76,9 @@
 			delay = min(2*delay, f.MaxRetryDelay)
 			continue
 		}
+		if f.down && f.unproved {
+			continue // the complete read may be out of date
+		}
 		if f.down {
 			f.down = false
 			f.OnUp()
@@ -91,6 +98,7 @@
 			return err
 		}
 		f.version, f.generation, f.synced = snapshot.Version, snapshot.Generation, true
+		f.unproved = true
 		f.Reset(snapshot)
 		return nil
 	}
@@ -106,12 +114,15 @@
 		if f.OnReadAgain != nil {
 			f.OnReadAgain(f.version, reason)
 		}
+		if f.unproved {
+			return &table.Error{Op: "follow", Kind: table.Unavailable, Key: f.Table, Err: errors.New("complete reads are out of date: " + reason)}
+		}
 		return f.poll(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	f.version = changes.Version
+	f.version, f.unproved = changes.Version, false
 	if len(changes.Rows) > 0 {
 		f.Apply(changes)
 	}
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -20,7 +20,8 @@
 	generation   int64
 	rows         map[string]int64
 	changes      []table.ChangedRow
-	historyStart int64 // changes after this version are available
+	historyStart int64           // changes after this version are available
+	stale        *table.Snapshot // if set, complete reads return it
 	down         bool
 	hangs        bool
 	calls        int
@@ -47,6 +48,9 @@
 	if s.down {
 		return table.Snapshot{}, errors.New("down")
 	}
+	if s.stale != nil {
+		return *s.stale, nil
+	}
 	all := table.Snapshot{Version: s.version, Generation: s.generation}
 	for key, v := range s.rows {
 		all.Rows = append(all.Rows, table.Row{Key: key, Version: v})
@@ -254,3 +258,31 @@
 		stop()
 	})
 }
+
+// Guards against calls without a delay while complete reads are older than the history that
+// the store keeps. They use up the calls that all nodes share.
+func TestOutdatedReadsAreNotRepeatedWithoutDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tbl := &stubTable{rows: map[string]int64{}}
+		tbl.putRow("a")
+		rec := &recorder{versions: map[string]int64{}}
+		f := newFollower(tbl, rec)
+		f.PollWait = time.Second
+		stop := run(f)
+		time.Sleep(100 * time.Millisecond)
+		tbl.update(func() {
+			tbl.stale = &table.Snapshot{Version: tbl.version, Rows: []table.Row{{Key: "a", Version: 1}}}
+			tbl.putRow("b")
+			tbl.historyStart, tbl.changes, tbl.calls = tbl.version, nil, 0
+		})
+		time.Sleep(5 * time.Second)
+		tbl.update(func() {
+			is.True(tbl.calls <= 40) // of 10,000 at one a call of half a millisecond
+			tbl.stale = nil
+		})
+		time.Sleep(f.MaxRetryDelay * 3 / 2)
+		is.Equal(rec.version("b"), int64(2))
+		stop()
+	})
+}
