Serve the other routes of a configuration with a type that is not known

One route of a type that is newer than this program kept out its whole configuration and all later ones: callers of every other route were served, or rejected with 404, by the version before, for good. The platform accepts only valid configurations, so such a type is unknown to us rather than wrong. Requests of its route are now sent once at most, to one server, which is safe for every type, and a warning names the route.

--- a/entry/state.go
+++ b/entry/state.go
@@ -70,11 +70,14 @@
 	key := strings.TrimPrefix(row.Key, platform.OperatorTable+"/")
 	switch {
 	case platform.IsConfigKey(key):
-		t, err := platform.DecodeConfig(row)
+		t, unknown, err := platform.DecodeConfig(row)
 		if err != nil {
 			s.log.Error("ignoring invalid configuration; keeping the one in force", "row-version", row.Version, "err", err)
 			return
 		}
+		for _, err := range unknown {
+			s.log.Warn("sending each request of a route once at most", "row-version", row.Version, "err", err)
+		}
 		s.setRoutes(t, row)
 	case platform.IsAdapterVersionKey(key):
 		v, err := platform.DecodeAdapterVersion(row)
