Show servers that get far more requests than the limit that they state

The stand-in of a server states a limit and records what arrives meanwhile. The whole path with three nodes exceeds it in all five cases: single servers and all of a pool, engines and plain servers, and a limit of 0. The bound is the platform's (1.5 times the limit in 4 s, and 5 more, from 3 s on, all kinds of requests and all nodes together); the test asks as well that 0.7 of what limited servers offer is used.

--- a/standin/replica.go
+++ b/standin/replica.go
@@ -31,8 +31,11 @@
 	// Unframed makes responses have neither a length nor chunks, so that they end with
 	// their connection. Streams of CutStreams then end inside an event.
 	Unframed bool
-	KeepRow  bool // changes of the state are not written to the row
-	Drip     Drip // streams that stall
+	// Limit, if set, is the number of requests a second that the replica states it takes from
+	// all nodes together. It is stated as it is written here.
+	Limit   string
+	KeepRow bool // changes of the state are not written to the row
+	Drip    Drip // streams that stall
 	// SlowStreams are streams that take SlowFactor times as long for their first and
 	// between all events.
 	SlowStreams int
@@ -139,6 +142,7 @@
 	defer r.mu.Unlock()
 	rec := r.record
 	rec.Executions, rec.Commands = maps.Clone(r.record.Executions), slices.Clone(r.record.Commands)
+	rec.LimitedArrivals = slices.Clone(r.record.LimitedArrivals)
 	return rec
 }
 
@@ -146,6 +150,7 @@
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.serveDown()
 	w = &replicaResponse{ResponseWriter: w, replica: r}
+	r.recordArrival(time.Now())
 	if pause := r.observeArrival(time.Now()); pause > 0 {
 		platform.WriteRefusal(w, req, pause)
 		return
--- a/standin/replica_response.go
+++ b/standin/replica_response.go
@@ -18,6 +18,9 @@
 	if !w.sent && w.replica.isDraining() {
 		platform.SetDrainingHeader(w.Header())
 	}
+	if limit := w.replica.statedLimit(); !w.sent && limit != "" {
+		platform.SetLimitHeader(w.Header(), limit)
+	}
 	w.sent = true
 	w.ResponseWriter.WriteHeader(status)
 }
