Read the limits that servers state, and record what they ask for in one place

The log could not tell whether a server had named a limit, since nothing read the header. Nodes now decode it, remember it by incarnation with the time at which the server said so, and log each change. Nothing acts on it yet.

What a response asks for (to get no more requests, a pause, a limit) is one value, backend.Asks, from platform to one function of the entry node, instead of two callbacks in each of two clients; responses to commands and reports take the same way. Tests of draining and pauses are the same but for the callback's form.

--- /dev/null
+++ b/backend/asks.go
@@ -0,0 +1,15 @@
+package backend
+
+import "time"
+
+// Asks is what a server asked for in a response. The zero value asks for nothing.
+type Asks struct {
+	Draining bool          // it wants no new requests
+	Pause    time.Duration // how long it wants no requests from this node
+	PauseErr error         // the pause cannot be read
+	// PerSecond is the number of requests a second that it takes from all nodes together, if
+	// Limited is set.
+	PerSecond float64
+	Limited   bool
+	LimitErr  error // the limit cannot be read
+}
--- /dev/null
+++ b/entry/asks.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/backend"
+)
+
+// recordAsks records what a server asked for in its response to a caller's request.
+func (d *Daemon) recordAsks(s *backend.Server, sent time.Time, a backend.Asks) {
+	now := time.Now()
+	if a.Draining {
+		d.state.setDraining(s)
+	}
+	switch {
+	case a.PauseErr != nil:
+		d.log.Warn("server asked for a pause of unreadable length; ignoring it", "server", s.ID, "err", a.PauseErr)
+	case a.Pause > 0 && d.balancer.Pauses.Pause(now, s, a.Pause):
+		d.log.Info("server asked for a pause; sending it nothing until then", "server", s.ID, "pool", s.Pool, "pause", a.Pause, "left", d.balancer.Pauses.Left(now, s))
+	}
+	limit, changed := d.limits.Observe(sent, now, s, a)
+	if a.LimitErr != nil && changed {
+		d.log.Warn("server stated a limit that cannot be read", "server", s.ID, "pool", s.Pool, "err", a.LimitErr)
+	}
+	if changed {
+		d.log.Info("server stated another limit on its requests", "server", s.ID, "born", s.StartMS, "pool", s.Pool, "limited", limit.Limited, "per-second", limit.PerSecond)
+	}
+}
+
+// recordControlAsks records what a server asked for in its response to a command or to a
+// request for its report. Only responses to callers' requests end a limit.
+func (d *Daemon) recordControlAsks(s *backend.Server, sent time.Time, a backend.Asks) {
+	if known, ok := d.limits.Get(s.ID); ok && !a.Limited && a.LimitErr == nil {
+		a.Limited, a.PerSecond = known.Limited, known.PerSecond
+	}
+	d.recordAsks(s, sent, a)
+}
+
+// isPaused reports whether the server at an address must get no requests now.
+func (d *Daemon) isPaused(address string) bool {
+	return d.balancer.Pauses.IsPaused(time.Now(), address, d.state.servers.View().Server)
+}
+
+// isEnginePaused reports whether an engine must get no requests now.
+func (d *Daemon) isEnginePaused(name string) bool {
+	s, ok := d.state.servers.View().Server(name)
+	return ok && d.balancer.Pauses.Left(time.Now(), s) > 0
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -100,6 +100,7 @@
 	relayHandler *relay.Handler
 	acquirer     *caller.Acquirer
 	balancer     *backend.Balancer
+	limits       *backend.Limits
 	metrics      *metrics
 
 	mu           sync.Mutex
@@ -152,6 +153,7 @@
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.store = &platform.StoreClient{Address: s.StoreAddress, HTTP: &http.Client{Transport: n.newTransport(0, defaultIdleTimeout)}}
 	d.balancer = &backend.Balancer{DataCenter: s.DataCenter}
+	d.limits = &backend.Limits{}
 	prompts := &backend.PromptQuarantine{}
 	d.state = &platformState{log: l, servers: backend.Registry{RowTTL: serverRowTTL(s.HeartbeatInterval)}}
 	ttl, margin, renewEvery := leaseTimings(s.OwnerAlternationGap)
@@ -177,8 +179,8 @@
 		DecodeRequest: platform.DecodeRequestHead, NewServerRequest: platform.NewReplicaRequest, DecodeResponse: platform.DecodeResponseHead, RequestIDHeader: platform.RequestIDHeader,
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine,
-		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordPause: d.recordPause, Observe: d.observe,
-		ServerDraining: d.state.setDraining, CallerLeft: d.callerLeft,
+		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordAsks: d.recordAsks, Observe: d.observe,
+		CallerLeft: d.callerLeft,
 	}
 	return d, nil
 }
@@ -216,7 +218,7 @@
 		}
 		pool, _ := routes.Pool(s.Pool)
 		hc := &http.Client{Transport: d.transports.forPool(pool)}
-		return *s, &platform.ReplicaClient{HTTP: hc, Node: d.settings.Node, OnPause: d.recordPause, OnDraining: d.state.setDraining}, nil
+		return *s, &platform.ReplicaClient{HTTP: hc, Node: d.settings.Node, OnAsks: d.recordControlAsks}, nil
 	}
 	return &engine.Sequencer{
 		Send: func(ctx context.Context, c engine.Command) (engine.Reply, error) {
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -59,9 +59,10 @@
 	NewServerRequest func(ctx context.Context, s ServerRequest) *http.Request
 	// DecodeResponse parses the headers of a server's response.
 	DecodeResponse func(resp *http.Response) ResponseHead
-	// ServerDraining, which is optional, is called for each response whose server states
-	// that it is draining. Servers must show it before the call returns.
-	ServerDraining func(s *backend.Server)
+	// RecordAsks, which is optional, records what a server asked for in its response to a
+	// request that was sent at the given time. Servers must show that one is draining, and
+	// the balancer a pause, before the call returns.
+	RecordAsks func(s *backend.Server, sent time.Time, a backend.Asks)
 	// RequestIDHeader is the name of the header that holds the request ID.
 	RequestIDHeader string
 	// Transport returns the round tripper for the servers of a pool.
@@ -77,9 +78,6 @@
 	// Balancer chooses servers in pools without model engines. Its pauses hold for model
 	// engines too.
 	Balancer *backend.Balancer
-	// RecordPause adds a pause that a server asks for to those of the balancer. If the
-	// time cannot be read, err is set.
-	RecordPause func(s *backend.Server, d time.Duration, err error)
 	// Prompts, which is optional, finds prompts that crash engines.
 	Prompts *backend.PromptQuarantine
 	// OnQuarantine, which is optional, is called when parts of prompts are quarantined.
@@ -218,26 +216,29 @@
 	s.TimeLeft = time.Until(x.deadline)
 	x.event.Server = s.Server.ID
 	x.event.Attempts++
+	sent := time.Now()
 	resp, err := x.handler.Transport(x.pool).RoundTrip(x.handler.NewServerRequest(ctx, s))
 	if err != nil {
 		return nil, ResponseHead{}, err
 	}
 	head := x.handler.DecodeResponse(resp)
-	if head.Draining && x.handler.ServerDraining != nil {
-		x.handler.ServerDraining(s.Server)
-	}
 	if head.RequestID != x.head.ID || !head.NotRun && head.Status < 300 && !head.Signed {
 		// A late response to another request, or one without the server's
 		// signature. A refusal of another request tells nothing of this one.
+		x.recordAsks(s.Server, sent, backend.Asks{Draining: head.Asks.Draining})
 		resp.Body.Close()
 		return nil, head, errors.Errorf("the answer is to request %q", head.RequestID)
 	}
-	if head.Pause > 0 || head.PauseErr != nil {
-		x.handler.RecordPause(s.Server, head.Pause, head.PauseErr)
-	}
+	x.recordAsks(s.Server, sent, head.Asks)
 	return resp, head, nil
 }
 
+func (x *exchange) recordAsks(s *backend.Server, sent time.Time, a backend.Asks) {
+	if x.handler.RecordAsks != nil {
+		x.handler.RecordAsks(s, sent, a)
+	}
+}
+
 // forward sends the request and handles attempts that yield no response body
 // to read: a failed round trip, or a rejection by the server. If the returned
 // result is nil, the caller must read and close the response body.
--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -23,13 +23,13 @@
 // mark "pause".
 func newPauseFixture(r route.Route, pool route.Pool, replies ...reply) *fixture {
 	f := newFixture(r, pool, replies...)
-	f.handler.RecordPause = func(s *backend.Server, d time.Duration, _ error) {
-		f.handler.Balancer.Pauses.Pause(time.Now(), s, d)
+	f.handler.RecordAsks = func(s *backend.Server, _ time.Time, a backend.Asks) {
+		f.handler.Balancer.Pauses.Pause(time.Now(), s, a.Pause)
 	}
 	f.handler.DecodeResponse = func(resp *http.Response) ResponseHead {
 		head := f.decodeResponse(resp)
 		if strings.Contains(resp.Header.Get("X-Answer"), "pause") {
-			head.Pause = testPause
+			head.Asks.Pause = testPause
 		}
 		return head
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -121,7 +121,11 @@
 			return RequestHead{ID: h.Get("Id"), Model: "m", Adapter: "a", LastEventID: h.Get("After")}, nil
 		},
 		NewServerRequest: f.servers.newRequest, RequestIDHeader: "Id",
-		ServerDraining: func(s *backend.Server) { f.registry.SetDraining(s) },
+		RecordAsks: func(s *backend.Server, _ time.Time, a backend.Asks) {
+			if a.Draining {
+				f.registry.SetDraining(s)
+			}
+		},
 		DecodeResponse: func(resp *http.Response) ResponseHead { return f.decodeResponse(resp) },
 		Transport:      func(route.Pool) http.RoundTripper { return f.servers },
 		Acquire: func(_ context.Context, names []string, w engine.Work) (caller.Grant, error) {
@@ -141,7 +145,7 @@
 	head := ResponseHead{Status: resp.StatusCode, RequestID: "r1", Signed: resp.StatusCode < 300, Header: http.Header{}}
 	marks := resp.Header.Get("X-Answer")
 	head.NotRun, head.Misdirected, head.Stream = strings.Contains(marks, "notrun"), strings.Contains(marks, "misplaced"), strings.Contains(marks, "stream")
-	head.Draining = strings.Contains(marks, "draining")
+	head.Asks.Draining = strings.Contains(marks, "draining")
 	if strings.Contains(marks, "other") {
 		head.RequestID = "other"
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -58,7 +58,5 @@
 	// EndsWithConnection is set if only the end of the connection ends the body, so that a
 	// closed connection does not show whether it is complete.
 	EndsWithConnection bool
-	Pause              time.Duration // how long the server wants no requests from this node; 0 if it did not say
-	PauseErr           error         // the time that it asked for cannot be read
-	Draining           bool          // the server states that it is draining
+	Asks               backend.Asks // what the server asks for
 }
--- a/standin/replica_draining_test.go
+++ b/standin/replica_draining_test.go
@@ -26,7 +26,7 @@
 			}
 			w := httptest.NewRecorder()
 			r.ServeHTTP(w, req)
-			return w.Code, platform.DecodeResponseHead(w.Result()).Draining
+			return w.Code, platform.DecodeResponseHead(w.Result()).Asks.Draining
 		}
 		calls := []struct {
 			method, path, body string
