Keep to the limits that servers state, all nodes together

Servers that had named a limit got several times of it: 82 requests in 4 s where 27 were allowed. Nothing read the limit; by reading, a limit kept by each node would have broken it as well.

One node decides for each server. For an engine that is its owner, which alone gives out grants: its scheduler spaces them, counts commands and reports as well, and refuses work at once that would wait behind the limit for longer than it can be of use, so that other engines get it. Entry nodes tell the owner what they know with each request for a grant. For a plain server it is the first choice of rendezvous hashing, which nodes ask for a turn; nodes that got none ask again at different times, and skip the server until then.

While nodes disagree: who begins to decide gives out half for 6 s, so that with the one of before it stays under 1.5 times the limit; while nobody can be asked, all nodes together take half. A grant without an owner is not used at an engine with a limit. A limit below one in 10 s counts as that, or a server could never end it. If all servers of a pool are at their limits, requests are held or rejected at once with the time to come back, as with pauses.

--- a/backend/balancer.go
+++ b/backend/balancer.go
@@ -66,10 +66,10 @@
 	}
 }
 
-// IsUsable reports whether a server may get new requests from this node: it does not drain and
-// has not asked for a pause.
+// IsUsable reports whether a server may get new requests from this node: it does not drain,
+// has not asked for a pause, and its limit may have room.
 func (b *Balancer) IsUsable(now time.Time, s *Server) bool {
-	return !s.Draining && b.Pauses.Left(now, s) == 0
+	return !s.Draining && b.Pauses.IsOpen(now, s)
 }
 
 func (b *Balancer) cost(now time.Time, s *Server) float64 {
--- a/backend/pauses.go
+++ b/backend/pauses.go
@@ -33,6 +33,17 @@
 type pause struct {
 	id, address string
 	start, end  time.Time
+	// noTurnUntil is when the server may have room within its limit for a request of this
+	// node. Requests that have their turn are sent before.
+	noTurnUntil time.Time
+}
+
+// until returns when new requests may be sent.
+func (p pause) until() time.Time {
+	if p.noTurnUntil.After(p.end) {
+		return p.noTurnUntil
+	}
+	return p.end
 }
 
 // Pause records that a server wants no requests for d from now on. It never shortens a
@@ -44,15 +55,11 @@
 	end := now.Add(min(d, maxPause))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next := maps.Clone(p.all())
-	if next == nil {
-		next = make(map[string]pause)
-	}
-	maps.DeleteFunc(next, func(_ string, old pause) bool { return now.Sub(old.end) > failureTTL })
+	next := p.copy(now)
 	old := next[s.Incarnation()]
 	isNew = !old.end.After(now)
 	if isNew {
-		old = pause{id: s.ID, address: s.Address, start: now}
+		old = pause{id: s.ID, address: s.Address, start: now, noTurnUntil: old.noTurnUntil}
 	}
 	if end.After(old.end) {
 		old.end = end
@@ -62,6 +69,28 @@
 	return isNew
 }
 
+// DelayTurn records that the limit of a server has no room for another request of this node
+// before d has passed.
+func (p *Pauses) DelayTurn(now time.Time, s *Server, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := p.copy(now)
+	old := next[s.Incarnation()]
+	old.id, old.address, old.noTurnUntil = s.ID, s.Address, now.Add(d)
+	next[s.Incarnation()] = old
+	p.byName.Store(&next)
+}
+
+// copy returns a copy of the map without what has ended. p.mu must be held.
+func (p *Pauses) copy(now time.Time) map[string]pause {
+	next := maps.Clone(p.all())
+	if next == nil {
+		next = make(map[string]pause)
+	}
+	maps.DeleteFunc(next, func(_ string, old pause) bool { return now.Sub(old.until()) > failureTTL })
+	return next
+}
+
 // all returns the map of pauses by incarnation, which must not be modified.
 func (p *Pauses) all() map[string]pause {
 	if m := p.byName.Load(); m != nil {
@@ -79,6 +108,13 @@
 	return max(0, m[s.Incarnation()].end.Sub(now))
 }
 
+// IsOpen reports whether new requests may be sent to a server: it has no pause, and its limit
+// may have room for one.
+func (p *Pauses) IsOpen(now time.Time, s *Server) bool {
+	m := p.all()
+	return len(m) == 0 || !m[s.Incarnation()].until().After(now)
+}
+
 // IsPaused reports whether the server at an address has a pause. The argument find returns
 // the current incarnation of a server; the pause of an earlier one does not count.
 func (p *Pauses) IsPaused(now time.Time, address string, find func(id string) (*Server, bool)) bool {
@@ -94,30 +130,34 @@
 }
 
 // Wait returns the time until one of the servers accepts requests again. It is 0 unless
-// all servers that are neither draining nor excluded have a pause. The requests that wait
+// all servers that are neither draining nor excluded have a pause, or no room within their
+// limits. The requests that wait
 // for the end of the pause should be spread over the time spread after it.
 func (p *Pauses) Wait(now time.Time, servers []*Server, excluded func(s *Server) bool) (left, spread time.Duration) {
 	m := p.all()
 	if len(m) == 0 {
 		return 0, 0
 	}
-	var first pause
+	var start, end time.Time
 	for _, s := range servers {
 		if s.Draining || excluded(s) {
 			continue
 		}
 		next := m[s.Incarnation()]
-		if !next.end.After(now) {
+		if !next.until().After(now) {
 			return 0, 0
 		}
-		if first.end.IsZero() || next.end.Before(first.end) {
-			first = next
+		if end.IsZero() || next.until().Before(end) {
+			start, end = next.start, next.until()
+			if !next.end.After(now) {
+				start = now
+			}
 		}
 	}
-	if first.end.IsZero() {
+	if end.IsZero() {
 		return 0, 0
 	}
-	return first.end.Sub(now), min(maxPauseSpread, first.end.Sub(first.start)/2)
+	return end.Sub(now), min(maxPauseSpread, end.Sub(start)/2)
 }
 
 // HoldTime returns how long to hold a request for a wait that [Pauses.Wait] returned, if
--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -63,6 +63,14 @@
 		req.Work.ID = id + "r" + strconv.Itoa(round)
 		g, err := a.acquireOnce(ctx, req)
 		var r *Refusal
+		if errors.As(err, &r) && r.Reason == engine.Limited && !req.Speculative {
+			others := a.usable(req.Engines)
+			if len(others) == 0 || len(others) == len(req.Engines) {
+				return g, err
+			}
+			req.Engines = others
+			continue
+		}
 		if req.Speculative || !errors.As(err, &r) || !a.shouldRetry(r.Reason) {
 			return g, err
 		}
--- a/demo/configuration_test.go
+++ b/demo/configuration_test.go
@@ -50,17 +50,24 @@
 
 // hasRoute reports whether a daemon serves the route that a version added.
 func (sys *platformSystem) hasRoute(address string, version int) (bool, error) {
-	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/"+strconv.Itoa(version)+"/x", nil)
+	v := strconv.Itoa(version)
+	status, err := sys.request(address, v, "probe-"+v)
+	return status != http.StatusNotFound, err
+}
+
+// request sends a request on a route of plain servers to a daemon, and returns its status.
+func (sys *platformSystem) request(address, prefix, id string) (int, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/"+prefix+"/x", nil)
 	if err != nil {
-		return false, err
+		return 0, err
 	}
 	req.Host = "assist.example"
-	req.Header.Set(platform.RequestIDHeader, "probe-"+strconv.Itoa(version))
+	req.Header.Set(platform.RequestIDHeader, id)
 	resp, err := sys.client.Do(req)
 	if err != nil {
-		return false, err
+		return 0, err
 	}
-	return resp.StatusCode != http.StatusNotFound, resp.Body.Close()
+	return resp.StatusCode, resp.Body.Close()
 }
 
 // Guards against a configuration that is not in force in time, since the connection of the
--- a/demo/limit_test.go
+++ b/demo/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -44,9 +45,25 @@
 				for i, s := range servers {
 					s.SetFault(standin.ReplicaFault{Limit: limits[i]})
 				}
-				for time.Since(start) < 30*time.Second {
-					traffic.run(50)
+				var load sync.WaitGroup
+				for range 4 {
+					load.Go(func() {
+						for time.Since(start) < 30*time.Second {
+							traffic.run(50)
+						}
+					})
 				}
+				load.Go(func() {
+					for i := 0; time.Since(start) < 30*time.Second; i++ {
+						load.Go(func() {
+							if _, err := sys.request(sys.callerAddrs[i%len(sys.callerAddrs)], "status", "plain-"+strconv.Itoa(i)); err != nil {
+								t.Error(err)
+							}
+						})
+						time.Sleep(10 * time.Millisecond)
+					}
+				})
+				load.Wait()
 				end := time.Now()
 				for i, s := range servers {
 					checkLimit(is, s.Record().LimitedArrivals, parseLimit(limits[i]), start.Add(healthyAfter), end)
--- a/engine/action.go
+++ b/engine/action.go
@@ -26,6 +26,7 @@
 	DeadlineUnmet RefusalReason = "too-late"    // a deadline cannot be met
 	Draining      RefusalReason = "draining"    // the engine is draining
 	NotLoaded     RefusalReason = "not-loaded"  // the adapter is not loaded and cannot be loaded now
+	Limited       RefusalReason = "limited"     // the engine's limit on its requests does not allow it in time
 	LoadFailed    RefusalReason = "load-failed" // the adapter could not be loaded
 	Recovering    RefusalReason = "recovering"  // a new owner has not finished its takeover
 	NoOwner       RefusalReason = "moved"       // the engine changes its owner, or the owner cannot be reached
--- a/engine/estimate.go
+++ b/engine/estimate.go
@@ -20,7 +20,7 @@
 			wait += s.tokenTime * 4
 		}
 	}
-	wait += max(0, s.prefillEnd.Sub(now))
+	wait = max(wait, s.rate.Wait(now, len(s.waiting))) + max(0, s.prefillEnd.Sub(now))
 	if a.state != loaded {
 		wait = max(wait, s.coldWait(now, a)) // prefill of other work overlaps with the load
 	}
--- /dev/null
+++ b/engine/rate_limit_test.go
@@ -0,0 +1,63 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against work that is granted beyond the engine's limit, or waits behind it for longer
+// than it can be of use.
+func TestSchedulerKeepsToTheRateLimit(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := NewScheduler(SchedulerConfig{ServesBase: true, BatchSize: 64})
+	s.SetRateLimit(now, 4, true)
+	granted, refused := 0, 0
+	for i := range 300 { // 30 a second for 10 s
+		now = now.Add(time.Second / 30)
+		acts := s.Submit(now, Work{
+			ID: string(rune('a' + i)), Short: true, ExpectedTokens: 1, Deadline: now.Add(time.Minute), FirstTokenTarget: now.Add(500 * time.Millisecond),
+		})
+		acts = append(acts, s.Tick(now)...)
+		for _, act := range acts {
+			switch act.Kind {
+			case Grant:
+				granted++
+				is.True(now.Sub(act.Work.arrivedAt) <= 500*time.Millisecond)
+			case Refuse:
+				refused++
+				is.Equal(act.Reason, Limited)
+				is.True(act.RetryAfter >= minRetryAfter && act.RetryAfter <= time.Second)
+			}
+		}
+	}
+	is.True(granted >= 38 && granted <= 41)
+	is.True(refused >= 250)
+	s.SetRateLimit(now, 0, false)
+	acts := s.Submit(now, Work{ID: "after", Short: true, ExpectedTokens: 1, Deadline: now.Add(time.Minute)})
+	is.Equal(acts[len(acts)-1].Kind, Grant)
+}
+
+// Guards against a limit of 0 under which the server could never end it, and against an
+// overflow of the wait.
+func TestRateLimit(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var l RateLimit
+	is.True(l.CanTake(now))
+	is.Equal(l.Wait(now, 1000), time.Duration(0))
+	l.Set(now, 0, true)
+	is.True(!l.CanTake(now.Add(24 * time.Hour)))
+	is.Equal(l.Wait(now, 0), longestRateWait)
+	l.Set(now, 4, true)
+	is.Equal(l.Wait(now, 3), time.Second)
+	now = now.Add(time.Hour)
+	l.Take(now)
+	is.True(l.CanTake(now))
+	l.Take(now)
+	is.True(!l.CanTake(now))
+	l.Take(now) // a command
+	is.Equal(l.Wait(now, 0), 500*time.Millisecond)
+}
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -37,6 +37,8 @@
 	tokenTime        time.Duration // moving average of the time between tokens
 	tokenTimeAt      time.Time     // last measurement of the time between tokens
 
+	rate RateLimit // of the requests that the engine takes
+
 	mode Mode
 }
 
@@ -76,6 +78,16 @@
 	return s.Tick(now)
 }
 
+// SetRateLimit sets the number of requests a second that the engine takes.
+func (s *Scheduler) SetRateLimit(now time.Time, perSecond float64, limited bool) []Action {
+	s.rate.Set(now, max(LeastRate, perSecond), limited)
+	return s.dispatch(now, nil)
+}
+
+// CountRequest counts a request other than granted work, such as a command, against the rate
+// limit.
+func (s *Scheduler) CountRequest(now time.Time) { s.rate.Take(now) }
+
 // Submit adds work. The work is granted, refused or queued; queued work is
 // granted or refused by a later action.
 func (s *Scheduler) Submit(now time.Time, w Work) []Action {
@@ -103,6 +115,7 @@
 // refusal returns the reason for refusing the work, or "", and the expected wait.
 func (s *Scheduler) refusal(now time.Time, a *adapter, w *Work) (RefusalReason, time.Duration) {
 	wait := s.expectedWait(now, a, w.Short)
+	rateWait := s.rate.Wait(now, len(s.waiting))
 	if w.FirstTokenTarget.IsZero() {
 		s.normalWaitAt = now
 	}
@@ -114,6 +127,8 @@
 		return Recovering, wait
 	case a.state == locked, a.state == absent && !s.loadable():
 		return NotLoaded, wait
+	case rateWait > 0 && (w.MaxWait > 0 && rateWait > w.MaxWait || w.missesDeadline(now, rateWait) || !w.FirstTokenTarget.IsZero() && !w.meetsTarget(now, rateWait)):
+		return Limited, max(wait, rateWait)
 	case len(s.waiting) >= s.cfg.MaxQueue:
 		return QueueFull, wait
 	case w.MaxWait > 0 && wait > w.MaxWait && a.state != loaded:
@@ -299,12 +314,13 @@
 // loads.
 func (s *Scheduler) dispatch(now time.Time, acts []Action) []Action {
 	for {
-		w := s.nextWork()
+		w := s.nextWork(now)
 		if w == nil {
 			break
 		}
 		s.dequeue(w)
 		s.recordGrant(now, w)
+		s.rate.Take(now)
 		acts = append(acts, Action{Kind: Grant, Work: w})
 	}
 	for {
@@ -317,8 +333,8 @@
 }
 
 // nextWork returns the waiting work to grant next, or nil.
-func (s *Scheduler) nextWork() *Work {
-	if len(s.waiting) == 0 || !s.hasRoom(true) {
+func (s *Scheduler) nextWork(now time.Time) *Work {
+	if len(s.waiting) == 0 || !s.hasRoom(true) || !s.rate.CanTake(now) {
 		return nil
 	}
 	long := s.hasRoom(false)
--- a/entry/asks.go
+++ b/entry/asks.go
@@ -22,6 +22,9 @@
 	if a.LimitErr != nil && changed {
 		d.log.Warn("server stated a limit that cannot be read", "server", s.ID, "pool", s.Pool, "err", a.LimitErr)
 	}
+	if changed && !limit.Limited {
+		d.node.TellLimit(s.ID)
+	}
 	if changed {
 		d.log.Info("server stated another limit on its requests", "server", s.ID, "born", s.StartMS, "pool", s.Pool, "limited", limit.Limited, "per-second", limit.PerSecond)
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -160,7 +160,7 @@
 	cfg := node.Config{
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
 		Table: &table.Client{Read: d.readStore, Apply: d.applyStore}, Sequencer: d.sequencer,
-		Prompts: prompts, SettingsPushed: true, OwnerAlternationGap: s.OwnerAlternationGap, LeaseTTL: ttl, LeaseMargin: margin,
+		Prompts: prompts, Limits: d.limits, SettingsPushed: true, OwnerAlternationGap: s.OwnerAlternationGap, LeaseTTL: ttl, LeaseMargin: margin,
 		RenewEvery: renewEvery, TableRenewEvery: sessionRenewInterval, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
 	}
 	if err := cfg.Check(); err != nil {
@@ -173,13 +173,14 @@
 	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, usable: d.state.isUsable, paused: d.isPaused, callerLeft: d.callerLeft}
 	d.metrics = newMetrics(d.node.Meter())
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
-	d.acquirer.CanUse = func(name string) bool { return !d.isEnginePaused(name) }
+	d.acquirer.CanUse = d.canUseEngine
+	d.acquirer.RequestGrant = d.withTurnDelays(d.acquirer.RequestGrant)
 	d.relayHandler = &relay.Handler{
 		Table: d.state.routes.Load, Servers: d.state.servers.View, RequiredVersion: d.state.adapterVersion,
 		DecodeRequest: platform.DecodeRequestHead, NewServerRequest: platform.NewReplicaRequest, DecodeResponse: platform.DecodeResponseHead, RequestIDHeader: platform.RequestIDHeader,
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine,
-		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordAsks: d.recordAsks, Observe: d.observe,
+		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordAsks: d.recordAsks, IsLimited: d.limits.IsLimited, TakeTurn: d.takeTurn, Observe: d.observe,
 		CallerLeft: d.callerLeft,
 	}
 	return d, nil
--- a/node/admission.go
+++ b/node/admission.go
@@ -112,7 +112,7 @@
 		Engine: engineName, RequestId: w.ID, Adapter: w.Adapter, Entry: n.cfg.Name, EntryProcess: n.process,
 		ShortClass: w.Short, Tokens: int32(w.ExpectedTokens), PromptTokens: int32(w.PromptTokens),
 		TimeLeftMs: time.Until(w.Deadline).Milliseconds(), MaxWaitMs: w.MaxWait.Milliseconds(),
-		FirstByMs: millisUntil(w.FirstTokenDeadline), AimByMs: millisUntil(w.FirstTokenTarget),
+		FirstByMs: millisUntil(w.FirstTokenDeadline), AimByMs: millisUntil(w.FirstTokenTarget), Limit: n.engineLimit(engineName),
 	}
 	if owner == n.cfg.Name {
 		return n.admit(ctx, req, n.cfg.Address), nil
@@ -152,6 +152,7 @@
 // not check the lease: a later owner fences the grants of this one, and while the table
 // is down there can be no later owner.
 func (n *Node) admit(ctx context.Context, req *peerpb.AdmitRequest, address string) *peerpb.AdmitResponse {
+	n.learnLimit(req.GetLimit())
 	o := n.ownedEngine(req.GetEngine())
 	now := time.Now()
 	if o == nil {
--- a/node/config.go
+++ b/node/config.go
@@ -38,6 +38,9 @@
 	// Prompts, if set, is shared with the other nodes: what one sees of prompts that crash
 	// engines counts for all.
 	Prompts *backend.PromptQuarantine
+	// Limits, if set, holds what servers state of the requests that they take from all nodes
+	// together. The owner of an engine keeps to its limit, and so does [Node.TakeTurn].
+	Limits *backend.Limits
 	// PeerScheme is "http" or "https".
 	PeerScheme string
 	// Operators holds the credentials of operators; the zero value rejects every
--- a/node/error.go
+++ b/node/error.go
@@ -5,8 +5,9 @@
 
 // The kinds of error that this package returns.
 const (
-	Invalid         ErrorKind = "invalid"   // the configuration is invalid
-	ShutdownTimeout ErrorKind = "cut-short" // the shutdown timed out with requests in flight
+	Invalid         ErrorKind = "invalid"     // the configuration is invalid
+	ShutdownTimeout ErrorKind = "cut-short"   // the shutdown timed out with requests in flight
+	Unreachable     ErrorKind = "unreachable" // the other node does not respond
 )
 
 // Error is the error type of this package.
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/vanilladrift/vanilladrift/backend"
 	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/membership"
@@ -41,6 +42,7 @@
 	promises      *membership.Promises
 	generations   *membership.Generations
 	metrics       *metrics
+	turns         backend.Turns // at servers for which this node decides
 	log           *log.Logger
 
 	mu            sync.Mutex
--- a/node/owned.go
+++ b/node/owned.go
@@ -74,6 +74,7 @@
 		o.seq = n.cfg.Sequencer(b)
 		o.seq.Slots, o.seq.Model, o.seq.InUse = b.Slots, b.BaseModel, o.needsAdapter
 		o.seq.CanSend = o.canSendCommand
+		o.countControlRequests()
 	}
 	o.sched.SetMode(time.Now(), engine.Mode{Recovering: true})
 	return o
@@ -127,6 +128,7 @@
 		o.mu.Unlock()
 		return engine.Action{Kind: engine.Refuse, Reason: engine.NoOwner, RetryAfter: handoverPollInterval}
 	}
+	o.updateRateLimit(time.Now())
 	o.entryAddresses[w.EntryNode] = address
 	o.waiters[w.ID] = ch
 	o.apply(o.sched.Submit(time.Now(), w))
@@ -201,6 +203,7 @@
 	if b, ok := o.n.store.Tree().Backend(o.name); ok {
 		o.server.Store(b)
 	}
+	o.updateRateLimit(now)
 	if m := o.mode(now); m != o.sched.Mode() {
 		o.apply(o.sched.SetMode(now, m))
 	} else {
--- a/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/peer/peerpb/peerpbconnect/peer.connect.go
@@ -51,6 +51,8 @@
 	PeerAcquireLoadProcedure = "/vanilladrift.peer.v1.Peer/AcquireLoad"
 	// PeerReleaseLoadProcedure is the fully-qualified name of the Peer's ReleaseLoad RPC.
 	PeerReleaseLoadProcedure = "/vanilladrift.peer.v1.Peer/ReleaseLoad"
+	// PeerTakeTurnProcedure is the fully-qualified name of the Peer's TakeTurn RPC.
+	PeerTakeTurnProcedure = "/vanilladrift.peer.v1.Peer/TakeTurn"
 	// PeerChangesProcedure is the fully-qualified name of the Peer's Changes RPC.
 	PeerChangesProcedure = "/vanilladrift.peer.v1.Peer/Changes"
 )
@@ -82,6 +84,9 @@
 	AcquireLoad(context.Context, *connect.Request[peerpb.AcquireLoadRequest]) (*connect.Response[peerpb.AcquireLoadResponse], error)
 	// ReleaseLoad returns the load to the budget.
 	ReleaseLoad(context.Context, *connect.Request[peerpb.ReleaseLoadRequest]) (*connect.Response[peerpb.ReleaseLoadResponse], error)
+	// TakeTurn asks the node that decides for a server with a limit whether a request may
+	// be sent to it now.
+	TakeTurn(context.Context, *connect.Request[peerpb.TakeTurnRequest]) (*connect.Response[peerpb.TakeTurnResponse], error)
 	// Changes returns the settings changes after a revision, or a snapshot of all
 	// documents if the responder no longer has those changes.
 	Changes(context.Context, *connect.Request[peerpb.ChangesRequest]) (*connect.Response[peerpb.ChangesResponse], error)
@@ -152,6 +157,12 @@
 			connect.WithSchema(peerMethods.ByName("ReleaseLoad")),
 			connect.WithClientOptions(opts...),
 		),
+		takeTurn: connect.NewClient[peerpb.TakeTurnRequest, peerpb.TakeTurnResponse](
+			httpClient,
+			baseURL+PeerTakeTurnProcedure,
+			connect.WithSchema(peerMethods.ByName("TakeTurn")),
+			connect.WithClientOptions(opts...),
+		),
 		changes: connect.NewClient[peerpb.ChangesRequest, peerpb.ChangesResponse](
 			httpClient,
 			baseURL+PeerChangesProcedure,
@@ -172,6 +183,7 @@
 	yield       *connect.Client[peerpb.YieldRequest, peerpb.YieldResponse]
 	acquireLoad *connect.Client[peerpb.AcquireLoadRequest, peerpb.AcquireLoadResponse]
 	releaseLoad *connect.Client[peerpb.ReleaseLoadRequest, peerpb.ReleaseLoadResponse]
+	takeTurn    *connect.Client[peerpb.TakeTurnRequest, peerpb.TakeTurnResponse]
 	changes     *connect.Client[peerpb.ChangesRequest, peerpb.ChangesResponse]
 }
 
@@ -220,6 +232,11 @@
 	return c.releaseLoad.CallUnary(ctx, req)
 }
 
+// TakeTurn calls vanilladrift.peer.v1.Peer.TakeTurn.
+func (c *peerClient) TakeTurn(ctx context.Context, req *connect.Request[peerpb.TakeTurnRequest]) (*connect.Response[peerpb.TakeTurnResponse], error) {
+	return c.takeTurn.CallUnary(ctx, req)
+}
+
 // Changes calls vanilladrift.peer.v1.Peer.Changes.
 func (c *peerClient) Changes(ctx context.Context, req *connect.Request[peerpb.ChangesRequest]) (*connect.Response[peerpb.ChangesResponse], error) {
 	return c.changes.CallUnary(ctx, req)
@@ -252,6 +269,9 @@
 	AcquireLoad(context.Context, *connect.Request[peerpb.AcquireLoadRequest]) (*connect.Response[peerpb.AcquireLoadResponse], error)
 	// ReleaseLoad returns the load to the budget.
 	ReleaseLoad(context.Context, *connect.Request[peerpb.ReleaseLoadRequest]) (*connect.Response[peerpb.ReleaseLoadResponse], error)
+	// TakeTurn asks the node that decides for a server with a limit whether a request may
+	// be sent to it now.
+	TakeTurn(context.Context, *connect.Request[peerpb.TakeTurnRequest]) (*connect.Response[peerpb.TakeTurnResponse], error)
 	// Changes returns the settings changes after a revision, or a snapshot of all
 	// documents if the responder no longer has those changes.
 	Changes(context.Context, *connect.Request[peerpb.ChangesRequest]) (*connect.Response[peerpb.ChangesResponse], error)
@@ -318,6 +338,12 @@
 		connect.WithSchema(peerMethods.ByName("ReleaseLoad")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerTakeTurnHandler := connect.NewUnaryHandler(
+		PeerTakeTurnProcedure,
+		svc.TakeTurn,
+		connect.WithSchema(peerMethods.ByName("TakeTurn")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerChangesHandler := connect.NewUnaryHandler(
 		PeerChangesProcedure,
 		svc.Changes,
@@ -344,6 +370,8 @@
 			peerAcquireLoadHandler.ServeHTTP(w, r)
 		case PeerReleaseLoadProcedure:
 			peerReleaseLoadHandler.ServeHTTP(w, r)
+		case PeerTakeTurnProcedure:
+			peerTakeTurnHandler.ServeHTTP(w, r)
 		case PeerChangesProcedure:
 			peerChangesHandler.ServeHTTP(w, r)
 		default:
@@ -391,6 +419,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.ReleaseLoad is not implemented"))
 }
 
+func (UnimplementedPeerHandler) TakeTurn(context.Context, *connect.Request[peerpb.TakeTurnRequest]) (*connect.Response[peerpb.TakeTurnResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.TakeTurn is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Changes(context.Context, *connect.Request[peerpb.ChangesRequest]) (*connect.Response[peerpb.ChangesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.Changes is not implemented"))
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -128,6 +128,9 @@
 	if x.handler.Balancer.Pauses.Left(time.Now(), s) > 0 {
 		return result{notRun: true, unsent: true, reason: "the engine asked for a pause while the request was queued"}
 	}
+	if g.ID == "" && x.handler.IsLimited != nil && x.handler.IsLimited(s) {
+		return result{notRun: true, unsent: true, reason: "the engine has a limit, and its owner cannot be reached"}
+	}
 	if x.checkPrompt() != nil {
 		return result{notRun: true, unsent: true, reason: promptCrashes}
 	}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -78,6 +78,12 @@
 	// Balancer chooses servers in pools without model engines. Its pauses hold for model
 	// engines too.
 	Balancer *backend.Balancer
+	// IsLimited, which is optional, reports whether a server has a limit on its requests.
+	IsLimited func(s *backend.Server) bool
+	// TakeTurn, which is optional, reports whether a request may be sent to a server without
+	// a model engine now, within its limit. If it may not, the balancer must skip the server
+	// for a time. The owner of a model engine keeps to the engine's limit.
+	TakeTurn func(ctx context.Context, s *backend.Server) bool
 	// Prompts, which is optional, finds prompts that crash engines.
 	Prompts *backend.PromptQuarantine
 	// OnQuarantine, which is optional, is called when parts of prompts are quarantined.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -29,6 +29,10 @@
 		if s == nil {
 			return x.noServerError(len(tried) > 0)
 		}
+		if x.handler.TakeTurn != nil && !x.handler.TakeTurn(ctx, s) {
+			done(time.Now(), false)
+			continue
+		}
 		tried[s.ID] = true
 		res := x.tryPlain(ctx, s, len(tried) < x.route.MaxAttempts, tried)
 		done(time.Now(), res.failed)
