Let commands neither end nor prolong the limits of servers

A command or report whose response states no limit renewed a known one, so that a response to a caller's request that had been sent just before could not end it; and it was taken for a statement of the next incarnation. Found by reading; the owner's reports alone come every 2 s. Such responses now say nothing of the limit unless they state one.

TestCommandsNeitherEndNorProlongLimits failed before.

--- a/entry/asks.go
+++ b/entry/asks.go
@@ -8,6 +8,21 @@
 
 // recordAsks records what a server asked for in its response to a caller's request.
 func (d *Daemon) recordAsks(s *backend.Server, sent time.Time, a backend.Asks) {
+	d.recordLimit(s, sent, a)
+	d.recordPause(s, a)
+}
+
+// recordControlAsks records what a server asked for in its response to a command or to a
+// request for its report. Only responses to callers' requests end a limit.
+func (d *Daemon) recordControlAsks(s *backend.Server, sent time.Time, a backend.Asks) {
+	if a.Limited || a.LimitErr != nil {
+		d.recordLimit(s, sent, a)
+	}
+	d.recordPause(s, a)
+}
+
+// recordPause records that a server wants no requests, for a time or for good.
+func (d *Daemon) recordPause(s *backend.Server, a backend.Asks) {
 	now := time.Now()
 	if a.Draining {
 		d.state.setDraining(s)
@@ -18,7 +33,11 @@
 	case a.Pause > 0 && d.balancer.Pauses.Pause(now, s, a.Pause):
 		d.log.Info("server asked for a pause; sending it nothing until then", "server", s.ID, "pool", s.Pool, "pause", a.Pause, "left", d.balancer.Pauses.Left(now, s))
 	}
-	limit, changed := d.limits.Observe(sent, now, s, a)
+}
+
+// recordLimit records what a response states of the server's limit.
+func (d *Daemon) recordLimit(s *backend.Server, sent time.Time, a backend.Asks) {
+	limit, changed := d.limits.Observe(sent, time.Now(), s, a)
 	if a.LimitErr != nil && changed {
 		d.log.Warn("server stated a limit that cannot be read", "server", s.ID, "pool", s.Pool, "err", a.LimitErr)
 	}
@@ -30,15 +49,6 @@
 	}
 }
 
-// recordControlAsks records what a server asked for in its response to a command or to a
-// request for its report. Only responses to callers' requests end a limit.
-func (d *Daemon) recordControlAsks(s *backend.Server, sent time.Time, a backend.Asks) {
-	if known, ok := d.limits.Get(s.ID); ok && !a.Limited && a.LimitErr == nil {
-		a.Limited, a.PerSecond = known.Limited, known.PerSecond
-	}
-	d.recordAsks(s, sent, a)
-}
-
 // isPaused reports whether the server at an address must get no requests now.
 func (d *Daemon) isPaused(address string) bool {
 	return d.balancer.Pauses.IsPaused(time.Now(), address, d.state.servers.View().Server)
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -180,3 +180,27 @@
 	d.state.replaceOperatorRows(table.Snapshot{Rows: []table.Row{row("7", "/old/", 2, 34)}, Generation: 2}) // a read that is out of date
 	is.True(hasRoute("/kept/"))
 }
+
+// Guards against responses to commands that keep a limit in force which the server has ended,
+// or end one that it states only to callers.
+func TestCommandsNeitherEndNorProlongLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newStateFixture(t)
+		s := &backend.Server{ID: "e", StartMS: 5}
+		d.recordAsks(s, time.Now(), backend.Asks{Limited: true, PerSecond: 4})
+		time.Sleep(time.Second)
+		d.recordControlAsks(s, time.Now(), backend.Asks{})
+		is.True(d.limits.IsLimited(s))
+		sent := time.Now()
+		time.Sleep(time.Second)
+		d.recordControlAsks(s, time.Now(), backend.Asks{})
+		d.recordAsks(s, sent, backend.Asks{})
+		is.True(!d.limits.IsLimited(s))
+		d.recordControlAsks(s, time.Now(), backend.Asks{Limited: true, PerSecond: 3})
+		is.True(d.limits.IsLimited(s))
+		next := &backend.Server{ID: "e", StartMS: 6}
+		d.recordControlAsks(next, time.Now(), backend.Asks{})
+		is.True(!d.limits.IsLimited(next))
+	})
+}
