--- a/backend/doc.go
+++ b/backend/doc.go
@@ -2,9 +2,10 @@
 // between plain servers, and retry budgets.
 //
 // [Registry] merges the rows in which servers register themselves. [Balancer]
-// chooses a server of a plain pool. [Pauses] records the servers that want no
-// requests for a time. [RetryBudget] limits the retries sent to a
-// pool.
+// chooses a server of a plain pool. [Asks] is what a server asks for in a response:
+// [Registry] keeps that it is draining, [Pauses] for how long it wants no requests, and
+// [Limits] how many it takes from all nodes together. [Turns] gives out the turns to send to
+// a plain server with a limit. [RetryBudget] limits the retries sent to a pool.
 //
 // # Usage
 //
