Count callers' requests alone against the limits of engines

Cause: commands and reports of the owner counted as requests, and loads waited for room, so that an engine with a limit of 3.8 a second spent most of it on loads and polls for their ends.

The stand-in recorded requests of every kind, which was stricter than the platform's definition; it now records callers' requests, and TestLimitsOfAllEnginesServeCallers asks in addition that these get 0.7 of the limits.

--- a/demo/limit_test.go
+++ b/demo/limit_test.go
@@ -132,6 +132,29 @@
 	})
 }
 
+// Guards against engines whose limits are used up by commands instead of callers' requests.
+func TestLimitsOfAllEnginesServeCallers(t *testing.T) {
+	var served int
+	limits := []string{"3.6", "6", "4", "", ""}
+	playLimits(t, limits, leastLimitUse, func(_ *is.I, traffic *platformTraffic) {
+		time.Sleep(time.Second)
+		before := traffic.executionsOnEngines()
+		time.Sleep(10 * time.Second)
+		served = traffic.executionsOnEngines() - before
+	})
+	is.New(t).True(float64(served) >= leastLimitUse*10*(3.6+6+4))
+}
+
+// executionsOnEngines returns how many requests the engines have begun to execute.
+func (t *platformTraffic) executionsOnEngines() (n int) {
+	for _, r := range t.sys.replicas {
+		for _, executions := range r.Record().Executions {
+			n += executions
+		}
+	}
+	return n
+}
+
 // parseLimit returns a limit in requests a second, or -1 for none.
 func parseLimit(text string) float64 {
 	limit, err := strconv.ParseFloat(text, 64)
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -78,16 +78,13 @@
 	return s.Tick(now)
 }
 
-// SetRateLimit sets the number of requests a second that the engine takes.
+// SetRateLimit sets the number of callers' requests a second that the engine takes. Commands
+// do not count.
 func (s *Scheduler) SetRateLimit(now time.Time, perSecond float64, limited bool) []Action {
 	s.rate.Set(now, max(LeastRate, perSecond), limited)
 	return s.dispatch(now, nil)
 }
 
-// CountRequest counts a request other than granted work, such as a command, against the rate
-// limit.
-func (s *Scheduler) CountRequest(now time.Time) { s.rate.Take(now) }
-
 // Submit adds work. The work is granted, refused or queued; queued work is
 // granted or refused by a later action.
 func (s *Scheduler) Submit(now time.Time, w Work) []Action {
--- a/engine/slots.go
+++ b/engine/slots.go
@@ -69,7 +69,7 @@
 // requestLoad requests a load if waiting work needs one and there is a slot for
 // it. The adapter is chosen only when the load is approved.
 func (s *Scheduler) requestLoad(now time.Time) (Action, bool) {
-	if len(s.waiting) == 0 || s.loadsRequested+s.loadsRunning >= s.cfg.MaxLoads || s.mode.ReadOnly || !s.rate.CanTake(now) {
+	if len(s.waiting) == 0 || s.loadsRequested+s.loadsRunning >= s.cfg.MaxLoads || s.mode.ReadOnly {
 		return Action{}, false
 	}
 	if victim, free := s.chooseSlot(now); !free && victim == nil {
--- a/node/limits.go
+++ b/node/limits.go
@@ -8,7 +8,6 @@
 	"connectrpc.com/connect"
 
 	"github.com/vanilladrift/vanilladrift/backend"
-	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/peer/peerpb"
 )
 
@@ -137,23 +136,3 @@
 	limited := l.Limited && (o.boot == "" || o.boot == strconv.FormatInt(l.StartMS, 10))
 	o.apply(o.sched.SetRateLimit(now, l.PerSecond, limited))
 }
-
-// countControlRequests makes commands, and requests for the engine's report, count against
-// its limit.
-func (o *ownedEngine) countControlRequests() {
-	send, fetch := o.seq.Send, o.seq.FetchState
-	o.seq.Send = func(ctx context.Context, c engine.Command) (engine.Reply, error) {
-		o.countRequest()
-		return send(ctx, c)
-	}
-	o.seq.FetchState = func(ctx context.Context) (engine.State, error) {
-		o.countRequest()
-		return fetch(ctx)
-	}
-}
-
-func (o *ownedEngine) countRequest() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.sched.CountRequest(time.Now())
-}
--- a/node/owned.go
+++ b/node/owned.go
@@ -74,7 +74,6 @@
 		o.seq = n.cfg.Sequencer(b)
 		o.seq.Slots, o.seq.Model, o.seq.InUse = b.Slots, b.BaseModel, o.needsAdapter
 		o.seq.CanSend = o.canSendCommand
-		o.countControlRequests()
 	}
 	o.sched.SetMode(time.Now(), engine.Mode{Recovering: true})
 	return o
--- a/relay/pause.go
+++ b/relay/pause.go
@@ -7,9 +7,9 @@
 	"github.com/vanilladrift/vanilladrift/backend"
 )
 
-// everyServerPaused is the reason of an [Error] when the pauses of a pool's servers end
-// too late for the request.
-const everyServerPaused = "every server has asked for a pause"
+// everyServerPaused is the reason of an [Error] when the pauses of a pool's servers end, or
+// their limits have room, too late for the request.
+const everyServerPaused = "every server has asked for a pause, or has no room within its limit"
 
 // awaitPauses holds the request while all servers that may still get it have a pause. It
 // fails at once if the pauses end too late for the request.
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -150,7 +150,6 @@
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.serveDown()
 	w = &replicaResponse{ResponseWriter: w, replica: r}
-	r.recordArrival(time.Now())
 	if pause := r.observeArrival(time.Now()); pause > 0 {
 		platform.WriteRefusal(w, req, pause)
 		return
@@ -204,6 +203,7 @@
 
 // serveRequest runs a request, or refuses it as not executed.
 func (r *Replica) serveRequest(w http.ResponseWriter, req *http.Request, head platform.ReplicaRequest) {
+	r.recordArrival(time.Now())
 	name := head.AdapterName()
 	timeout := time.NewTimer(head.Timeout)
 	defer timeout.Stop()
--- a/standin/replica_limit.go
+++ b/standin/replica_limit.go
@@ -9,7 +9,7 @@
 	return r.fault.Limit
 }
 
-// recordArrival records the arrival of a request of any kind while a limit is stated.
+// recordArrival records the arrival of a caller's request while a limit is stated.
 func (r *Replica) recordArrival(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standin/replica_record.go
+++ b/standin/replica_record.go
@@ -15,7 +15,7 @@
 	// DuringPause is the number of requests of any kind that came during a pause, later
 	// than pauseNotice after the replica had asked for it.
 	DuringPause int
-	// LimitedArrivals are the arrivals of requests of any kind while a limit was stated.
+	// LimitedArrivals are the arrivals of callers' requests while a limit was stated.
 	LimitedArrivals []time.Time
 }
 
