Let no wait for a turn end before the turn can be had

A wait that was rounded down to less than what was missing made a node ask again at once; in tests, whose time stands still meanwhile, without end. A wait is now a millisecond at least. An engine without a limit no longer searches its queue an additional time for each request.

--- a/backend/pauses.go
+++ b/backend/pauses.go
@@ -131,8 +131,7 @@
 
 // Wait returns the time until one of the servers accepts requests again. It is 0 unless
 // all servers that are neither draining nor excluded have a pause, or no room within their
-// limits. The requests that wait
-// for the end of the pause should be spread over the time spread after it.
+// limits. The requests that wait for that should be spread over the time spread after it.
 func (p *Pauses) Wait(now time.Time, servers []*Server, excluded func(s *Server) bool) (left, spread time.Duration) {
 	m := p.all()
 	if len(m) == 0 {
--- a/engine/rate_limit.go
+++ b/engine/rate_limit.go
@@ -9,8 +9,10 @@
 	// LeastRate is the least rate, in requests a second, at which a server gets requests, also
 	// if its limit is lower. Without any, it could not say that it has ended its limit.
 	LeastRate = 0.1
-	// longestRateWait bounds a wait, also at a rate of 0.
-	longestRateWait = time.Hour
+	// shortestRateWait and longestRateWait bound a wait: a shorter one may be over before its
+	// request may be sent, by rounding, and a rate of 0 has none.
+	shortestRateWait = time.Millisecond
+	longestRateWait  = time.Hour
 )
 
 // RateLimit spaces the requests to a server by its limit. The zero value has no limit.
@@ -56,5 +58,5 @@
 	if missing >= l.rate*longestRateWait.Seconds() {
 		return longestRateWait
 	}
-	return time.Duration(missing / l.rate * float64(time.Second))
+	return max(shortestRateWait, time.Duration(missing/l.rate*float64(time.Second)))
 }
--- a/engine/rate_limit_test.go
+++ b/engine/rate_limit_test.go
@@ -61,3 +61,24 @@
 	l.Take(now) // beyond the limit
 	is.Equal(l.Wait(now, 0), 500*time.Millisecond)
 }
+
+// Guards against a wait that ends before its request may be sent, so that it is asked for
+// again and again at the same time.
+func TestRateWaitIsLongEnough(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	for _, perSecond := range []float64{0.1, 0.3, 3.6, 7, 33.3, 3000} {
+		var l RateLimit
+		l.Set(now, perSecond, true)
+		for range 1000 {
+			wait := l.Wait(now, 0)
+			is.Equal(wait == 0, l.CanTake(now))
+			now = now.Add(wait)
+			if l.CanTake(now) {
+				l.Take(now)
+				continue
+			}
+			is.True(l.Wait(now, 0) >= shortestRateWait)
+		}
+	}
+}
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -81,6 +81,9 @@
 // SetRateLimit sets the number of callers' requests a second that the engine takes. Commands
 // do not count.
 func (s *Scheduler) SetRateLimit(now time.Time, perSecond float64, limited bool) []Action {
+	if !limited && !s.rate.limited {
+		return nil
+	}
 	s.rate.Set(now, max(LeastRate, perSecond), limited)
 	return s.dispatch(now, nil)
 }
--- a/node/limits.go
+++ b/node/limits.go
@@ -94,7 +94,7 @@
 		resp.Allowed = true
 	default:
 		wait, ok := s.n.turns.Take(time.Now(), id, l, s.n.LiveNodes())
-		resp.Allowed, resp.WaitMs = ok, (wait + time.Millisecond - 1).Milliseconds()
+		resp.Allowed, resp.WaitMs = ok, wait.Milliseconds()
 	}
 	return connect.NewResponse(resp), nil
 }
