Do not take a response to another request for the end of a limit

A late response to an earlier request on a connection counted as a response without a limit, whatever it said, so that a server that stated one could get requests beyond it until its next response. Found by reading. Of such a response only the leaving of the server counts now. TestResponseToAnotherRequestEndsNoLimit and TestCommandsNeitherEndNorProlongLimits failed before.

--- a/backend/asks.go
+++ b/backend/asks.go
@@ -4,6 +4,8 @@
 
 // Asks is what a server asked for in a response. The zero value asks for nothing.
 type Asks struct {
+	// Late is set for a response to an earlier request, of which only Draining counts.
+	Late     bool
 	Draining bool          // it wants no new requests
 	Pause    time.Duration // how long it wants no requests from this node
 	PauseErr error         // the pause cannot be read
--- a/entry/asks.go
+++ b/entry/asks.go
@@ -8,7 +8,9 @@
 
 // recordAsks records what a server asked for in its response to a caller's request.
 func (d *Daemon) recordAsks(s *backend.Server, sent time.Time, a backend.Asks) {
-	d.recordLimit(s, sent, a)
+	if !a.Late {
+		d.recordLimit(s, sent, a)
+	}
 	d.recordPause(s, a)
 }
 
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -191,6 +191,7 @@
 		d.recordAsks(s, time.Now(), backend.Asks{Limited: true, PerSecond: 4})
 		time.Sleep(time.Second)
 		d.recordControlAsks(s, time.Now(), backend.Asks{})
+		d.recordAsks(s, time.Now(), backend.Asks{Late: true})
 		is.True(d.limits.IsLimited(s))
 		sent := time.Now()
 		time.Sleep(time.Second)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -231,7 +231,7 @@
 	if head.RequestID != x.head.ID || !head.NotRun && head.Status < 300 && !head.Signed {
 		// A late response to another request, or one without the server's
 		// signature. A refusal of another request tells nothing of this one.
-		x.recordAsks(s.Server, sent, backend.Asks{Draining: head.Asks.Draining})
+		x.recordAsks(s.Server, sent, backend.Asks{Late: true, Draining: head.Asks.Draining})
 		resp.Body.Close()
 		return nil, head, errors.Errorf("the answer is to request %q", head.RequestID)
 	}
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -65,3 +65,14 @@
 		is.Equal(len(f.servers.requests), 20)
 	})
 }
+
+// Guards against a limit that seems to have ended, since the response to another request
+// states none.
+func TestResponseToAnotherRequestEndsNoLimit(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(route.Route{Kind: route.NonIdempotent, MaxAttempts: 1}, plainPool(), reply{head: testHead(200, "other draining"), body: "ok"})
+	var asks []backend.Asks
+	f.handler.RecordAsks = func(_ *backend.Server, _ time.Time, a backend.Asks) { asks = append(asks, a) }
+	f.serve("/p/x", "r1", "")
+	is.Equal(asks, []backend.Asks{{Late: true, Draining: true}})
+}
