--- a/demo/configuration_test.go
+++ b/demo/configuration_test.go
@@ -4,15 +4,12 @@
 	"bytes"
 	"io"
 	"net/http"
-	"runtime"
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
-	"github.com/vanilladrift/vanilladrift/entry"
 	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/standin"
 )
@@ -24,21 +21,6 @@
 	healthyAfter   = 3 * time.Second
 )
 
-// playConfiguration runs a test in virtual time on a system that is ready.
-func playConfiguration(t *testing.T, play func(is *is.I, sys *platformSystem, network *standin.PipeNetwork)) {
-	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(2)) // more threads add only contention in virtual time
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		network := &standin.PipeNetwork{}
-		sys, err := newPlatformSystem(entry.Network{Listen: network.Listen, Dial: network.Dial}, io.Discard)
-		is.NoErr(err)
-		defer time.Sleep(time.Minute) // lets background goroutines time out
-		defer sys.close()
-		is.NoErr(sys.waitReady())
-		play(is, sys, network)
-	})
-}
-
 // putConfiguration writes a version of the configuration with one more route, which has the
 // version as its prefix.
 func (sys *platformSystem) putConfiguration(version int) {
@@ -75,7 +57,7 @@
 func TestConfigurationIsReadWhenConnectionsGoSilent(t *testing.T) {
 	for _, age := range []time.Duration{0, time.Second, 2 * time.Second, 3 * time.Second} {
 		t.Run("after "+age.String(), func(t *testing.T) {
-			playConfiguration(t, func(is *is.I, sys *platformSystem, network *standin.PipeNetwork) {
+			playSystem(t, func(is *is.I, sys *platformSystem, network *standin.PipeNetwork) {
 				sys.putConfiguration(2) // polls begin at the same time
 				time.Sleep(age)
 				network.Silence(sys.storeAddr)
@@ -95,7 +77,7 @@
 // Guards against a configuration of before a restore that some nodes had not read, and do
 // not read afterwards, as the store gives out versions again.
 func TestConfigurationAfterARestoreOfTheStore(t *testing.T) {
-	playConfiguration(t, func(is *is.I, sys *platformSystem, _ *standin.PipeNetwork) {
+	playSystem(t, func(is *is.I, sys *platformSystem, _ *standin.PipeNetwork) {
 		before := sys.store.Copy()
 		time.Sleep(5 * time.Second) // engines write their rows, so versions go on
 		sys.store.SetFault(standin.TableFault{Down: true})
--- a/demo/limit_test.go
+++ b/demo/limit_test.go
@@ -89,7 +89,7 @@
 // playLimits plays load on servers with limits for 20 s, with a change 5 s after its begin.
 func playLimits(t *testing.T, limits []string, leastUse float64, change func(is *is.I, traffic *platformTraffic)) {
 	relaxed := is.NewRelaxed(t) // the change runs in a goroutine of its own
-	playConfiguration(t, func(is *is.I, sys *platformSystem, _ *standin.PipeNetwork) {
+	playSystem(t, func(is *is.I, sys *platformSystem, _ *standin.PipeNetwork) {
 		const length = 20 * time.Second
 		servers := slices.Concat(sys.replicas, sys.ledgers)
 		traffic := newPlatformTraffic(sys, 5)
--- a/demo/restore_test.go
+++ b/demo/restore_test.go
@@ -3,21 +3,17 @@
 import (
 	"fmt"
 	"io"
-	"runtime"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
-	"github.com/vanilladrift/vanilladrift/entry"
 	"github.com/vanilladrift/vanilladrift/standin"
 )
 
 // Guards against engines that get commands under a lower fencing token, or one of two owners,
 // after the store came back from a copy: the whole path, with a daemon that stopped since.
 func TestEnginesAfterARestoreOfTheStore(t *testing.T) {
-	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(2)) // more threads add only contention in virtual time
 	for _, tt := range []struct {
 		name  string
 		after func(traffic *platformTraffic) error // what happens between the copy and the restore
@@ -38,14 +34,7 @@
 		}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				network := &standin.PipeNetwork{}
-				sys, err := newPlatformSystem(entry.Network{Listen: network.Listen, Dial: network.Dial}, io.Discard)
-				is.NoErr(err)
-				defer time.Sleep(time.Minute) // lets background goroutines time out
-				defer sys.close()
-				is.NoErr(sys.waitReady())
+			playSystem(t, func(is *is.I, sys *platformSystem, _ *standin.PipeNetwork) {
 				traffic := newPlatformTraffic(sys, 2)
 				traffic.run(300)
 				before := sys.store.Copy()
