--- a/backend/turns_test.go
+++ b/backend/turns_test.go
@@ -1,4 +1,4 @@
-package backend
+package backend_test
 
 import (
 	"fmt"
@@ -7,19 +7,22 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/standin"
 )
 
 // turnsSystem is a system of nodes that ask for turns at one server, each by its own view of
 // which node decides.
 type turnsSystem struct {
-	nodes   []*Turns
+	nodes   []*backend.Turns
 	decider []int // by node; -1 if it cannot be reached
 	next    []time.Time
 	sent    []time.Time
 }
 
 // step lets each node ask that has a request and was not told to wait.
-func (s *turnsSystem) step(now time.Time, l Limit) {
+func (s *turnsSystem) step(now time.Time, l backend.Limit) {
 	for i, node := range s.nodes {
 		if now.Before(s.next[i]) {
 			continue
@@ -38,18 +41,6 @@
 	}
 }
 
-// mostWithin returns the largest number of requests within d.
-func mostWithin(sent []time.Time, d time.Duration) (most int) {
-	first := 0
-	for i, at := range sent {
-		for at.Sub(sent[first]) >= d {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // Guards against nodes that together send a server more than its limit, while the node that
 // decides dies, changes with a join that others know later, or is cut off, and against limits
 // that are hardly used.
@@ -63,7 +54,7 @@
 					start := time.Unix(1000, 0)
 					s := &turnsSystem{decider: make([]int, nodes), next: make([]time.Time, nodes)}
 					for range nodes {
-						s.nodes = append(s.nodes, &Turns{})
+						s.nodes = append(s.nodes, &backend.Turns{})
 					}
 					setDecider := func(decider int) {
 						for i := range s.decider {
@@ -95,9 +86,9 @@
 						case trouble == "all lose it" && at >= 40*time.Second:
 							setDecider(0)
 						}
-						s.step(start.Add(at), Limit{Limited: true, PerSecond: perSecond, StartMS: 5})
+						s.step(start.Add(at), backend.Limit{Limited: true, PerSecond: perSecond, StartMS: 5})
 					}
-					is.True(mostWithin(s.sent, 4*time.Second) <= int(1.5*perSecond*4+5))
+					is.True(standin.MostWithin(s.sent, start, 4*time.Second) <= int(1.5*perSecond*4+5))
 					if trouble == "none" {
 						is.True(float64(len(s.sent)) >= 0.7*perSecond*length.Seconds())
 					}
--- a/demo/draining_test.go
+++ b/demo/draining_test.go
@@ -1,28 +1,18 @@
 package demo
 
 import (
-	"io"
-	"runtime"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
-	"github.com/vanilladrift/vanilladrift/entry"
 	"github.com/vanilladrift/vanilladrift/standin"
 )
 
 // Guards against requests to replicas that leave and say so in their responses, while
 // their rows still say that they are ready.
 func TestLeavingReplicasWithOldRows(t *testing.T) {
-	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(2)) // more threads add only contention in virtual time
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		network := &standin.PipeNetwork{}
-		sys, err := newPlatformSystem(entry.Network{Listen: network.Listen, Dial: network.Dial}, io.Discard)
-		is.NoErr(err)
-		is.NoErr(sys.waitReady())
+	playSystem(t, func(is *is.I, sys *platformSystem, _ *standin.PipeNetwork) {
 		traffic := newPlatformTraffic(sys, 1)
 		traffic.run(300)
 		leaving := []*standin.Replica{sys.replicas[replicaCount-1], sys.ledgers[ledgerCount-1]}
@@ -42,7 +32,5 @@
 		}
 		traffic.collect()
 		is.Equal(traffic.result.violations(), nil)
-		sys.close()
-		time.Sleep(time.Minute) // lets background goroutines time out
 	})
 }
--- a/demo/limit_test.go
+++ b/demo/limit_test.go
@@ -99,6 +99,10 @@
 			s.SetFault(standin.ReplicaFault{Limit: limits[i]})
 		}
 		var load sync.WaitGroup
+		load.Go(func() {
+			time.Sleep(5 * time.Second)
+			change(relaxed, traffic)
+		})
 		for range 2 {
 			load.Go(func() {
 				for time.Since(start) < length {
@@ -107,9 +111,6 @@
 			})
 		}
 		for i := 0; time.Since(start) < length; i++ {
-			if time.Since(start) == 5*time.Second {
-				load.Go(func() { change(relaxed, traffic) })
-			}
 			load.Go(func() {
 				traffic.mu.Lock()
 				address := traffic.callerAddrs[i%len(traffic.callerAddrs)]
@@ -123,7 +124,12 @@
 		load.Wait()
 		end := time.Now()
 		for i, s := range servers {
-			checkLimit(is, s.Record().LimitedArrivals, parseLimit(limits[i]), leastUse, start.Add(healthyAfter), end)
+			if limits[i] == "" {
+				continue
+			}
+			limit, err := strconv.ParseFloat(limits[i], 64)
+			is.NoErr(err)
+			checkLimit(is, s.Record().LimitedArrivals, limit, leastUse, start.Add(healthyAfter), end)
 			s.SetFault(standin.ReplicaFault{})
 		}
 		traffic.collect()
@@ -155,21 +161,9 @@
 	return n
 }
 
-// parseLimit returns a limit in requests a second, or -1 for none.
-func parseLimit(text string) float64 {
-	limit, err := strconv.ParseFloat(text, 64)
-	if err != nil {
-		return -1
-	}
-	return limit
-}
-
 // checkLimit checks the arrivals at a server between two times against its limit.
 func checkLimit(is *is.I, arrivals []time.Time, limit, leastUse float64, from, to time.Time) {
 	is.Helper()
-	if limit < 0 {
-		return
-	}
 	is.True(standin.MostWithin(arrivals, from, limitWindow) <= int(1.5*limit*limitWindow.Seconds()+limitSlack)) // over the limit
 	count := 0
 	for _, at := range arrivals {
