--- a/standin/replica_response.go
+++ b/standin/replica_response.go
@@ -15,14 +15,20 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (w *replicaResponse) WriteHeader(status int) {
-	if !w.sent && w.replica.isDraining() {
+	if !w.sent {
+		w.addHeaders()
+	}
+	w.sent = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *replicaResponse) addHeaders() {
+	if w.replica.isDraining() {
 		platform.SetDrainingHeader(w.Header())
 	}
-	if limit := w.replica.statedLimit(); !w.sent && limit != "" {
+	if limit := w.replica.statedLimit(); limit != "" {
 		platform.SetLimitHeader(w.Header(), limit)
 	}
-	w.sent = true
-	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
