--- a/node/admission.go
+++ b/node/admission.go
@@ -112,7 +112,7 @@
 		Engine: engineName, RequestId: w.ID, Adapter: w.Adapter, Entry: n.cfg.Name, EntryProcess: n.process,
 		ShortClass: w.Short, Tokens: int32(w.ExpectedTokens), PromptTokens: int32(w.PromptTokens),
 		TimeLeftMs: time.Until(w.Deadline).Milliseconds(), MaxWaitMs: w.MaxWait.Milliseconds(),
-		FirstByMs: millisUntil(w.FirstTokenDeadline), AimByMs: millisUntil(w.FirstTokenTarget), Limit: n.engineLimit(engineName),
+		FirstByMs: millisUntil(w.FirstTokenDeadline), AimByMs: millisUntil(w.FirstTokenTarget), Limit: n.knownLimit(engineName),
 	}
 	if owner == n.cfg.Name {
 		return n.admit(ctx, req, n.cfg.Address), nil
--- a/node/config.go
+++ b/node/config.go
@@ -38,8 +38,9 @@
 	// Prompts, if set, is shared with the other nodes: what one sees of prompts that crash
 	// engines counts for all.
 	Prompts *backend.PromptQuarantine
-	// Limits, if set, holds what servers state of the requests that they take from all nodes
-	// together. The owner of an engine keeps to its limit, and so does [Node.TakeTurn].
+	// Limits holds what servers state of the requests that they take from all nodes together;
+	// nil means that none does. The owner of an engine keeps to its limit, and so does
+	// [Node.TakeTurn].
 	Limits *backend.Limits
 	// PeerScheme is "http" or "https".
 	PeerScheme string
@@ -93,6 +94,9 @@
 	setDefault(&c.ProbeAfter, defaultProbeAfter)
 	setDefault(&c.ProbeTimeout, time.Second)
 	setDefault(&c.DrainGrace, time.Second)
+	if c.Limits == nil {
+		c.Limits = &backend.Limits{}
+	}
 	if c.PeerScheme == "" {
 		c.PeerScheme = "http"
 	}
--- a/node/limits.go
+++ b/node/limits.go
@@ -15,16 +15,13 @@
 // node, the same for all, decides for each server. Without a turn it returns when to ask
 // again.
 func (n *Node) TakeTurn(ctx context.Context, id string) (wait time.Duration, ok bool) {
-	if n.cfg.Limits == nil {
+	l, _ := n.cfg.Limits.Get(id)
+	if !l.Limited {
 		return 0, true
 	}
-	l, known := n.cfg.Limits.Get(id)
-	if !known || !l.Limited {
-		return 0, true
-	}
-	decider, ok := n.members.get(n.members.preferredOwner(turnsKey(id), ""))
+	decider, ok := n.turnsDecider(id)
 	if ok && decider.Process == n.process {
-		return n.turns.Take(time.Now(), id, l, n.LiveNodes())
+		return n.decideTurn(id)
 	}
 	if ok {
 		resp, err := n.askForTurn(ctx, decider.Address, &peerpb.TakeTurnRequest{Limit: encodeLimit(id, l)})
@@ -39,11 +36,8 @@
 
 // TellLimit tells the node that decides for a server what this one knows of its limit.
 func (n *Node) TellLimit(id string) {
-	if n.cfg.Limits == nil {
-		return
-	}
 	l, known := n.cfg.Limits.Get(id)
-	decider, ok := n.members.get(n.members.preferredOwner(turnsKey(id), ""))
+	decider, ok := n.turnsDecider(id)
 	if !known || !ok || decider.Process == n.process {
 		return
 	}
@@ -58,8 +52,19 @@
 	})
 }
 
-// turnsKey is hashed to choose the node that decides for a server.
-func turnsKey(id string) string { return "server-limit/" + id }
+// turnsDecider returns the node that decides for a server.
+func (n *Node) turnsDecider(id string) (member, bool) {
+	return n.members.get(n.members.preferredOwner("server-limit/"+id, ""))
+}
+
+// decideTurn decides for a server whether a request may be sent to it now.
+func (n *Node) decideTurn(id string) (wait time.Duration, ok bool) {
+	l, _ := n.cfg.Limits.Get(id)
+	if !l.Limited {
+		return 0, true
+	}
+	return n.turns.Take(time.Now(), id, l, n.LiveNodes())
+}
 
 func (n *Node) askForTurn(ctx context.Context, address string, req *peerpb.TakeTurnRequest) (*peerpb.TakeTurnResponse, error) {
 	client, ctx, cancel, ok := n.members.beginCall(ctx, address)
@@ -80,20 +85,9 @@
 func (s *peerServer) TakeTurn(_ context.Context, req *connect.Request[peerpb.TakeTurnRequest]) (*connect.Response[peerpb.TakeTurnResponse], error) {
 	id := req.Msg.GetLimit().GetServer()
 	s.n.learnLimit(req.Msg.GetLimit())
-	resp := &peerpb.TakeTurnResponse{}
-	if s.n.cfg.Limits == nil {
-		return connect.NewResponse(resp), nil
-	}
-	l, known := s.n.cfg.Limits.Get(id)
-	if known {
-		resp.Limit = encodeLimit(id, l)
-	}
-	switch {
-	case req.Msg.GetTell():
-	case !known || !l.Limited:
-		resp.Allowed = true
-	default:
-		wait, ok := s.n.turns.Take(time.Now(), id, l, s.n.LiveNodes())
+	resp := &peerpb.TakeTurnResponse{Limit: s.n.knownLimit(id)}
+	if !req.Msg.GetTell() {
+		wait, ok := s.n.decideTurn(id)
 		resp.Allowed, resp.WaitMs = ok, wait.Milliseconds()
 	}
 	return connect.NewResponse(resp), nil
@@ -103,21 +97,18 @@
 	return &peerpb.ServerLimit{Server: id, StartMs: l.StartMS, Limited: l.Limited, PerSecond: l.PerSecond, AgeMs: time.Since(l.At).Milliseconds()}
 }
 
-// engineLimit returns what this node knows of the limit of an engine, for messages.
-func (n *Node) engineLimit(name string) *peerpb.ServerLimit {
-	if n.cfg.Limits == nil {
-		return nil
-	}
-	l, ok := n.cfg.Limits.Get(name)
+// knownLimit returns what this node knows of the limit of a server, for messages, or nil.
+func (n *Node) knownLimit(id string) *peerpb.ServerLimit {
+	l, ok := n.cfg.Limits.Get(id)
 	if !ok {
 		return nil
 	}
-	return encodeLimit(name, l)
+	return encodeLimit(id, l)
 }
 
 // learnLimit takes what another node knows of the limit of a server.
 func (n *Node) learnLimit(m *peerpb.ServerLimit) {
-	if n.cfg.Limits == nil || m.GetServer() == "" {
+	if m.GetServer() == "" {
 		return
 	}
 	now := time.Now()
@@ -129,9 +120,6 @@
 
 // updateRateLimit hands the engine's limit to its scheduler. The caller must hold o.mu.
 func (o *ownedEngine) updateRateLimit(now time.Time) {
-	if o.n.cfg.Limits == nil {
-		return
-	}
 	l, _ := o.n.cfg.Limits.Get(o.name)
 	limited := l.Limited && (o.boot == "" || o.boot == strconv.FormatInt(l.StartMS, 10))
 	o.apply(o.sched.SetRateLimit(now, l.PerSecond, limited))
