Name when work cannot wait for a rate limit, and when turns begin

The scheduler's condition on a limit is a method of the work, and its wait, which the expected wait includes, is no longer joined a second time. Turns report that they begin instead of comparing times, by which two requests of the same moment would both have counted as the first and got a part to spare. Observe does not ask whether any limit is known, as merge does. Otherwise no change of behaviour.

--- a/backend/limits.go
+++ b/backend/limits.go
@@ -33,9 +33,10 @@
 
 // Observe records what a response of a server states of its limit. It was sent between the
 // times sent, when the request was, and received. A response without a limit ends one only
-// if it is certainly the later of the two. Observe reports whether the limit has changed.
-func (l *Limits) Observe(sent, received time.Time, s *Server, a Asks) (now Limit, changed bool) {
-	next := Limit{StartMS: s.StartMS, Limited: a.Limited, PerSecond: a.PerSecond, At: sent}
+// if it is certainly the later of the two. Observe reports whether the limit has changed, and
+// to what.
+func (l *Limits) Observe(sent, received time.Time, s *Server, a Asks) (next Limit, changed bool) {
+	next = Limit{StartMS: s.StartMS, Limited: a.Limited, PerSecond: a.PerSecond, At: sent}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old := l.byID[s.ID]
@@ -47,7 +48,7 @@
 	}
 	if next.Limited {
 		next.At = received
-	} else if !old.Limited && old.StartMS == s.StartMS || len(l.byID) == 0 {
+	} else if !old.Limited && old.StartMS == s.StartMS {
 		return old, false
 	}
 	return next, l.merge(s.ID, next, received)
--- a/backend/turns.go
+++ b/backend/turns.go
@@ -37,7 +37,7 @@
 func (t *Turns) Take(now time.Time, id string, l Limit, nodes int) (wait time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.turns(now, id, l.StartMS)
+	s, _ := t.turns(now, id, l.StartMS)
 	rate := max(engine.LeastRate, l.PerSecond)
 	if now.Sub(s.began) < turnsSettle {
 		rate /= 2
@@ -50,19 +50,21 @@
 func (t *Turns) TakeOwnShare(now time.Time, id string, l Limit, nodes int) (wait time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.turns(now, id+"/own-share", l.StartMS)
+	s, isNew := t.turns(now, id+"/own-share", l.StartMS)
 	rate := l.PerSecond / float64(2*max(1, nodes))
-	if s.began.Equal(now) {
+	if isNew {
 		s.rate.Set(now, rate, true)
 		s.rate.Spare(rand.Float64()) // otherwise the first turns of all nodes would come at once
 	}
 	return s.take(now, rate, 1)
 }
 
-// turns returns the turns of an incarnation of a server. t.mu must be held.
-func (t *Turns) turns(now time.Time, key string, startMS int64) *serverTurns {
-	s := t.byID[key]
-	if s == nil || s.startMS != startMS {
+// turns returns the turns of an incarnation of a server, and whether they begin now. t.mu must
+// be held.
+func (t *Turns) turns(now time.Time, key string, startMS int64) (s *serverTurns, isNew bool) {
+	s = t.byID[key]
+	isNew = s == nil || s.startMS != startMS
+	if isNew {
 		for other, old := range t.byID {
 			if now.Sub(old.lastAskAt) > turnsTTL {
 				delete(t.byID, other)
@@ -75,7 +77,7 @@
 		t.byID[key] = s
 	}
 	s.lastAskAt = now
-	return s
+	return s, isNew
 }
 
 func (s *serverTurns) take(now time.Time, perSecond float64, nodes int) (wait time.Duration, ok bool) {
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -115,7 +115,6 @@
 // refusal returns the reason for refusing the work, or "", and the expected wait.
 func (s *Scheduler) refusal(now time.Time, a *adapter, w *Work) (RefusalReason, time.Duration) {
 	wait := s.expectedWait(now, a, w.Short)
-	rateWait := s.rate.Wait(now, len(s.waiting))
 	if w.FirstTokenTarget.IsZero() {
 		s.normalWaitAt = now
 	}
@@ -127,8 +126,8 @@
 		return Recovering, wait
 	case a.state == locked, a.state == absent && !s.loadable():
 		return NotLoaded, wait
-	case rateWait > 0 && (w.MaxWait > 0 && rateWait > w.MaxWait || w.missesDeadline(now, rateWait) || !w.FirstTokenTarget.IsZero() && !w.meetsTarget(now, rateWait)):
-		return Limited, max(wait, rateWait)
+	case s.isRateWaitTooLong(now, w):
+		return Limited, wait
 	case len(s.waiting) >= s.cfg.MaxQueue:
 		return QueueFull, wait
 	case w.MaxWait > 0 && wait > w.MaxWait && a.state != loaded:
@@ -141,6 +140,12 @@
 	return "", wait
 }
 
+// isRateWaitTooLong reports whether the rate limit alone delays new work for too long.
+func (s *Scheduler) isRateWaitTooLong(now time.Time, w *Work) bool {
+	wait := s.rate.Wait(now, len(s.waiting))
+	return wait > 0 && w.cannotWait(now, wait)
+}
+
 // updateCold updates the set of cold adapters after a change to a.
 func (s *Scheduler) updateCold(a *adapter) {
 	if a.state == absent && len(a.waiting) > 0 {
--- a/engine/work.go
+++ b/engine/work.go
@@ -63,6 +63,12 @@
 	return now.Add(wait + w.serviceTime).After(w.Deadline)
 }
 
+// cannotWait reports whether the work should not be queued for the given wait: longer than its
+// entry node accepts, or too long for a deadline or its target.
+func (w *Work) cannotWait(now time.Time, wait time.Duration) bool {
+	return w.MaxWait > 0 && wait > w.MaxWait || w.missesDeadline(now, wait) || !w.FirstTokenTarget.IsZero() && !w.meetsTarget(now, wait)
+}
+
 // meetsTarget reports whether the work would meet its first token target if it
 // started after the given wait.
 func (w *Work) meetsTarget(now time.Time, wait time.Duration) bool {
