Read the clocks of the VM in one place, and log suspensions

The users' pages say that a VM may be suspended for seconds, and that the steady clock does not count that time. Nothing in the log tells that it happened, so that a lease that was used after its end cannot be told from a command that came late.

Package clock reads both clocks. Nodes compare them ten times a second, and log and count suspensions with what is left of the lease. Sessions read the clock of leases in one place, still the steady one: no decision changes.

--- /dev/null
+++ b/clock/kernel.go
@@ -0,0 +1,25 @@
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// origin is the time of both clocks when the process started, of which kernelBoot is counted.
+var origin = struct {
+	steady time.Time
+	boot   time.Duration
+}{time.Now(), sinceBoot()}
+
+// kernelBoot returns the time since the VM was booted as a time that can be compared.
+func kernelBoot() time.Time { return origin.steady.Add(sinceBoot() - origin.boot) }
+
+// sinceBoot reads CLOCK_BOOTTIME.
+func sinceBoot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("the kernel has no clock that counts suspensions: " + err.Error()) // Linux has had it since 2.6.39
+	}
+	return time.Duration(ts.Nano())
+}
--- a/node/commands.go
+++ b/node/commands.go
@@ -68,7 +68,7 @@
 // token when it restarts; there the lease keeps a replaced owner from sending more than
 // the command in flight.
 func (o *ownedEngine) beginCommand() bool {
-	if o.backend().ChecksFencing && !o.n.session.leaseValid(time.Now()) {
+	if o.backend().ChecksFencing && !o.n.session.leaseValid() {
 		return false
 	}
 	o.mu.Lock()
--- a/node/config.go
+++ b/node/config.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/clock"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/operator"
 	"github.com/vanilladrift/vanilladrift/settings"
@@ -71,6 +72,7 @@
 	PeerHTTP *http.Client
 	// ServiceHTTP sends to plain services; nil means the clients of package service.
 	ServiceHTTP *http.Client
+	Clock       clock.Clock
 	Log         *log.Logger // nil logs nothing
 	Seed        uint64      // of the random number generator
 	// Process identifies this start of the node; empty means a random ID.
--- a/node/expiry.go
+++ b/node/expiry.go
@@ -12,9 +12,9 @@
 // extendLeaseByWitnesses extends the lease between two renewals in the table, and while the
 // table cannot be reached, if enough of this node's witnesses agree.
 func (m *members) extendLeaseByWitnesses(ctx context.Context) {
-	now := time.Now()
-	version, sets, ok := m.n.session.extensionTerms(now)
-	if !ok || m.n.session.leaseLeft(now) > m.n.cfg.RenewEvery+m.n.cfg.RenewEvery/2 {
+	begun := m.n.leaseNow()
+	version, sets, ok := m.n.session.extensionTerms()
+	if !ok || m.n.session.leaseLeft() > m.n.cfg.RenewEvery+m.n.cfg.RenewEvery/2 {
 		return
 	}
 	addresses := make(map[string]string) // of the witnesses, by session
@@ -37,7 +37,7 @@
 		})
 	}
 	wg.Wait()
-	m.n.session.extendLease(round, version, now)
+	m.n.session.extendLease(round, version, begun)
 }
 
 // minConsents is the number of witnesses without whose consent a lease cannot be extended.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -28,6 +28,7 @@
 	loads        metric.Int64Counter
 	loadFailures metric.Int64Counter
 	evictions    metric.Int64Counter
+	suspensions  metric.Int64Counter
 
 	firstToken metric.Float64Histogram
 	perToken   metric.Float64Histogram
@@ -52,6 +53,7 @@
 	m.loads = m.counter("adapter-loads", "adapter loads asked for")
 	m.loadFailures = m.counter("adapter-load-failures", "adapter loads that failed")
 	m.evictions = m.counter("evictions", "adapters unloaded to make room")
+	m.suspensions = m.counter("vm-suspensions", "times that the VM was suspended, as its clocks show")
 	m.firstToken = m.seconds("first-token", "time to the first token")
 	m.perToken = m.seconds("between-tokens", "mean time between tokens of an answer")
 	return m
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/vanilladrift/vanilladrift/backend"
 	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/clock"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/membership"
 	"github.com/vanilladrift/vanilladrift/object"
@@ -43,6 +44,7 @@
 	generations   *membership.Generations
 	metrics       *metrics
 	turns         backend.Turns // at servers for which this node decides
+	suspensions   clock.Watch   // used by watchSuspension only
 	log           *log.Logger
 
 	mu            sync.Mutex
@@ -83,6 +85,7 @@
 		ownerChecks:   make(map[string]time.Time),
 		claims:        make(map[string]bool),
 
+		suspensions:   clock.Watch{Clock: cfg.Clock},
 		reconcileLock: semaphore.NewWeighted(1),
 		freshness:     settings.Freshness{MaxAge: cfg.MaxSettingsAge},
 		rng:           rand.New(rand.NewPCG(cfg.Seed, 1)),
@@ -139,6 +142,7 @@
 		n.runEvery(promptShareInterval, n.sharePromptEvents)
 	}
 	n.runEvery(tickInterval, n.tickEngines)
+	n.runEvery(tickInterval, n.watchSuspension)
 	n.runEvery(reconcileInterval, n.reconcileGrants)
 }
 
@@ -150,7 +154,7 @@
 	}
 	for range joinAttempts {
 		n.session.renew(n.ctx)
-		if n.session.leaseValid(time.Now()) || n.ctx.Err() != nil {
+		if n.session.leaseValid() || n.ctx.Err() != nil {
 			return
 		}
 		sleep(n.ctx, joinPause)
--- a/node/operators.go
+++ b/node/operators.go
@@ -39,11 +39,10 @@
 }
 
 func (n *Node) status() *operatorpb.StatusResponse {
-	now := time.Now()
 	reason := n.notReadyReason()
 	resp := &operatorpb.StatusResponse{
 		Node: n.cfg.Name, Revision: n.store.Tree().Rev(), Ready: reason == "", NotReadyReason: reason,
-		LeaseLeftMs: n.session.leaseLeft(now).Milliseconds(),
+		LeaseLeftMs: n.session.leaseLeft().Milliseconds(),
 	}
 	for _, member := range n.members.all() {
 		resp.Nodes = append(resp.Nodes, &operatorpb.NodeStatus{
@@ -82,7 +81,7 @@
 // registerGauges registers the gauges, whose values are computed at each scrape.
 func (n *Node) registerGauges() {
 	n.metrics.gauge("lease-left-seconds", "time for which the session's lease stays valid", func() float64 {
-		return n.session.leaseLeft(time.Now()).Seconds()
+		return n.session.leaseLeft().Seconds()
 	})
 	n.metrics.gauge("settings-age-seconds", "time since the settings were compared with the table or a peer", func() float64 {
 		n.mu.Lock()
--- a/node/owned.go
+++ b/node/owned.go
@@ -181,7 +181,7 @@
 	return engine.Mode{
 		Recovering: o.lastReport.IsZero() || !o.engineFenced,
 		Draining:   o.draining(),
-		ReadOnly:   o.hasFormerOwners || o.backend().ChecksFencing && !o.n.session.leaseValid(now) || !o.backend().RefusesWhenFull && now.Sub(o.takenOverAt) < maxReportAge,
+		ReadOnly:   o.hasFormerOwners || o.backend().ChecksFencing && !o.n.session.leaseValid() || !o.backend().RefusesWhenFull && now.Sub(o.takenOverAt) < maxReportAge,
 		NoEvict:    !o.olderGrantsFenced,
 		SwapOnly:   !o.n.tableUp.Load(),
 	}
@@ -190,7 +190,7 @@
 // leaseAllowsCommands reports whether the lease permits commands to an engine that does
 // not reject those of replaced owners. The caller must hold o.mu.
 func (o *ownedEngine) leaseAllowsCommands(now time.Time) bool {
-	return o.n.session.leaseValid(now) && !now.Before(o.noCommandsUntil)
+	return o.n.session.leaseValid() && !now.Before(o.noCommandsUntil)
 }
 
 func (o *ownedEngine) draining() bool { return draining(o.backend(), o.n.currentVMList()) }
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -23,7 +23,7 @@
 		return false
 	}
 	defer n.reconcileLock.Release(1)
-	if !n.session.leaseValid(time.Now()) {
+	if !n.session.leaseValid() {
 		return false
 	}
 	configured := make(map[string]bool)
--- a/node/peers.go
+++ b/node/peers.go
@@ -36,7 +36,7 @@
 	s.n.ObserveGeneration(req.Msg.GetGeneration())
 	s.n.recordPromptEvents(req.Msg)
 	now, generation := time.Now(), s.n.generations.Current()
-	id, holding := s.n.session.identity(now)
+	id, holding := s.n.session.identity()
 	return connect.NewResponse(&peerpb.HeartbeatResponse{
 		Node: s.n.cfg.Name, Process: s.n.process, Revision: s.n.store.Tree().Rev(), Holding: holding, Session: id, Generation: generation, Quarantines: s.n.quarantines(),
 		// A witness without a lease may have been fenced, and then counts as having promised
@@ -48,7 +48,7 @@
 // Promise implements the Peer service.
 func (s *peerServer) Promise(_ context.Context, req *connect.Request[peerpb.PromiseRequest]) (*connect.Response[peerpb.PromiseResponse], error) {
 	now := time.Now()
-	id, _ := s.n.session.identity(now)
+	id, _ := s.n.session.identity()
 	return connect.NewResponse(&peerpb.PromiseResponse{
 		Session: id, Promised: req.Msg.GetGeneration() == s.n.generations.Current() && s.n.promises.Promise(req.Msg.GetProcess(), req.Msg.GetSessionVersion(), now),
 	}), nil
--- a/node/session.go
+++ b/node/session.go
@@ -31,7 +31,7 @@
 	lease   table.Lease
 	leaving bool
 	id      string    // of the session; see [table.Session.ID]
-	renewed time.Time // when the last confirmed renewal was sent
+	renewed time.Time // when the last confirmed renewal was sent, by the clock of leases
 	// confirmed is the version of the session row by the last confirmed renewal. possibleSets
 	// holds the witnesses of that renewal, and those of later writes without a
 	// response.
@@ -47,6 +47,9 @@
 // maxRestoreLoss is how old the copy may be from which a table is restored.
 const maxRestoreLoss = 15 * time.Second
 
+// leaseNow returns the time by the clock on which leases are counted.
+func (n *Node) leaseNow() time.Time { return n.cfg.Clock.Steady() }
+
 func newSession(n *Node) *session {
 	s := &session{
 		n: n, rowLock: semaphore.NewWeighted(1), witnessesKnown: true,
@@ -61,17 +64,17 @@
 }
 
 // leaseValid reports whether the node may act as the owner of its engines.
-func (s *session) leaseValid(now time.Time) bool {
+func (s *session) leaseValid() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lease.Valid(now)
+	return s.lease.Valid(s.n.leaseNow())
 }
 
 // leaseLeft returns how long the lease remains valid.
-func (s *session) leaseLeft(now time.Time) time.Duration {
+func (s *session) leaseLeft() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lease.Remaining(now)
+	return s.lease.Remaining(s.n.leaseNow())
 }
 
 func (s *session) announceLeaving(ctx context.Context) {
@@ -90,12 +93,13 @@
 // renewIfDue renews the session, unless its lease was extended by its witnesses and there
 // is nothing else to write.
 func (s *session) renewIfDue(ctx context.Context) {
-	if s.renewalDue(time.Now()) {
+	if s.renewalDue() {
 		s.renew(ctx)
 	}
 }
 
-func (s *session) renewalDue(now time.Time) bool {
+func (s *session) renewalDue() bool {
+	now := s.n.leaseNow()
 	candidates := s.n.members.witnessCandidates()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -138,7 +142,7 @@
 		tx.Puts = append(tx.Puts, table.Put{Key: table.WitnessKey(next.Node), Value: row.Encode()})
 		s.beginWitnessWrite(witnesses)
 	}
-	sent := time.Now()
+	sent := s.n.leaseNow()
 	ver, err := s.n.table.Commit(ctx, tx)
 	switch {
 	case err == nil && s.generation != s.n.generations.Current():
@@ -201,9 +205,10 @@
 
 // extensionTerms returns the version of the confirmed session row and the possible sets of
 // witnesses, or false if the lease cannot be extended.
-func (s *session) extensionTerms(now time.Time) (version int64, sets [][]table.Witness, ok bool) {
+func (s *session) extensionTerms() (version int64, sets [][]table.Witness, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.n.leaseNow()
 	ok = s.lease.Valid(now) && now.Sub(s.renewed) < maxExtension && s.generation == s.n.generations.Current()
 	return s.confirmed, slices.Clone(s.possibleSets), ok
 }
@@ -214,16 +219,16 @@
 func (s *session) extendLease(round *membership.Round, version int64, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lease.Valid(time.Now()) && s.confirmed == version && s.generation == s.n.generations.Current() && round.Enough(s.possibleSets) {
+	if s.lease.Valid(s.n.leaseNow()) && s.confirmed == version && s.generation == s.n.generations.Current() && round.Enough(s.possibleSets) {
 		s.lease.RecordRenewal(sent)
 	}
 }
 
 // identity returns the ID of the session, and whether its lease is valid.
-func (s *session) identity(now time.Time) (id string, valid bool) {
+func (s *session) identity() (id string, valid bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.id, s.lease.Valid(now)
+	return s.id, s.lease.Valid(s.n.leaseNow())
 }
 
 // readBack reads the row after a renewal that conflicted or got no response.
@@ -288,7 +293,7 @@
 	if s.row.Counter == 0 || s.generation >= generation {
 		return nil, false
 	}
-	if s.leaseValid(time.Now()) {
+	if s.leaseValid() {
 		owned = s.n.undisputedEngines()
 	}
 	s.startNewEpoch(table.Session{}, 0)
@@ -323,7 +328,7 @@
 		return false
 	}
 	defer s.rowLock.Release(1)
-	if !s.leaseValid(time.Now()) || s.generation != s.n.generations.Current() {
+	if !s.leaseValid() || s.generation != s.n.generations.Current() {
 		return false
 	}
 	f(s.row, s.check())
