Count leases on a clock that goes on while the VM is suspended

Seen: two nodes act as the owner of an engine, and an engine gets a command with a lower fencing token than one before. A VM is suspended for some seconds; others fence its session and take over its engines. It resumes with what its lease had left, up to 2.2 s, and sends commands with its token.

Cause: leases were counted on the steady clock, which stops while the VM is suspended. All others wait on clocks that do not. The same holds for a witness, which consented on a lease that had ended, although others count such a session as having promised; and for the longest extension.

What a node waits for is still counted on the steady clock: it then waits longer, never shorter. Tests in virtual time set both clocks, since the kernel's follows real time.

--- a/clock/suspension.go
+++ b/clock/watch.go
@@ -10,26 +10,25 @@
 type Watch struct {
 	Clock Clock
 
-	started  bool
-	behind   time.Duration // of the steady clock, at the last look
+	started bool
+	ahead   time.Duration // of the clock that goes on, before the next suspension
 }
 
 // Suspended returns for how long the VM was suspended since the last call, or 0.
 func (w *Watch) Suspended() time.Duration {
-	before := w.Clock.Steady()
-	boot := w.Clock.Boot()
-	behind := boot.Sub(before)
-	if w.Clock.Steady().Sub(before) > minSuspension/2 {
-		return 0 // the process was held up between the two reads
+	steady := w.Clock.Steady()
+	ahead := w.Clock.Boot().Sub(steady)
+	if w.Clock.Steady().Sub(steady) > minSuspension/2 {
+		return 0 // the process was held up between the reads
 	}
-	grown := behind - w.behind
-	first := !w.started
+	last, first := w.ahead, !w.started
 	w.started = true
-	if first || grown >= minSuspension || grown < 0 {
-		w.behind = behind
+	switch {
+	case first:
+		w.ahead = ahead
+	case ahead-last >= minSuspension:
+		w.ahead = ahead
+		return ahead - last
 	}
-	if first || grown < minSuspension {
-		return 0
-	}
-	return grown
+	return 0
 }
--- a/demo/platform_test.go
+++ b/demo/platform_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/clock"
 	"github.com/vanilladrift/vanilladrift/entry"
 	"github.com/vanilladrift/vanilladrift/standin"
 )
@@ -20,7 +21,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			network := &standin.PipeNetwork{}
 			err := runPlatform(Options{Seed: seed, Requests: 1500, Out: io.Discard, Progress: io.Discard},
-				entry.Network{Listen: network.Listen, Dial: network.Dial}, io.Discard)
+				entry.Network{Listen: network.Listen, Dial: network.Dial, Clock: clock.Virtual()}, io.Discard)
 			is.New(t).NoErr(err)
 			time.Sleep(time.Minute) // lets background goroutines time out
 		})
--- a/demo/play_test.go
+++ b/demo/play_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/clock"
 	"github.com/vanilladrift/vanilladrift/entry"
 	"github.com/vanilladrift/vanilladrift/standin"
 )
@@ -19,7 +20,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		network := &standin.PipeNetwork{}
-		sys, err := newPlatformSystem(entry.Network{Listen: network.Listen, Dial: network.Dial}, io.Discard)
+		sys, err := newPlatformSystem(entry.Network{Listen: network.Listen, Dial: network.Dial, Clock: clock.Virtual()}, io.Discard)
 		is.NoErr(err)
 		defer time.Sleep(time.Minute) // lets background goroutines time out
 		defer sys.close()
--- a/demo/prompt_crash_test.go
+++ b/demo/prompt_crash_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/clock"
 	"github.com/vanilladrift/vanilladrift/entry"
 	"github.com/vanilladrift/vanilladrift/relay"
 	"github.com/vanilladrift/vanilladrift/standin"
@@ -43,7 +44,7 @@
 			}
 			return pipes.Dial(ctx, network, address)
 		}
-		sys, err := newPlatformSystem(entry.Network{Listen: pipes.Listen, Dial: dial}, io.Discard)
+		sys, err := newPlatformSystem(entry.Network{Listen: pipes.Listen, Dial: dial, Clock: clock.Virtual()}, io.Discard)
 		is.NoErr(err)
 		started.Store(sys)
 		defer time.Sleep(time.Minute) // lets background goroutines time out
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -161,7 +161,7 @@
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
 		Table: &table.Client{Read: d.readStore, Apply: d.applyStore}, Sequencer: d.sequencer,
 		Prompts: prompts, Limits: d.limits, SettingsPushed: true, OwnerAlternationGap: s.OwnerAlternationGap, LeaseTTL: ttl, LeaseMargin: margin,
-		RenewEvery: renewEvery, TableRenewEvery: sessionRenewInterval, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), Log: l, Seed: uint64(time.Now().UnixNano()),
+		RenewEvery: renewEvery, TableRenewEvery: sessionRenewInterval, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), Clock: n.Clock, Log: l, Seed: uint64(time.Now().UnixNano()),
 	}
 	if err := cfg.Check(); err != nil {
 		return nil, err
--- a/entry/network.go
+++ b/entry/network.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/vanilladrift/vanilladrift/clock"
 	"github.com/vanilladrift/vanilladrift/peer"
 )
 
@@ -34,13 +35,16 @@
 	pingTimeout = time.Second
 )
 
-// Network opens the listeners and connections of a daemon. The zero value uses TCP.
+// Network is what a daemon uses of its VM: listeners, connections and clocks. The zero value uses TCP
+// and the kernel's clocks.
 type Network struct {
 	Listen func(address string) (net.Listener, error)
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	// PeerLeft reports whether the other end of an accepted connection has closed it,
 	// also while bytes that it sent before are unread.
 	PeerLeft func(c net.Conn) bool
+	// Clock is the clocks of the daemon's VM.
+	Clock clock.Clock
 }
 
 // withDefaults returns n with TCP for unset functions.
--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -77,7 +77,7 @@
 	cfg := Config{
 		Name: name, Address: fmt.Sprintf("10.0.0.%d:1", i+1), TableURL: tableURL, HTTP: c.net.Client(name), SettingsPushed: true,
 		OwnerAlternationGap: 3 * time.Second, LeaseTTL: 2500 * time.Millisecond, LeaseMargin: 300 * time.Millisecond,
-		Clock: c.clocks[i].Clock(),
+		Clock:      c.clocks[i].Clock(),
 		RenewEvery: time.Second, TableRenewEvery: 5 * time.Second, PollEvery: 2 * time.Second, ProbeAfter: 100 * time.Millisecond, ProbeTimeout: 200 * time.Millisecond, Seed: uint64(i),
 	}
 	store := &platform.StoreClient{Address: tableAddress, HTTP: cfg.HTTP}
--- a/node/ownership_test.go
+++ b/node/ownership_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/vanilladrift/vanilladrift/clock"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/table"
 )
@@ -11,7 +12,7 @@
 // Guards against a node that stands still: a tick holds the lock of an engine when it takes that
 // of the node, so a takeover must not ask engines while it holds the node's.
 func TestTakeoverBesideTickDoesNotBlock(t *testing.T) {
-	n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL})
+	n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL, Clock: clock.Virtual()})
 	o := newOwnedEngine(n, settings.BackendServer{Name: "e", Slots: 2, UnloadWaitsForRequests: true}, table.Owner{}, 1)
 	n.formerlyOwned["e"] = append(n.formerlyOwned["e"], o)
 	o.reportPending = true
--- a/node/session.go
+++ b/node/session.go
@@ -47,8 +47,9 @@
 // maxRestoreLoss is how old the copy may be from which a table is restored.
 const maxRestoreLoss = 15 * time.Second
 
-// leaseNow returns the time by the clock on which leases are counted.
-func (n *Node) leaseNow() time.Time { return n.cfg.Clock.Steady() }
+// leaseNow returns the time by the clock on which leases are counted. Others wait for the end of a
+// lease while its holder is suspended, so that time counts.
+func (n *Node) leaseNow() time.Time { return n.cfg.Clock.Boot() }
 
 func newSession(n *Node) *session {
 	s := &session{
--- a/node/session_test.go
+++ b/node/session_test.go
@@ -21,7 +21,7 @@
 		is := is.New(t)
 		net, tbl := standin.NewNetwork(), &standin.Table{}
 		net.Listen(platformProcess, "10.9.0.1:1", tbl)
-		n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL, HTTP: net.Client("n")})
+		n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL, HTTP: net.Client("n"), Clock: clock.Virtual()})
 		n.tokensKnown.Store(true) // so that renew makes no second call, which would be slow too
 		tbl.SetFault(standin.TableFault{Delay: 1500 * time.Millisecond})
 		n.session.renew(context.Background())
@@ -39,7 +39,7 @@
 		net.Listen(platformProcess, "10.9.0.1:1", tbl)
 		row := table.Owner{Engine: "e", Node: "other", FencingToken: 9}
 		tbl.Commit(table.Tx{Puts: []table.Put{{Key: row.Key(), Value: row.Encode()}}})
-		n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL, HTTP: net.Client("n")})
+		n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL, HTTP: net.Client("n"), Clock: clock.Virtual()})
 		is.True(n.admissionBlocker() != "")
 		n.session.renew(context.Background())
 		n.registry.Register("e", "r")
@@ -55,7 +55,7 @@
 		is := is.New(t)
 		net, tbl := standin.NewNetwork(), &standin.Table{}
 		net.Listen(platformProcess, "10.9.0.1:1", tbl)
-		n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL, HTTP: net.Client("n")})
+		n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL, HTTP: net.Client("n"), Clock: clock.Virtual()})
 		n.session.renew(context.Background())
 		b := settings.BackendServer{Name: "e", Address: "10.1.0.1:1", Slots: 2, BatchSize: 2, UnloadWaitsForRequests: true}
 		n.startOwnership(b, table.Owner{Engine: "e", Node: "n", Process: n.process, Epoch: 1, FencingToken: 1}, 1)
--- a/table/lease.go
+++ b/table/lease.go
@@ -3,8 +3,9 @@
 import "time"
 
 // Lease is the holder's side of a session. It is valid for TTL less Margin on the
-// holder's monotonic clock, counted from the time just before a confirmed renewal
-// was sent, so that a slow response shortens the lease and never lengthens it.
+// holder's clock, counted from the time just before a confirmed renewal was sent, so
+// that a slow response shortens the lease and never lengthens it. The clock must go on
+// while the holder's VM is suspended.
 // The zero value is a lease that is not held.
 type Lease struct {
 	TTL    time.Duration
