Count the age of settings on the clock that goes on during suspensions

A node whose VM was suspended admitted requests by settings that it had compared with the table or a peer longer than MaxSettingsAge ago: the steady clock does not count the time. With bootNow on the steady clock TestSuspendedNodeStopsAdmitting fails, and passes on the other one.

The clocks of the stand-in show a suspension only when the VM runs again, as real ones do; with leases on the steady clock TestSuspendedOwnerIsReplaced then fails in 5 of 10 cases (3 s beside a cut from the table, and all of 5 and 20 s).

--- a/node/expiry.go
+++ b/node/expiry.go
@@ -12,7 +12,7 @@
 // extendLeaseByWitnesses extends the lease between two renewals in the table, and while the
 // table cannot be reached, if enough of this node's witnesses agree.
 func (m *members) extendLeaseByWitnesses(ctx context.Context) {
-	begun := m.n.leaseNow()
+	begun := m.n.bootNow()
 	version, sets, ok := m.n.session.extensionTerms()
 	if !ok || m.n.session.leaseLeft() > m.n.cfg.RenewEvery+m.n.cfg.RenewEvery/2 {
 		return
--- a/node/members.go
+++ b/node/members.go
@@ -288,7 +288,7 @@
 }
 
 func (m *members) heartbeatPeer(ctx context.Context, address string) {
-	sent := time.Now()
+	sent, asked := time.Now(), m.n.bootNow()
 	resp, l, err := m.sendHeartbeat(ctx, address, 0)
 	if err != nil {
 		return
@@ -297,7 +297,7 @@
 		m.n.promises.RecordContact(resp.Msg.GetProcess(), sent)
 	}
 	if !m.n.cfg.SettingsPushed {
-		m.n.syncSettingsFrom(ctx, l.client, resp.Msg.GetRevision(), sent)
+		m.n.syncSettingsFrom(ctx, l.client, resp.Msg.GetRevision(), asked)
 	}
 }
 
@@ -347,7 +347,7 @@
 
 // syncSettingsFrom fetches settings from a peer with a later revision. Once the node
 // has that revision, its settings are as recent as the peer's response.
-func (n *Node) syncSettingsFrom(ctx context.Context, c peerpbconnect.PeerClient, rev int64, sent time.Time) {
+func (n *Node) syncSettingsFrom(ctx context.Context, c peerpbconnect.PeerClient, rev int64, asked time.Time) {
 	if local := n.store.Tree().Rev(); rev > local {
 		if err := n.fetchChanges(ctx, c, local); err != nil {
 			n.log.Warn("cannot fetch settings from a peer; retrying with the next heartbeat", "err", err)
@@ -355,7 +355,7 @@
 		}
 	}
 	if n.store.Tree().Rev() >= rev {
-		n.recordSettingsContact(sent)
+		n.recordSettingsContact(asked)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -207,16 +207,16 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.freshness.Stale(time.Now()) {
+	if n.freshness.Stale(n.bootNow()) {
 		return "the node has heard neither the table nor a peer, so its settings may be out of date"
 	}
 	return ""
 }
 
-func (n *Node) recordSettingsContact(sent time.Time) {
+func (n *Node) recordSettingsContact(asked time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.freshness.RecordContact(sent)
+	n.freshness.RecordContact(asked)
 }
 
 // servingBackends returns the names of the backend servers of a base model that accept
@@ -267,10 +267,10 @@
 }
 
 func (n *Node) pollSettings(ctx context.Context) {
-	sent := time.Now()
+	asked := n.bootNow()
 	err := n.store.Refresh(ctx)
 	if err == nil {
-		n.recordSettingsContact(sent)
+		n.recordSettingsContact(asked)
 	}
 	n.tableUp.Store(err == nil)
 }
--- a/node/operators.go
+++ b/node/operators.go
@@ -86,7 +86,7 @@
 	n.metrics.gauge("settings-age-seconds", "time since the settings were compared with the table or a peer", func() float64 {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		return n.freshness.Age(time.Now()).Seconds()
+		return n.freshness.Age(n.bootNow()).Seconds()
 	})
 	n.metrics.gauge("settings-revision", "revision of the settings in force", func() float64 {
 		return float64(n.store.Tree().Rev())
--- a/node/session.go
+++ b/node/session.go
@@ -31,7 +31,7 @@
 	lease   table.Lease
 	leaving bool
 	id      string    // of the session; see [table.Session.ID]
-	renewed time.Time // when the last confirmed renewal was sent, by the clock of leases
+	renewed time.Time // when the last confirmed renewal was sent, by the node's bootNow
 	// confirmed is the version of the session row by the last confirmed renewal. possibleSets
 	// holds the witnesses of that renewal, and those of later writes without a
 	// response.
@@ -47,10 +47,6 @@
 // maxRestoreLoss is how old the copy may be from which a table is restored.
 const maxRestoreLoss = 15 * time.Second
 
-// leaseNow returns the time by the clock on which leases are counted. Others wait for the end of a
-// lease while its holder is suspended, so that time counts.
-func (n *Node) leaseNow() time.Time { return n.cfg.Clock.Boot() }
-
 func newSession(n *Node) *session {
 	s := &session{
 		n: n, rowLock: semaphore.NewWeighted(1), witnessesKnown: true,
@@ -68,14 +64,14 @@
 func (s *session) leaseValid() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lease.Valid(s.n.leaseNow())
+	return s.lease.Valid(s.n.bootNow())
 }
 
 // leaseLeft returns how long the lease remains valid.
 func (s *session) leaseLeft() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lease.Remaining(s.n.leaseNow())
+	return s.lease.Remaining(s.n.bootNow())
 }
 
 func (s *session) announceLeaving(ctx context.Context) {
@@ -100,7 +96,7 @@
 }
 
 func (s *session) renewalDue() bool {
-	now := s.n.leaseNow()
+	now := s.n.bootNow()
 	candidates := s.n.members.witnessCandidates()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,7 +139,7 @@
 		tx.Puts = append(tx.Puts, table.Put{Key: table.WitnessKey(next.Node), Value: row.Encode()})
 		s.beginWitnessWrite(witnesses)
 	}
-	sent := s.n.leaseNow()
+	sent := s.n.bootNow()
 	ver, err := s.n.table.Commit(ctx, tx)
 	switch {
 	case err == nil && s.generation != s.n.generations.Current():
@@ -209,7 +205,7 @@
 func (s *session) extensionTerms() (version int64, sets [][]table.Witness, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.n.leaseNow()
+	now := s.n.bootNow()
 	ok = s.lease.Valid(now) && now.Sub(s.renewed) < maxExtension && s.generation == s.n.generations.Current()
 	return s.confirmed, slices.Clone(s.possibleSets), ok
 }
@@ -220,7 +216,7 @@
 func (s *session) extendLease(round *membership.Round, version int64, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lease.Valid(s.n.leaseNow()) && s.confirmed == version && s.generation == s.n.generations.Current() && round.Enough(s.possibleSets) {
+	if s.lease.Valid(s.n.bootNow()) && s.confirmed == version && s.generation == s.n.generations.Current() && round.Enough(s.possibleSets) {
 		s.lease.RecordRenewal(sent)
 	}
 }
@@ -229,7 +225,7 @@
 func (s *session) identity() (id string, valid bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.id, s.lease.Valid(s.n.leaseNow())
+	return s.id, s.lease.Valid(s.n.bootNow())
 }
 
 // readBack reads the row after a renewal that conflicted or got no response.
--- a/node/suspension.go
+++ b/node/suspension.go
@@ -1,11 +1,21 @@
 package node
 
-import "context"
+import (
+	"context"
+	"time"
+)
+
+// bootNow returns the time of the clock that goes on while the VM is suspended. What others
+// rely on is counted on it: how long a lease is valid, and how old settings may be. What this node
+// waits for is counted on the steady clock, and so lasts longer if the VM is suspended.
+func (n *Node) bootNow() time.Time { return n.cfg.Clock.Boot() }
 
 // watchSuspension logs that the VM was suspended.
 func (n *Node) watchSuspension(ctx context.Context) {
-	if d := n.suspensions.Suspended(); d > 0 {
-		n.metrics.suspensions.Add(ctx, 1)
-		n.log.Warn("the VM was suspended", "for", d, "lease-left", n.session.leaseLeft(), "owned-engines", len(n.ownedEngines()))
+	d := n.suspensions.Suspended()
+	if d == 0 {
+		return
 	}
+	n.metrics.suspensions.Add(ctx, 1)
+	n.log.Warn("the VM was suspended", "for", d, "lease-left", n.session.leaseLeft(), "owned-engines", len(n.ownedEngines()))
 }
--- a/node/suspension_test.go
+++ b/node/suspension_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/standin"
 )
 
 // suspend suspends a node's VM for d, and cuts it off from the store for some time after that, so
@@ -68,3 +70,19 @@
 		c.net.Thaw(c.nodes[1].Name())
 	})
 }
+
+// Guards against settings that count as recent although the VM was suspended since they were compared.
+func TestSuspendedNodeStopsAdmitting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		vm := &standin.VMClock{}
+		n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL, Clock: vm.Clock()})
+		n.tokensKnown.Store(true)
+		n.recordSettingsContact(n.bootNow())
+		is.Equal(n.admissionBlocker(), "")
+		vm.Suspend()
+		time.Sleep(n.cfg.MaxSettingsAge + time.Second)
+		vm.Resume()
+		is.True(n.admissionBlocker() != "")
+	})
+}
--- a/standin/vm_clock.go
+++ b/standin/vm_clock.go
@@ -7,9 +7,9 @@
 	"github.com/vanilladrift/vanilladrift/clock"
 )
 
-// VMClock is the clocks of a VM that can be suspended. Its steady clock stops meanwhile. Use
-// [Network.Freeze] beside it, since timers of the VM's processes go on. The zero value is a VM that was
-// never suspended.
+// VMClock is the clocks of a VM that can be suspended. Its steady clock does not count that time, and
+// its processes see the other clock go on only when they run again. Use [Network.Freeze] beside it,
+// since timers in virtual time go on. The zero value is a VM that was never suspended.
 type VMClock struct {
 	mu          sync.Mutex
 	suspendedAt time.Time     // zero if it runs
@@ -17,7 +17,7 @@
 }
 
 // Clock returns the clocks.
-func (v *VMClock) Clock() clock.Clock { return clock.Clock{SteadyNow: v.steady, BootNow: time.Now} }
+func (v *VMClock) Clock() clock.Clock { return clock.Clock{SteadyNow: v.steady, BootNow: v.boot} }
 
 // Suspend suspends the VM.
 func (v *VMClock) Suspend() {
@@ -49,3 +49,12 @@
 	}
 	return time.Now().Add(-v.lost)
 }
+
+func (v *VMClock) boot() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.suspendedAt.IsZero() {
+		return v.suspendedAt
+	}
+	return time.Now()
+}
