Renew the session and drop idle connections when the VM resumes

After a suspension a node did not know for up to a second that its session was fenced, and so owned no engine; its next requests went on connections that servers may have given up meanwhile, where a request fails without telling whether it ran. Nodes look every 100 ms whether they were suspended, and then renew the session and close the idle connections to the store and the servers.

Without the renewal TestSessionIsRenewedWhenTheVMResumes fails (no valid lease 110 ms after the VM resumed).

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -161,7 +161,7 @@
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
 		Table: &table.Client{Read: d.readStore, Apply: d.applyStore}, Sequencer: d.sequencer,
 		Prompts: prompts, Limits: d.limits, SettingsPushed: true, OwnerAlternationGap: s.OwnerAlternationGap, LeaseTTL: ttl, LeaseMargin: margin,
-		RenewEvery: renewEvery, TableRenewEvery: sessionRenewInterval, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), Clock: n.Clock, Log: l, Seed: uint64(time.Now().UnixNano()),
+		RenewEvery: renewEvery, TableRenewEvery: sessionRenewInterval, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), Clock: n.Clock, OnResume: d.closeIdleConnections, Log: l, Seed: uint64(time.Now().UnixNano()),
 	}
 	if err := cfg.Check(); err != nil {
 		return nil, err
@@ -186,6 +186,14 @@
 	return d, nil
 }
 
+// closeIdleConnections closes the idle connections to the store and the servers. While the VM
+// was suspended the other ends may have given them up, and a request that is sent on such a connection
+// fails without telling whether it ran.
+func (d *Daemon) closeIdleConnections() {
+	d.store.HTTP.CloseIdleConnections()
+	d.transports.closeIdle()
+}
+
 func (d *Daemon) readStore(ctx context.Context, q table.Query) ([]table.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -71,6 +71,17 @@
 	return t
 }
 
+// closeIdle closes the idle connections to all servers.
+func (c *poolTransports) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.pools {
+		t.mu.Lock()
+		t.transport.CloseIdleConnections()
+		t.mu.Unlock()
+	}
+}
+
 func (t *poolTransport) setLimit(maxPerHost int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/entry/pool_transport_test.go
+++ b/entry/pool_transport_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/route"
 	"github.com/vanilladrift/vanilladrift/transport"
 )
@@ -85,6 +86,17 @@
 	is.Equal(f.dials.Load(), before)
 }
 
+// Guards against requests on connections that servers gave up while this VM was suspended.
+func TestIdleConnectionsEndWithASuspension(t *testing.T) {
+	is := is.New(t)
+	f := newTransportFixture(t, 400)
+	d := &Daemon{store: &platform.StoreClient{HTTP: &http.Client{}}, transports: f.transports}
+	is.NoErr(f.get(context.Background(), ""))
+	d.closeIdleConnections()
+	is.NoErr(f.get(context.Background(), ""))
+	is.Equal(f.dials.Load(), int64(2))
+}
+
 // The nodes share the connections that a server accepts.
 func TestConnectionsStayWithinShare(t *testing.T) {
 	is := is.New(t)
--- a/node/config.go
+++ b/node/config.go
@@ -73,8 +73,10 @@
 	// ServiceHTTP sends to plain services; nil means the clients of package service.
 	ServiceHTTP *http.Client
 	Clock       clock.Clock
-	Log         *log.Logger // nil logs nothing
-	Seed        uint64      // of the random number generator
+	// OnResume, which is optional, is called after the VM was suspended.
+	OnResume func()
+	Log      *log.Logger // nil logs nothing
+	Seed     uint64      // of the random number generator
 	// Process identifies this start of the node; empty means a random ID.
 	Process string
 }
--- a/node/suspension.go
+++ b/node/suspension.go
@@ -10,7 +10,8 @@
 // waits for is counted on the steady clock, and so lasts longer if the VM is suspended.
 func (n *Node) bootNow() time.Time { return n.cfg.Clock.Boot() }
 
-// watchSuspension logs that the VM was suspended.
+// watchSuspension reports that the VM was suspended. Others may have ended the session
+// meanwhile, so it is renewed at once.
 func (n *Node) watchSuspension(ctx context.Context) {
 	d := n.suspensions.Suspended()
 	if d == 0 {
@@ -18,4 +19,8 @@
 	}
 	n.metrics.suspensions.Add(ctx, 1)
 	n.log.Warn("the VM was suspended", "for", d, "lease-left", n.session.leaseLeft(), "owned-engines", len(n.ownedEngines()))
+	if n.cfg.OnResume != nil {
+		n.cfg.OnResume()
+	}
+	n.session.renew(ctx)
 }
--- a/node/suspension_test.go
+++ b/node/suspension_test.go
@@ -86,3 +86,19 @@
 		is.True(n.admissionBlocker() != "")
 	})
 }
+
+// Guards against seconds without an owner while a node whose VM was suspended does not know that it was fenced.
+func TestSessionIsRenewedWhenTheVMResumes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newLeaseCluster(5, 16)
+		defer c.close()
+		time.Sleep(10 * time.Second)
+		resumed := 0
+		c.nodes[0].cfg.OnResume = func() { resumed++ }
+		is.Equal(c.suspend(0, 8*time.Second, 0), "")
+		time.Sleep(tickInterval + 10*time.Millisecond)
+		is.True(c.nodes[0].session.leaseValid())
+		is.Equal(resumed, 1)
+	})
+}
