--- a/node/config.go
+++ b/node/config.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/clock"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/operator"
 	"github.com/vanilladrift/vanilladrift/settings"
@@ -71,8 +72,11 @@
 	PeerHTTP *http.Client
 	// ServiceHTTP sends to plain services; nil means the clients of package service.
 	ServiceHTTP *http.Client
-	Log         *log.Logger // nil logs nothing
-	Seed        uint64      // of the random number generator
+	Clock       clock.Clock
+	// OnResume, which is optional, is called after the VM was suspended.
+	OnResume func()
+	Log      *log.Logger // nil logs nothing
+	Seed     uint64      // of the random number generator
 	// Process identifies this start of the node; empty means a random ID.
 	Process string
 }
