--- a/model/extension.pml
+++ b/model/extension.pml
@@ -19,7 +19,8 @@
  * witness consents for it), NO_LEASE_CHECK (a witness consents after its own session has
  * ended), NO_VERSION (the taker does not check that the row is still the one it
  * gathered promises for), NO_PENDING (the owner counts consents only of the witnesses in
- * the last confirmed row, although a later write got no response), and too small quorums.
+ * the last confirmed row, although a later write got no response), CLOCK_STOPS (the owner counts
+ * its lease on a clock that stops while its VM is suspended), and too small quorums.
  */
 
 #ifndef CONSENTS
@@ -100,6 +101,12 @@
 #define ROW_UNCHANGED (watchedVersion == rowVersion)
 #endif
 
+#ifdef CLOCK_STOPS
+#define LEASE_OUTWAITED true
+#else
+#define LEASE_OUTWAITED (!(leaseValid && leaseIsOlder))
+#endif
+
 #ifdef NO_PROMISES
 #define ENOUGH_PROMISES true
 #else
@@ -182,7 +189,7 @@
 	byte i;
 	do
 	/* The row was unchanged for longer than a lease. */
-	:: atomic { !fenced && watchedVersion != rowVersion && !(leaseValid && leaseIsOlder) ->
+	:: atomic { !fenced && watchedVersion != rowVersion && LEASE_OUTWAITED ->
 		renewalFresh = false;
 		if
 		:: inRound && roundIsOlder -> inRound = false; roundConsents = 0
