Check every command that arrives at an engine, refused ones too

The stand-ins recorded a command when they handled it, and only one for the server that it named; commands that were turned away, or sent to a server that had another ID, were not seen, and lower tokens were looked for in one test. Two nodes that act as the owner of an engine could pass.

A stand-in engine now records each command as it arrives, with sender, token, time, reply and its own incarnation: also one for another server, one that is turned away during a pause, and one that reaches an engine which is down. standin.OwnerViolations checks them: one token of two senders, a lower token after a higher one, and senders that take turns. At an engine that checks tokens, a lower one counts only if it was carried out: to refuse late commands is what fencing is for. Tokens are compared within an incarnation; turns also across a restart, as OwnerAlternations did before.

It is used by the tests of the whole path in package demo, by both demos, by the tests of the node cluster, where the stand-in network names the sender, and by the tests of processes. Commands of our own protocol do not name their sender, and that protocol bounds no turns, so only tokens are checked in its demo and processes.

--- a/cmd/vanilladriftd/process_test.go
+++ b/cmd/vanilladriftd/process_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,11 @@
 	processAdapters = 6
 	operatorToken   = "process-test-token"
 	recoveryTimeout = 60 * time.Second
+	// resumeSlack is how long after it was resumed a process may send late commands. The
+	// platform's pages state it.
+	resumeSlack = 300 * time.Millisecond
+	// noTurns is the time within which nodes must not take turns: their commands do not name them.
+	noTurns = 0
 )
 
 // processCluster runs a system of separate processes on loopback.
@@ -334,6 +340,23 @@
 	return nil
 }
 
+// checkOwners checks the commands that arrived at an engine since its process started, and
+// returns their number. Those that arrived right after a node was resumed do not count: it may
+// send then what it was about to send.
+func (p *processCluster) checkOwners(engine int, resumed time.Time) int {
+	p.t.Helper()
+	name := fmt.Sprintf("engine%d", engine)
+	var rec standin.EngineRecord
+	p.readRecord(name, &rec)
+	commands := slices.DeleteFunc(rec.Commands, func(a standin.Arrival) bool {
+		return a.At.After(resumed) && a.At.Before(resumed.Add(resumeSlack))
+	})
+	for _, v := range standin.OwnerViolations(name, commands, engine == 0, noTurns) {
+		p.t.Error(v)
+	}
+	return len(commands)
+}
+
 // TestProcessFailures kills, suspends, resumes and drains processes under load. No
 // response may be wrong, no adapter in use evicted, and no call with an idempotency key
 // executed twice.
@@ -348,6 +371,7 @@
 	p.signal("node1", syscall.SIGSTOP) // suspended for longer than its lease
 	time.Sleep(7 * time.Second)
 	p.signal("node1", syscall.SIGCONT)
+	resumed := time.Now()
 	time.Sleep(2 * time.Second)
 
 	p.kill("node2")
@@ -359,6 +383,7 @@
 	time.Sleep(2 * time.Second)
 	p.signal("table", syscall.SIGCONT)
 
+	commands := p.checkOwners(1, resumed)
 	p.kill("engine1") // restarts with no adapter loaded
 	p.restart("engine1")
 	time.Sleep(2 * time.Second)
@@ -374,6 +399,7 @@
 		var rec standin.EngineRecord
 		p.readRecord(fmt.Sprintf("engine%d", i), &rec)
 		is.Equal(rec.EvictedInUse, 0)
+		commands += p.checkOwners(i, resumed)
 	}
 	executed := map[string]int{}
 	p.readRecord("service", &executed)
@@ -384,5 +410,6 @@
 	}
 	is.Equal(p.violations, nil)
 	is.True(p.served > 0)
-	t.Logf("served %d requests and ran %d service calls during the failures", p.served, len(executed))
+	is.True(commands > 0)
+	t.Logf("served %d requests, sent %d commands and ran %d service calls during the failures", p.served, commands, len(executed))
 }
--- a/cmd/vanilladriftd/stop_test.go
+++ b/cmd/vanilladriftd/stop_test.go
@@ -32,6 +32,8 @@
 	withinGrace = time.Second
 	// lateInGrace is a time after SIGTERM at which the listener is closed already.
 	lateInGrace = 4 * time.Second
+	// stopAlternationGap is the lease that the settings file states.
+	stopAlternationGap = 3 * time.Second
 	// startTimeout bounds the start of a daemon until it serves every pool.
 	startTimeout = 30 * time.Second
 )
@@ -140,8 +142,8 @@
 	d.operators = fmt.Sprintf("127.0.0.1:%d", peers+1)
 	file := filepath.Join(dir, "settings.yaml")
 	text := fmt.Sprintf(`{node_name: %s, ip: 127.0.0.1, zone: z1, region: r1, listen_addrs: {front: "%s", ready: "%s"}, internal_ports: [%d, %d],
- limits: {memory_mb: 160}, bounds: {lease_ms: 3000, drain_ms: 2000, grace_s: %v, retry_budget_ratio: 0.2, retry_window_s: 10, retry_budget_slack: 54},
- heartbeat_ms: 1000, platform: {address: "%s"}}`, name, d.callers, d.ready, peers, peers+1, stopGrace.Seconds(), p.addr)
+ limits: {memory_mb: 160}, bounds: {lease_ms: %d, drain_ms: 2000, grace_s: %v, retry_budget_ratio: 0.2, retry_window_s: 10, retry_budget_slack: 54},
+ heartbeat_ms: 1000, platform: {address: "%s"}}`, name, d.callers, d.ready, peers, peers+1, stopAlternationGap.Milliseconds(), stopGrace.Seconds(), p.addr)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
@@ -267,6 +269,16 @@
 	return 0
 }
 
+// checkOwners checks all commands that arrived at the engines.
+func (p *stopPlatform) checkOwners() {
+	p.t.Helper()
+	for _, r := range p.replicas {
+		for _, v := range standin.OwnerViolations(r.Self.ID, r.Record().Commands, false, stopAlternationGap) {
+			p.t.Error(v)
+		}
+	}
+}
+
 func (p *stopPlatform) close() {
 	for _, d := range p.daemons {
 		select {
@@ -280,6 +292,7 @@
 			p.t.Logf("a daemon wrote (reading it: %v):\n%s", err, written)
 		}
 	}
+	p.checkOwners()
 }
 
 // head returns the head of a request whose body has the given length.
--- a/demo/platform.go
+++ b/demo/platform.go
@@ -121,6 +121,7 @@
 		counter{r.OwnerAlternations, "times that an engine went back to a former owner too soon"},
 		counter{r.StartedAfterDrain, "requests started on a replica after its drain period"},
 	)
+	violations = append(violations, r.OwnerViolations...)
 	if r.Served < r.Requests*9/10 {
 		violations = append(violations, fmt.Sprintf("only %d of %d requests were served", r.Served, r.Requests))
 	}
@@ -139,6 +140,8 @@
 		{r.EngineCrashes, "engine crashes"},
 		{r.OwnerAlternations, "owner alternation"},
 		{r.StartedAfterDrain, "after drain"},
+		{r.Commands, "commands"},
+		{len(r.OwnerViolations), "two owners"},
 	} {
 		fmt.Fprintf(w, "%-17s %d\n", c.event, c.count)
 	}
--- a/demo/platform_system.go
+++ b/demo/platform_system.go
@@ -192,6 +192,14 @@
 	sys.store.Remove(platform.ServersTable + "/" + r.Self.ID)
 }
 
+// ownerViolations checks all commands that arrived at the engines.
+func (sys *platformSystem) ownerViolations() (violations []string) {
+	for _, r := range sys.replicas {
+		violations = append(violations, standin.OwnerViolations(r.Self.ID, r.Record().Commands, false, ownerAlternationGap)...)
+	}
+	return violations
+}
+
 func (sys *platformSystem) close() {
 	for _, d := range sys.daemons {
 		if d != nil {
--- a/demo/platform_traffic.go
+++ b/demo/platform_traffic.go
@@ -39,6 +39,8 @@
 	EngineCrashes     int            `json:"engine-crashes"`
 	OwnerAlternations int            `json:"owners-back-and-forth"`
 	StartedAfterDrain int            `json:"started-after-drain"`
+	Commands          int            `json:"commands"`         // that arrived at engines
+	OwnerViolations   []string       `json:"owner-violations"` // commands of two owners of an engine
 	FirstEventP50MS   int64          `json:"first-event-p50-ms"`
 	FirstEventP99MS   int64          `json:"first-event-p99-ms"`
 }
@@ -245,10 +247,12 @@
 		rec := s.Record()
 		r.EngineCrashes += rec.Crashes
 		r.OwnerAlternations += rec.OwnerAlternations(ownerAlternationGap)
+		r.Commands += len(rec.Commands)
 		for id, n := range rec.Executions {
 			executions[id] += n
 		}
 	}
+	r.OwnerViolations = t.sys.ownerViolations()
 	for id, n := range executions {
 		if t.atMostOnce[id] && n > 1 {
 			r.RanTwice++
--- a/demo/play_test.go
+++ b/demo/play_test.go
@@ -22,9 +22,18 @@
 		network := &standin.PipeNetwork{}
 		sys, err := newPlatformSystem(entry.Network{Listen: network.Listen, Dial: network.Dial, Clock: clock.Virtual()}, io.Discard)
 		is.NoErr(err)
+		defer checkOwners(t, sys)
 		defer time.Sleep(time.Minute) // lets background goroutines time out
 		defer sys.close()
 		is.NoErr(sys.waitReady())
 		play(is, sys, network)
 	})
 }
+
+// checkOwners checks all commands that arrived at the engines until now.
+func checkOwners(t *testing.T, sys *platformSystem) {
+	t.Helper()
+	for _, violation := range sys.ownerViolations() {
+		t.Error(violation)
+	}
+}
--- a/demo/prompt_crash_test.go
+++ b/demo/prompt_crash_test.go
@@ -47,6 +47,7 @@
 		sys, err := newPlatformSystem(entry.Network{Listen: pipes.Listen, Dial: dial, Clock: clock.Virtual()}, io.Discard)
 		is.NoErr(err)
 		started.Store(sys)
+		defer checkOwners(t, sys)
 		defer time.Sleep(time.Minute) // lets background goroutines time out
 		defer sys.close()
 		is.NoErr(sys.waitReady())
--- a/demo/restore_test.go
+++ b/demo/restore_test.go
@@ -47,15 +47,6 @@
 				traffic.run(1500)
 				traffic.collect()
 				is.Equal(traffic.result.violations(), nil)
-				for _, r := range sys.replicas {
-					commands := r.Record().Commands
-					for i, c := range commands[min(1, len(commands)):] {
-						last := commands[i]
-						if c.FencingToken < last.FencingToken || c.FencingToken == last.FencingToken && c.Owner != last.Owner {
-							t.Errorf("%s got a command of %s under token %d after one of %s under %d", r.Self.ID, c.Owner, c.FencingToken, last.Owner, last.FencingToken)
-						}
-					}
-				}
 			})
 		})
 	}
--- a/demo/run.go
+++ b/demo/run.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/settings"
+	"github.com/vanilladrift/vanilladrift/standin"
 )
 
 // Options are the options of [Run] and [RunPlatform].
@@ -131,10 +132,14 @@
 // collect completes the result with the records of the stand-ins.
 func (t *traffic) collect(startedByDeadline int) {
 	r := &t.result
-	for _, e := range t.sys.engines {
+	// Commands do not name their senders, so there are no turns to check.
+	const noTurns = 0
+	for i, e := range t.sys.engines {
 		rec := e.Record()
 		r.Loads += rec.Loads
 		r.EvictedInUse += rec.EvictedInUse
+		r.Commands += len(rec.Commands)
+		r.OwnerViolations = append(r.OwnerViolations, standin.OwnerViolations(engineName(i), rec.Commands, e.ChecksFencing, noTurns)...)
 	}
 	r.StartedAfterDrain = len(t.sys.engines[drainedEngine].Record().Started) - startedByDeadline
 	for _, s := range t.sys.services {
@@ -204,6 +209,7 @@
 		counter{r.EvictedInUse, "adapters evicted in use"},
 		counter{r.StartedAfterDrain, "streams started on a drained engine"},
 	)
+	violations = append(violations, r.OwnerViolations...)
 	if r.Served == 0 {
 		violations = append(violations, "no request was served")
 	}
@@ -224,4 +230,6 @@
 	fmt.Fprintf(w, "not run but ran   %d\n", r.NotRunButRan)
 	fmt.Fprintf(w, "evicted in use    %d\n", r.EvictedInUse)
 	fmt.Fprintf(w, "after drain       %d\n", r.StartedAfterDrain)
+	fmt.Fprintf(w, "commands          %d\n", r.Commands)
+	fmt.Fprintf(w, "two owners        %d\n", len(r.OwnerViolations))
 }
--- a/demo/traffic.go
+++ b/demo/traffic.go
@@ -42,6 +42,8 @@
 	Loads             int            `json:"loads"`
 	EvictedInUse      int            `json:"evicted-in-use"`
 	StartedAfterDrain int            `json:"started-after-drain"`
+	Commands          int            `json:"commands"`         // that arrived at engines
+	OwnerViolations   []string       `json:"owner-violations"` // commands of two owners of an engine
 	ShortP50MS        int64          `json:"short-p50-ms"`
 	ShortP99MS        int64          `json:"short-p99-ms"`
 	LongP50MS         int64          `json:"long-p50-ms"`
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -74,7 +75,7 @@
 	for i := range engines {
 		e := &standin.Engine{
 			Slots: testSlots, BatchSize: 6, ChecksFencing: i%2 == 0, EvictsWhenFull: i == 3,
-			ReportLag: time.Second, Timing: standin.DefaultTiming,
+			ReportLag: time.Second, Timing: standin.DefaultTiming, SenderOf: senderOf,
 		}
 		if !e.ChecksFencing {
 			e.OnUnload = func(name string) { c.checkNotStable(engineProcess(i), name) }
@@ -260,11 +261,24 @@
 // spawn runs f in a goroutine that the cluster waits for.
 func (c *cluster) spawn(f func()) { c.wg.Go(f) }
 
+// senderOf returns the name of the node that sent a command. Its processes are one sender.
+func senderOf(r *http.Request) string {
+	name, _, _ := strings.Cut(r.RemoteAddr, ".")
+	return name
+}
+
+// noTurns is the time within which nodes must not take turns: this protocol bounds it not.
+const noTurns = 0
+
 // checkInvariants checks what the stand-in servers recorded and returns all violations.
 func (c *cluster) checkInvariants() []string {
 	for i, e := range c.engines {
-		if n := e.Record().EvictedInUse; n > 0 {
-			c.reportViolation("%s evicted %d adapters that were in use", engineProcess(i), n)
+		rec := e.Record()
+		if rec.EvictedInUse > 0 {
+			c.reportViolation("%s evicted %d adapters that were in use", engineProcess(i), rec.EvictedInUse)
+		}
+		for _, v := range standin.OwnerViolations(engineProcess(i), rec.Commands, e.ChecksFencing, noTurns) {
+			c.reportViolation("%s", v)
 		}
 	}
 	executed := map[string]int{}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -39,6 +39,8 @@
 	EvictsWhenFull bool
 	ReportLag      time.Duration // age of the state in reports
 	Timing         Timing
+	// SenderOf, if set, returns the name of the node that sent a command.
+	SenderOf func(r *http.Request) string
 	// OnUnload, if set, is called before an adapter is unloaded.
 	OnUnload func(name string)
 
@@ -66,6 +68,7 @@
 	EvictedInUse int            // adapters that were unloaded while a stream used them
 	StaleOrders  int            // commands refused because of an old fencing token
 	Started      map[string]int // starts by request ID
+	Commands     []Arrival      // all that arrived, also those that were refused
 }
 
 type timedReport struct {
@@ -103,7 +106,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.record
-	r.Started = maps.Clone(e.record.Started)
+	r.Started, r.Commands = maps.Clone(e.record.Started), slices.Clone(e.record.Commands)
 	return r
 }
 
@@ -133,6 +136,7 @@
 	fault, boot := e.fault, e.bootCount
 	e.mu.Unlock()
 	if fault.Down {
+		e.turnAwayCommand(r)
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
--- a/standin/engine_commands.go
+++ b/standin/engine_commands.go
@@ -23,7 +23,7 @@
 		writeError(w, http.StatusBadRequest, "bad-token")
 		return
 	}
-	if !e.admitToken(token) {
+	if !e.admitCommand(r, token) {
 		writeError(w, http.StatusConflict, "stale-token")
 		return
 	}
@@ -32,19 +32,42 @@
 	}
 }
 
-// admitToken records a command's fencing token, and reports whether the command may
-// be applied.
-func (e *Engine) admitToken(token int64) bool {
+// admitCommand records a command and its fencing token, and reports whether the command
+// may be applied.
+func (e *Engine) admitCommand(r *http.Request, token int64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.ChecksFencing && token < e.fencingToken {
 		e.record.StaleOrders++
+		e.recordCommand(r, token, engine.StaleToken)
 		return false
 	}
 	e.fencingToken = max(e.fencingToken, token)
+	e.recordCommand(r, token, engine.Accepted)
 	return true
 }
 
+// turnAwayCommand records a command that is turned away before it is looked at. It
+// ignores other requests.
+func (e *Engine) turnAwayCommand(r *http.Request) {
+	token, err := strconv.ParseInt(r.Header.Get(engine.HeaderFencingToken), 10, 64)
+	if err != nil || r.URL.Path == engine.PathCancel {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.recordCommand(r, token, "")
+}
+
+// recordCommand records the arrival of a command. e.mu must be held.
+func (e *Engine) recordCommand(r *http.Request, token int64, reply engine.Reply) {
+	a := Arrival{FencingToken: token, At: time.Now(), Reply: reply, Incarnation: int64(e.bootCount)}
+	if e.SenderOf != nil {
+		a.Sender = e.SenderOf(r)
+	}
+	e.record.Commands = append(e.record.Commands, a)
+}
+
 func (e *Engine) load(name string) (int, string) {
 	time.Sleep(e.Timing.AdapterLoad)
 	e.mu.Lock()
--- a/standin/network.go
+++ b/standin/network.go
@@ -172,7 +172,7 @@
 	pr, pw := io.Pipe()
 	w := &netResponse{header: http.Header{}, body: pw, ready: make(chan struct{})}
 	sreq := req.Clone(ctx)
-	sreq.RequestURI = req.URL.RequestURI()
+	sreq.RequestURI, sreq.RemoteAddr = req.URL.RequestURI(), t.from
 	if sreq.Body == nil {
 		sreq.Body = http.NoBody
 	}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -151,6 +151,7 @@
 	r.serveDown()
 	w = &replicaResponse{ResponseWriter: w, replica: r}
 	if pause := r.observeArrival(time.Now()); pause > 0 {
+		r.turnAwayCommand(req)
 		platform.WriteRefusal(w, req, pause)
 		return
 	}
--- a/standin/replica_commands.go
+++ b/standin/replica_commands.go
@@ -1,21 +1,42 @@
 package standin
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/platform"
 )
 
-// handleCommand applies a command, or applies it late and loses the reply. The
-// expected sequence is checked when the command is applied.
+// handleCommand records a command and carries it out.
 func (r *Replica) handleCommand(serverID, owner string, c engine.Command) engine.Reply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	a := Arrival{Sender: owner, FencingToken: c.FencingToken, At: time.Now(), Incarnation: r.startMS}
+	a.Reply = r.carryOut(serverID, c)
+	r.record.Commands = append(r.record.Commands, a)
+	return a.Reply
+}
+
+// turnAwayCommand records a command that is turned away before it is looked at. It
+// ignores other requests.
+func (r *Replica) turnAwayCommand(req *http.Request) {
+	_, owner, c, ok := platform.DecodeCommand(req)
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Commands = append(r.record.Commands, Arrival{Sender: owner, FencingToken: c.FencingToken, At: time.Now(), Incarnation: r.startMS})
+}
+
+// carryOut applies a command, or applies it late and loses the reply. The expected
+// sequence is checked when the command is applied. r.mu must be held.
+func (r *Replica) carryOut(serverID string, c engine.Command) engine.Reply {
 	if serverID != "" && serverID != r.Self.ID {
 		return engine.WrongServer
 	}
-	r.record.Commands = append(r.record.Commands, ReceivedCommand{owner, c.FencingToken, time.Now()})
 	if r.fault.LoseCommands > 0 {
 		r.fault.LoseCommands--
 		time.AfterFunc(r.fault.CommandDelay, func() {
--- a/standin/replica_record.go
+++ b/standin/replica_record.go
@@ -6,7 +6,7 @@
 type ReplicaRecord struct {
 	Executions map[string]int // number of executions by request ID
 	Crashes    int            // caused by loads beyond the adapter slots
-	Commands   []ReceivedCommand
+	Commands   []Arrival      // all that arrived, also those that were refused
 	// PromptCrashes and CrashingArrivals are the times of crashes by prompts, and of the
 	// arrivals of such prompts.
 	PromptCrashes    []time.Time
@@ -19,27 +19,8 @@
 	LimitedArrivals []time.Time
 }
 
-// ReceivedCommand is a command as it was received.
-type ReceivedCommand struct {
-	Owner        string // owner of the engine that sent the command
-	FencingToken int64
-	At           time.Time
-}
-
 // OwnerAlternations returns how often ownership went back to a former owner less than
 // gap after that owner was replaced.
 func (r ReplicaRecord) OwnerAlternations(gap time.Duration) int {
-	n := 0
-	replacedAt := make(map[string]time.Time)
-	for i, c := range r.Commands[min(1, len(r.Commands)):] {
-		prev := r.Commands[i]
-		if prev.Owner == c.Owner {
-			continue
-		}
-		if at, ok := replacedAt[c.Owner]; ok && c.At.Sub(at) < gap {
-			n++
-		}
-		replacedAt[prev.Owner] = c.At
-	}
-	return n
+	return len(ownerTurns(r.Commands, gap))
 }
--- a/standin/replica_test.go
+++ b/standin/replica_test.go
@@ -148,13 +148,13 @@
 	at := func(s float64) time.Time { return time.Unix(0, 0).Add(time.Duration(s * float64(time.Second))) }
 	for _, tt := range []struct {
 		name     string
-		commands []ReceivedCommand
+		commands []Arrival
 		want     int
 	}{
 		{"none", nil, 0},
-		{"one direction", []ReceivedCommand{{"a", 1, at(0)}, {"b", 2, at(0.1)}, {"c", 3, at(0.2)}}, 0},
-		{"back within the gap", []ReceivedCommand{{"a", 1, at(0)}, {"b", 2, at(1)}, {"a", 3, at(2)}}, 1},
-		{"back after the gap", []ReceivedCommand{{"a", 1, at(0)}, {"b", 2, at(1)}, {"a", 3, at(4.5)}}, 0},
+		{"one direction", []Arrival{{Sender: "a", FencingToken: 1, At: at(0)}, {Sender: "b", FencingToken: 2, At: at(0.1)}, {Sender: "c", FencingToken: 3, At: at(0.2)}}, 0},
+		{"back within the gap", []Arrival{{Sender: "a", FencingToken: 1, At: at(0)}, {Sender: "b", FencingToken: 2, At: at(1)}, {Sender: "a", FencingToken: 3, At: at(2)}}, 1},
+		{"back after the gap", []Arrival{{Sender: "a", FencingToken: 1, At: at(0)}, {Sender: "b", FencingToken: 2, At: at(1)}, {Sender: "a", FencingToken: 3, At: at(4.5)}}, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is.New(t).Equal(ReplicaRecord{Commands: tt.commands}.OwnerAlternations(3*time.Second), tt.want)
