Let commands arrive after their senders gave them up

No stand-in could show a command that arrives late: a pipe hands over bytes while they are written, so the end of a call took back what was on its way, and a replica looked at a command as soon as it had been received. The kernel takes nothing back: what it has accepted is sent, and is read when the engine gets to it.

PipeNetwork.SetDelay delays what is written to an address. ReplicaFault.HoldCommands makes a replica look at commands some time after it received them, its sender gone or not.

--- a/standin/pipe_network.go
+++ b/standin/pipe_network.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -15,8 +16,9 @@
 type PipeNetwork struct {
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
-	silent    map[string]*atomic.Bool // by address, of the connections since the last Silence
-	lastPort  int                     // last port that was assigned for port 0
+	silent    map[string]*atomic.Bool         // by address, of the connections since the last Silence
+	delays    map[string]func() time.Duration // by address
+	lastPort  int                             // last port that was assigned for port 0
 }
 
 type pipeListener struct {
@@ -64,8 +66,8 @@
 	}
 	client, server := net.Pipe()
 	select {
-	case l.conns <- pipeConn{server, l.address, silent}:
-		return pipeConn{client, l.address, silent}, nil
+	case l.conns <- &pipeConn{Conn: server, address: l.address, silent: silent}:
+		return &pipeConn{Conn: client, address: l.address, silent: silent, delay: func() time.Duration { return n.delayTo(address) }}, nil
 	case <-l.closed:
 		return nil, &net.OpError{Op: "dial", Net: "wire", Addr: l.address, Err: errors.New("connection reset")}
 	case <-ctx.Done():
@@ -82,6 +84,27 @@
 	delete(n.silent, address)
 }
 
+// SetDelay delays what is written to an address, on connections that are open as well, by
+// what a function returns for each write. A nil function ends it.
+func (n *PipeNetwork) SetDelay(address string, delay func() time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.delays == nil {
+		n.delays = make(map[string]func() time.Duration)
+	}
+	n.delays[address] = delay
+}
+
+// delayTo returns the delay of the next write to an address.
+func (n *PipeNetwork) delayTo(address string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if delay := n.delays[address]; delay != nil {
+		return delay()
+	}
+	return 0
+}
+
 // silentFlag returns the flag of new connections to an address. The caller holds n.mu.
 func (n *PipeNetwork) silentFlag(address string) *atomic.Bool {
 	if n.silent == nil {
@@ -132,24 +155,3 @@
 
 // Addr implements net.Listener.
 func (l *pipeListener) Addr() net.Addr { return l.address }
-
-// pipeConn is one end of a connection.
-type pipeConn struct {
-	net.Conn
-	address pipeAddr
-	silent  *atomic.Bool // what is written is lost
-}
-
-// Write implements net.Conn.
-func (c pipeConn) Write(p []byte) (int, error) {
-	if c.silent.Load() {
-		return len(p), nil
-	}
-	return c.Conn.Write(p)
-}
-
-// LocalAddr implements net.Conn.
-func (c pipeConn) LocalAddr() net.Addr { return c.address }
-
-// RemoteAddr implements net.Conn.
-func (c pipeConn) RemoteAddr() net.Addr { return c.address }
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -19,6 +19,8 @@
 type ReplicaFault struct {
 	LoseCommands  int           // commands that get no reply and are applied after CommandDelay
 	CommandDelay  time.Duration // of the commands that get no reply
+	HoldCommands  int           // commands that are received, and looked at HoldTime later
+	HoldTime      time.Duration // the sender may have given them up meanwhile
 	CutStreams    int           // streams that are interrupted after their third event
 	LoseResponses int           // plain requests that run but get no response
 	// CrashPart is a part of prompts that crashes the replica when it begins to respond;
@@ -148,6 +150,9 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if err := r.holdCommand(req); err != nil {
+		return // the connection ended within the command
+	}
 	r.serveDown()
 	w = &replicaResponse{ResponseWriter: w, replica: r}
 	if pause := r.observeArrival(time.Now()); pause > 0 {
--- a/standin/replica_commands.go
+++ b/standin/replica_commands.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -19,6 +21,28 @@
 	return a.Reply
 }
 
+// holdCommand receives a command and waits for the time of the fault, also when the sender
+// has closed the connection. It ignores other requests.
+func (r *Replica) holdCommand(req *http.Request) error {
+	r.mu.Lock()
+	held := r.fault.HoldCommands > 0 && platform.IsCommand(req)
+	if held {
+		r.fault.HoldCommands--
+	}
+	d := r.fault.HoldTime
+	r.mu.Unlock()
+	if !held {
+		return nil
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return err
+	}
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	time.Sleep(d)
+	return nil
+}
+
 // turnAwayCommand records a command that is turned away before it is looked at. It
 // ignores other requests.
 func (r *Replica) turnAwayCommand(req *http.Request) {
