--- a/standin/replica_commands.go
+++ b/standin/replica_commands.go
@@ -1,21 +1,66 @@
 package standin
 
 import (
+	"bytes"
+	"io"
+	"net/http"
 	"slices"
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/platform"
 )
 
-// handleCommand applies a command, or applies it late and loses the reply. The
-// expected sequence is checked when the command is applied.
+// handleCommand records a command and carries it out.
 func (r *Replica) handleCommand(serverID, owner string, c engine.Command) engine.Reply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	a := Arrival{Sender: owner, FencingToken: c.FencingToken, At: time.Now(), Incarnation: r.startMS}
+	a.Reply = r.carryOut(serverID, c)
+	r.record.Commands = append(r.record.Commands, a)
+	return a.Reply
+}
+
+// holdCommand receives a command and waits for the time of the fault, also when the sender
+// has closed the connection. It ignores other requests.
+func (r *Replica) holdCommand(req *http.Request) error {
+	r.mu.Lock()
+	held := r.fault.HoldCommands > 0 && platform.IsCommand(req)
+	if held {
+		r.fault.HoldCommands--
+	}
+	d := r.fault.HoldTime
+	r.mu.Unlock()
+	if !held {
+		return nil
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return err
+	}
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	time.Sleep(d)
+	return nil
+}
+
+// turnAwayCommand records a command that is turned away before it is looked at. It
+// ignores other requests.
+func (r *Replica) turnAwayCommand(req *http.Request) {
+	_, owner, c, ok := platform.DecodeCommand(req)
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Commands = append(r.record.Commands, Arrival{Sender: owner, FencingToken: c.FencingToken, At: time.Now(), Incarnation: r.startMS})
+}
+
+// carryOut applies a command, or applies it late and loses the reply. The expected
+// sequence is checked when the command is applied. r.mu must be held.
+func (r *Replica) carryOut(serverID string, c engine.Command) engine.Reply {
 	if serverID != "" && serverID != r.Self.ID {
 		return engine.WrongServer
 	}
-	r.record.Commands = append(r.record.Commands, ReceivedCommand{owner, c.FencingToken, time.Now()})
 	if r.fault.LoseCommands > 0 {
 		r.fault.LoseCommands--
 		time.AfterFunc(r.fault.CommandDelay, func() {
