Guard the waits of new owners with tests that do not depend on timing

Two rules of engine ownership were guarded by the timing of larger tests only, so that their mutants survived at times: no-quarantine (TestFrozenOwner) and copy-names-owner (TestRestoredStoreLowersNoToken).

An engine that ignores fencing tokens gets no command under a new owner while a former one may still send some. The test leaves adapter slots free: evictions also wait for the entry nodes to fence grants, which hid the mutant. A node that learns of a restore first does not take over from an owner that does not know of it. The test has one engine whose owner is not the preferred node, cuts the owner from the store, and lets the preferred node read the sessions at once.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -158,6 +158,32 @@
 	}
 }
 
+// Guards against a command under a new owner while a former one may still send some to an
+// engine that ignores fencing tokens.
+func TestNewOwnerWaitsForFrozenOwner(t *testing.T) {
+	runInCluster(t, 4, 2, func(t *testing.T, c *cluster) {
+		is := is.NewRelaxed(t)
+		const index = 1 // ignores fencing tokens
+		c.mustEdit(settings.Backend, engineProcess(0), map[string]string{"drain": "on"})
+		c.sendRequest(0, "depot", 0, "", 5, false) // other slots are left free, so that a load needs no eviction
+		time.Sleep(5 * time.Second)                // no command is in flight
+		owner := c.ownerOf(index)
+		c.net.Freeze(c.nodes[owner].process())
+		for end := time.Now().Add(20 * time.Second); c.ownerOf(index) == owner && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(c.ownerOf(index) != owner) // another node took over
+		commands := func() int { r := c.engines[index].Record(); return r.Loads + r.Unloads }
+		before := commands()
+		c.churn(10*time.Second, owner+1, owner+2, owner+3)
+		is.Equal(commands(), before)
+		c.net.Thaw(c.nodes[owner].process())
+		c.churn(10*time.Second, 0, 1, 2, 3)
+		is.True(commands() > before)
+		c.wg.Wait()
+	})
+}
+
 // Guards against a stale stable list: an adapter whose load failed after its intent was
 // written, and that is loaded into a swap slot later, must leave the list before it is
 // unloaded.
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
 	"github.com/vanilladrift/vanilladrift/table"
 )
@@ -70,6 +71,30 @@
 	}
 }
 
+// Guards against two owners of an engine: a node that learns of a restore first takes over from
+// an owner that does not know of it yet.
+func TestOwnerThatDoesNotKnowOfARestoreIsNotReplaced(t *testing.T) {
+	testOnStore(t, 4, 16, func(is *is.I, c *leaseCluster) {
+		is.Equal(c.watch(10*time.Second), "")
+		joined := c.join()
+		is.Equal(c.watch(5*time.Second), "")
+		i := slices.IndexFunc(c.docs, func(d settings.Document) bool {
+			return joined.members.preferredOwner(d.Name, "") == joined.Name() && joined.ownedEngine(d.Name) == nil
+		})
+		is.True(i >= 0) // an engine stays with its owner although the new node is preferred
+		name := c.docs[i].Name
+		owner := c.nodes[slices.IndexFunc(c.nodes, func(n *Node) bool { return n.ownedEngine(name) != nil })]
+		c.cutFromStore(owner, true)
+		c.restore(c.store.Copy(), 0)
+		joined.tasks.Go(func() { joined.pollMembers(joined.ctx) })
+		is.True(owner.session.leaseLeft() > 500*time.Millisecond)
+		is.Equal(c.watch(10*time.Second), "")
+		c.cutFromStore(owner, false)
+		is.Equal(c.watch(10*time.Second), "")
+		is.Equal(len(c.owners()[name]), 1)
+	})
+}
+
 // Guards against two owners of an engine: the response to a release is lost, the release is
 // applied seconds later, and the next owner takes the engine over at once.
 func TestReleaseAppliedLateEndsOwnership(t *testing.T) {
