Ask for the lease where the bytes of a command are written

An engine could get a command after the lease of its sender had ended, and after another owner's command with a higher token: the lease was looked at before the server was found, a turn on the connection was had and the connection was set up. A VM that was slow, or waited for a connection, sent without another look.

A command carries its check in its context now, and the connection asks it right before the first bytes, at the place where it asks whether a caller has left. After the end of a call no first byte is written.

Evidence: without the check at the connection, as before, TestCommandIsNotSentAfterItsLease fails where the lease ends 50 ms before the connection is had ("false != true": the command is not refused), and TestCommandCarriesItsSendCheck fails without the check in the context.

Callers' requests do what they did before.

--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -43,7 +43,7 @@
 	FetchState func(ctx context.Context) (State, error)
 	// CanSend, if set, reports whether a command may be sent now. It is called right
 	// before each command, since a load takes several commands with waits between
-	// them, during which the lease may end.
+	// them, during which the lease may end. Send finds it in its context; see [MaySend].
 	CanSend func() bool
 	// InUse reports whether an adapter must not be unloaded to make room. If it
 	// is nil, any adapter may be unloaded.
@@ -212,14 +212,11 @@
 // sendOnce sends a command once, with the known sequence number. A conflict
 // marks the known state as out of date.
 func (s *Sequencer) sendOnce(ctx context.Context, c Command) (Reply, error) {
-	if s.CanSend != nil && !s.CanSend() {
-		return "", &Error{Op: "order", Kind: NotSent, Err: errors.New("the lease does not permit commands now")}
-	}
 	s.mu.Lock()
 	c.ExpectedSequence = s.sequence
 	_, present := s.adapters[JoinAdapterName(c.Model, c.Adapter)]
 	s.mu.Unlock()
-	reply, err := s.Send(ctx, c)
+	reply, err := s.send(ctx, c)
 	switch {
 	case IsKind(err, NotSent):
 		return "", err // nothing can still take effect, and the known state stays current
@@ -243,6 +240,17 @@
 	return reply, nil
 }
 
+// send sends a command while CanSend permits it.
+func (s *Sequencer) send(ctx context.Context, c Command) (Reply, error) {
+	if s.CanSend != nil {
+		if !s.CanSend() {
+			return "", &Error{Op: "order", Kind: NotSent, Err: errors.New("the lease does not permit commands now")}
+		}
+		ctx = WithSendCheck(ctx, s.CanSend)
+	}
+	return s.Send(ctx, c)
+}
+
 // advanceSequence increments the sequence number for an accepted command and
 // calls f with the lock held.
 func (s *Sequencer) advanceSequence(f func()) {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -227,12 +227,7 @@
 			if err != nil {
 				return "", err
 			}
-			ctx, cancel := context.WithTimeout(ctx, commandTimeout)
-			defer cancel()
-			reply, err := client.SendCommand(ctx, s, c)
-			d.log.Info("order", "engine", s.ID, "load", c.Load, "model", c.Model, "adapter", c.Adapter,
-				"expected", c.ExpectedSequence, "token", c.FencingToken, "reply", reply, "err", err)
-			return reply, err
+			return d.sendCommand(ctx, client, s, c)
 		},
 		FetchState: func(ctx context.Context) (engine.State, error) {
 			s, client, err := findServer()
--- a/entry/server_conn.go
+++ b/entry/server_conn.go
@@ -17,20 +17,21 @@
 
 var errCallerLeft = errors.New("the caller left before the request was sent")
 
-// serverConn is a connection to a server. It does not send a request whose caller has left.
+// serverConn is a connection to a server. It does not send a request whose caller has left, nor a
+// command whose time is over.
 type serverConn struct {
 	net.Conn
-	// refuses, if set, reports whether the request that begins with the next bytes may not
-	// be sent. The HTTP transport uses a connection for one request at a time.
-	refuses func() bool
+	// beforeRequest, if set, is called before the first bytes of the next request. They are not
+	// sent if it returns an error. The HTTP transport uses a connection for one request at a time.
+	beforeRequest func() error
 }
 
 // Write implements net.Conn.
 func (c *serverConn) Write(p []byte) (int, error) {
-	if refuses := c.refuses; refuses != nil {
-		c.refuses = nil
-		if refuses() {
-			return 0, errCallerLeft
+	if before := c.beforeRequest; before != nil {
+		c.beforeRequest = nil
+		if err := before(); err != nil {
+			return 0, err
 		}
 	}
 	return c.Conn.Write(p)
@@ -45,13 +46,26 @@
 	return &serverConn{Conn: conn}, nil
 }
 
-// withLook returns the request such that its connection asks once more, just before its
-// first bytes, whether the caller has left. looked is the time of the last look.
+// withLook returns the request such that its connection looks once more, just before its
+// first bytes, whether the caller has left, or, for a command, whether its time is over. looked is
+// the time of the last look.
 func (c *poolTransports) withLook(r *http.Request, looked time.Time) *http.Request {
 	ctx := r.Context()
 	return r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*serverConn); ok {
-			conn.refuses = func() bool { return c.callerLeft != nil && time.Since(looked) > lookValidFor && c.callerLeft(ctx) }
+		conn, ok := info.Conn.(*serverConn)
+		if !ok {
+			return
+		}
+		if cmd := commandOf(ctx); cmd != nil {
+			cmd.take(conn)
+			conn.beforeRequest = cmd.beforeRequest
+			return
+		}
+		conn.beforeRequest = func() error {
+			if c.callerLeft != nil && time.Since(looked) > lookValidFor && c.callerLeft(ctx) {
+				return errCallerLeft
+			}
+			return nil
 		}
 	}}))
 }
