Discard what was not delivered of a command that is given up

An engine could get a command long after its sender had given it up: the end of a call closes the connection in order, and the kernel goes on sending what it had accepted, for up to the 1.5 s of TCP_USER_TIMEOUT, or until a full receive window opens. Meanwhile the engine may have been released, and another owner's command with a higher token may have arrived.

While a command has no response, its connection has SO_LINGER 0: its end resets it, and the kernel discards what the engine has not received. The option is set when the connection is had, so that it also holds if the process is killed, and is taken back when the response was read in full. Other requests end as before. What has arrived at the engine's VM before the reset is not taken back.

--- a/entry/command.go
+++ b/entry/command.go
@@ -26,6 +26,7 @@
 	waited time.Duration // for the connection
 	begun  bool          // bytes may have been written
 	ended  bool          // the call has ended, so no bytes may be written any more
+	err    error         // of an option or the end of the connection
 }
 
 type commandKey struct{}
@@ -48,6 +49,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conn, c.waited = conn, time.Since(c.start)
+	c.err = conn.carry(c)
 }
 
 // beforeRequest returns an error if the command must not be sent.
@@ -61,7 +63,8 @@
 	return nil
 }
 
-// end ends the command with the error of its call, and returns that with its kind.
+// end ends the command with the error of its call, and returns that with its kind. Without a
+// response, it resets the connection.
 func (c *command) end(err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -69,6 +72,8 @@
 	answered := err == nil || platform.IsKind(err, platform.Refused)
 	if c.conn == nil {
 		c.waited = time.Since(c.start)
+	} else if err := c.conn.end(c, answered); err != nil {
+		c.err = err
 	}
 	switch {
 	case err == nil:
@@ -91,5 +96,8 @@
 	err = cmd.end(err)
 	d.log.Info("order", "engine", s.ID, "load", c.Load, "model", c.Model, "adapter", c.Adapter,
 		"expected", c.ExpectedSequence, "token", c.FencingToken, "waited", cmd.waited, "reply", reply, "err", err)
+	if cmd.err != nil {
+		d.log.Warn("cannot set how the connection of a command ends", "engine", s.ID, "token", c.FencingToken, "err", cmd.err)
+	}
 	return reply, err
 }
--- a/entry/server_conn.go
+++ b/entry/server_conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +25,9 @@
 	// beforeRequest, if set, is called before the first bytes of the next request. They are not
 	// sent if it returns an error. The HTTP transport uses a connection for one request at a time.
 	beforeRequest func() error
+
+	mu      sync.Mutex
+	command *command // without a response yet; nil if there is none
 }
 
 // Write implements net.Conn.
@@ -37,6 +41,60 @@
 	return c.Conn.Write(p)
 }
 
+// lingerer is a connection whose end can discard what was not delivered, as [net.TCPConn].
+type lingerer interface{ SetLinger(seconds int) error }
+
+const (
+	// discardUnsent makes the end of a connection, also that of the process, reset it. The kernel
+	// then discards what the other end has not received, which it sends again otherwise.
+	discardUnsent = 0
+	// sendUnsent is the default: what was written is still sent after the end.
+	sendUnsent = -1
+)
+
+func (c *serverConn) setLinger(seconds int) error {
+	l, ok := c.Conn.(lingerer)
+	if !ok {
+		return nil
+	}
+	if err := l.SetLinger(seconds); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+// carry prepares the connection for a command, or for another request if it is nil.
+func (c *serverConn) carry(cmd *command) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.command
+	c.command = cmd
+	switch {
+	case cmd != nil:
+		return c.setLinger(discardUnsent)
+	case last != nil:
+		return c.setLinger(sendUnsent)
+	}
+	return nil
+}
+
+// end ends the connection's use by a command. The connection may carry another request by now.
+func (c *serverConn) end(cmd *command, answered bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.command != cmd {
+		return nil
+	}
+	if answered {
+		c.command = nil
+		return c.setLinger(sendUnsent)
+	}
+	if err := c.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
 // dial connects to a server.
 func (c *poolTransports) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := c.network.Dial(ctx, network, address)
@@ -61,11 +119,12 @@
 			conn.beforeRequest = cmd.beforeRequest
 			return
 		}
+		lingerErr := conn.carry(nil)
 		conn.beforeRequest = func() error {
 			if c.callerLeft != nil && time.Since(looked) > lookValidFor && c.callerLeft(ctx) {
 				return errCallerLeft
 			}
-			return nil
+			return lingerErr
 		}
 	}}))
 }
