--- a/entry/server_conn.go
+++ b/entry/server_conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,25 +18,83 @@
 
 var errCallerLeft = errors.New("the caller left before the request was sent")
 
-// serverConn is a connection to a server. It does not send a request whose caller has left.
+// serverConn is a connection to a server. It does not send a request whose caller has left, nor a
+// command whose time is over.
 type serverConn struct {
 	net.Conn
-	// refuses, if set, reports whether the request that begins with the next bytes may not
-	// be sent. The HTTP transport uses a connection for one request at a time.
-	refuses func() bool
+	// beforeRequest, if set, is called before the first bytes of the next request. They are not
+	// sent if it returns an error. The HTTP transport uses a connection for one request at a time.
+	beforeRequest func() error
+
+	mu      sync.Mutex
+	command *command // without a response yet; nil if there is none
 }
 
 // Write implements net.Conn.
 func (c *serverConn) Write(p []byte) (int, error) {
-	if refuses := c.refuses; refuses != nil {
-		c.refuses = nil
-		if refuses() {
-			return 0, errCallerLeft
+	if before := c.beforeRequest; before != nil {
+		c.beforeRequest = nil
+		if err := before(); err != nil {
+			return 0, err
 		}
 	}
 	return c.Conn.Write(p)
 }
 
+// lingerer is a connection whose end can discard what was not delivered, as [net.TCPConn].
+type lingerer interface{ SetLinger(seconds int) error }
+
+const (
+	// discardUnsent makes the end of a connection, also that of the process, reset it. The kernel
+	// then discards what the other end has not received, which it sends again otherwise.
+	discardUnsent = 0
+	// sendUnsent is the default: what was written is still sent after the end.
+	sendUnsent = -1
+)
+
+func (c *serverConn) setLinger(seconds int) error {
+	l, ok := c.Conn.(lingerer)
+	if !ok {
+		return nil
+	}
+	if err := l.SetLinger(seconds); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+// carry prepares the connection for a command, or for another request if it is nil.
+func (c *serverConn) carry(cmd *command) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.command
+	c.command = cmd
+	switch {
+	case cmd != nil:
+		return c.setLinger(discardUnsent)
+	case last != nil:
+		return c.setLinger(sendUnsent)
+	}
+	return nil
+}
+
+// end ends the connection's use by a command. The connection may carry another request by now.
+func (c *serverConn) end(cmd *command, answered bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.command != cmd {
+		return nil
+	}
+	if answered {
+		c.command = nil
+		return c.setLinger(sendUnsent)
+	}
+	if err := c.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
 // dial connects to a server.
 func (c *poolTransports) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := c.network.Dial(ctx, network, address)
@@ -45,13 +104,27 @@
 	return &serverConn{Conn: conn}, nil
 }
 
-// withLook returns the request such that its connection asks once more, just before its
-// first bytes, whether the caller has left. looked is the time of the last look.
+// withLook returns the request such that its connection looks once more, just before its
+// first bytes, whether the caller has left, or, for a command, whether its time is over. looked is
+// the time of the last look.
 func (c *poolTransports) withLook(r *http.Request, looked time.Time) *http.Request {
 	ctx := r.Context()
 	return r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*serverConn); ok {
-			conn.refuses = func() bool { return c.callerLeft != nil && time.Since(looked) > lookValidFor && c.callerLeft(ctx) }
+		conn, ok := info.Conn.(*serverConn)
+		if !ok {
+			return
+		}
+		if cmd := commandOf(ctx); cmd != nil {
+			cmd.take(conn)
+			conn.beforeRequest = cmd.beforeRequest
+			return
+		}
+		lingerErr := conn.carry(nil)
+		conn.beforeRequest = func() error {
+			if c.callerLeft != nil && time.Since(looked) > lookValidFor && c.callerLeft(ctx) {
+				return errCallerLeft
+			}
+			return lingerErr
 		}
 	}}))
 }
