End the lease of a node before its session row is removed

Seen by callers: possibly two owners of an engine. A node that leaves removed its session row, but consented as a witness for up to a lease after that. Others count the witness of a session that is gone for a lease as having promised not to agree, from their first read without the row.

Cause: nothing ended the lease with the row; a renewal that was under way could even begin one.

Fix: the lease ends for good before the row is removed. The response then says that the node holds no lease, and it agrees to nothing. A consent that was checked before the end is of a round that began earlier still, and leases count from there.

--- a/node/session.go
+++ b/node/session.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex // guards the fields below
 	lease   table.Lease
 	leaving bool
+	ended   bool      // the row is being removed; there is no lease from then on
 	id      string    // of the session; see [table.Session.ID]
 	renewed time.Time // when the last confirmed renewal was sent, by the clock of leases
 	// confirmed is the version of the session row by the last confirmed renewal. possibleSets
@@ -85,6 +86,21 @@
 	s.renew(ctx)
 }
 
+// end ends the lease for good: the node sends no commands that need it and gives no consent as a
+// witness, also if a renewal that is under way succeeds.
+func (s *session) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	s.lease.Invalidate()
+}
+
+func (s *session) hasEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
 func (s *session) isLeaving() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -124,6 +140,9 @@
 		return // the node is closing
 	}
 	defer s.rowLock.Release(1)
+	if s.hasEnded() {
+		return
+	}
 	if s.row.Counter == 0 {
 		s.setGeneration(s.n.generations.Current())
 	}
@@ -200,7 +219,9 @@
 	s.witnesses, s.witnessesKnown = witnesses, true
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lease.RecordRenewal(sent)
+	if !s.ended {
+		s.lease.RecordRenewal(sent)
+	}
 	s.renewed, s.confirmed, s.possibleSets = sent, ver, [][]table.Witness{witnesses}
 }
 
@@ -305,6 +326,7 @@
 // removeRow removes the session row, so that other nodes need not wait for the lease to
 // expire.
 func (s *session) removeRow(ctx context.Context) {
+	s.end()
 	if s.rowLock.Acquire(ctx, 1) != nil {
 		return
 	}
