Register another session at once when the VM resumes

TestSessionIsRenewedWhenTheVMResumes failed in some runs, once in a whole run of package node: the first write after a suspension finds that the session has ended, and the next one, which registers another, came up to a second later. It is now made at once, as at the start of a node.

--- a/node/node.go
+++ b/node/node.go
@@ -152,6 +152,11 @@
 	if n.generations.Current() == 0 {
 		_, _ = n.table.Get(n.ctx, table.Session{Node: n.cfg.Name}.Key()) // its response states the generation, if any
 	}
+	n.register()
+}
+
+// register renews the session, or registers another one in place of one that has ended.
+func (n *Node) register() {
 	for range joinAttempts {
 		n.session.renew(n.ctx)
 		if n.session.leaseValid() || n.ctx.Err() != nil {
--- a/node/suspension.go
+++ b/node/suspension.go
@@ -11,7 +11,8 @@
 func (n *Node) bootNow() time.Time { return n.cfg.Clock.Boot() }
 
 // watchSuspension reports that the VM was suspended. Others may have ended the session
-// meanwhile, so it is renewed at once.
+// meanwhile, so it is renewed at once, or
+// another one registered.
 func (n *Node) watchSuspension(ctx context.Context) {
 	d := n.suspensions.Suspended()
 	if d == 0 {
@@ -22,5 +23,5 @@
 	if n.cfg.OnResume != nil {
 		n.cfg.OnResume()
 	}
-	n.session.renew(ctx)
+	n.register()
 }
