End loads of several commands when their engine is handed over

Seen by callers: two nodes may send commands to an engine around a planned stop, and an engine that is handed over has no owner for as long as a load takes.

Cause: a handover kept loads from starting, but a load that had begun went on: the polls for the end of an adapter's load, commands again after a conflict, and the load of a base model, which is not cancelled with the node and may take 15 s. The handover waited for all of it. A node that was told to end at once waited for that load as well.

Fix: while an engine is handed over, no further command of a load is sent, and the waits of the sequencer end. A handover waits for the command in flight only. A load that ends so counts as not sent, unless one of its polls got no response; that error is returned then, as the poll may still arrive. The requests that waited for it were refused when the handover began.

--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -24,6 +25,8 @@
 	maxCommandAttempts = 4
 	// loadPollInterval is the interval between two polls for the end of a load.
 	loadPollInterval = 15 * time.Millisecond
+	// endingCheckInterval is the interval between two checks whether a wait has to end.
+	endingCheckInterval = 20 * time.Millisecond
 	// maxCommandDelay is how long after a command was sent the engine may still
 	// execute it: the platform's bound plus a margin.
 	maxCommandDelay = 13 * time.Second
@@ -45,6 +48,9 @@
 	// before each command, since a load takes several commands with waits between
 	// them, during which the lease may end.
 	CanSend func() bool
+	// IsEnding, if set, reports whether no more commands will be sent. A load of several
+	// commands then ends after the one in flight, without waiting for what the engine does.
+	IsEnding func() bool
 	// InUse reports whether an adapter must not be unloaded to make room. If it
 	// is nil, any adapter may be unloaded.
 	InUse func(name string) bool
@@ -145,13 +151,16 @@
 // refresh fetches the state until it is current. The caller must hold s.commandLock.
 func (s *Sequencer) refresh(ctx context.Context) error {
 	for {
+		if err := s.checkEnding(); err != nil {
+			return err
+		}
 		s.mu.Lock()
 		current, wait := s.current, time.Until(s.minFetchTime)
 		s.mu.Unlock()
 		if current {
 			return nil
 		}
-		if err := sleep(ctx, wait); err != nil {
+		if err := s.wait(ctx, wait); err != nil {
 			return err
 		}
 		fetchStart := time.Now()
@@ -166,12 +175,32 @@
 		if current {
 			return nil
 		}
-		if err := sleep(ctx, statePollInterval); err != nil {
+		if err := s.wait(ctx, statePollInterval); err != nil {
 			return err
 		}
 	}
 }
 
+// wait waits for d, or less if no more commands will be sent.
+func (s *Sequencer) wait(ctx context.Context, d time.Duration) error {
+	for end := time.Now().Add(d); ; {
+		left := time.Until(end)
+		if err := sleep(ctx, min(left, endingCheckInterval)); err != nil || left <= 0 {
+			return err
+		}
+		if err := s.checkEnding(); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Sequencer) checkEnding() error {
+	if s.IsEnding == nil || !s.IsEnding() {
+		return nil
+	}
+	return &Error{Op: "order", Kind: NotSent, Err: errors.New("no more commands are sent to the engine")}
+}
+
 func sleep(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
 		return ctx.Err()
@@ -340,9 +369,10 @@
 	s.mu.Unlock()
 	start := time.Now()
 	wait := expected
+	var unanswered error // the last one of a poll without a response
 	for {
-		if err := sleep(ctx, wait); err != nil {
-			return err
+		if err := s.wait(ctx, wait); err != nil {
+			return cmp.Or(unanswered, err)
 		}
 		wait = loadPollInterval
 		if err := s.commandLock.Acquire(ctx, 1); err != nil {
@@ -351,9 +381,12 @@
 		reply, err := s.startLoad(ctx, name, c)
 		s.commandLock.Release(1)
 		if IsKind(err, Failed) {
-			wait = statePollInterval
+			wait, unanswered = statePollInterval, err
 			continue
 		}
+		if IsKind(err, NotSent) {
+			return cmp.Or(unanswered, err)
+		}
 		if err != nil {
 			return err
 		}
--- a/engine/sequencer_test.go
+++ b/engine/sequencer_test.go
@@ -355,3 +355,34 @@
 		is.Equal(len(e.loaded), 3)
 	})
 }
+
+// Guards against a load that goes on, and so holds up its end, when no more commands may be sent.
+func TestSequencerEndsLoads(t *testing.T) {
+	for _, lostPolls := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			e := newSequencedEngine(2)
+			e.loadTime = 4 * time.Second
+			s := e.sequencer()
+			sent := 0
+			s.Send = func(_ context.Context, c Command) (Reply, error) {
+				if sent++; lostPolls && sent > 1 {
+					return "", &Error{Op: "order", Kind: Failed}
+				}
+				return e.execute(c), nil
+			}
+			ending := false
+			s.IsEnding = func() bool { return ending }
+			time.AfterFunc(time.Second, func() { ending = true })
+			start := time.Now()
+			_, err := s.Load(t.Context(), "m/a", 1)
+			is.True(time.Since(start) <= time.Second+endingCheckInterval)
+			is.True(sent > 1)
+			if lostPolls {
+				is.True(IsKind(err, Failed)) // it may still arrive
+			} else {
+				is.True(IsKind(err, NotSent))
+			}
+		})
+	}
+}
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -58,6 +58,7 @@
 		go func() { closed <- leaving.Close(t.Context()) }()
 		time.Sleep(leaving.cfg.DrainGrace + 500*time.Millisecond)
 		is.Equal(len(closed), 0)
+		is.True(leaving.session.leaseValid() && !o.canSendCommand())
 		o.rowLock.Release(1)
 		time.Sleep(100 * time.Millisecond)
 		is.NoErr(<-closed)
--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
@@ -38,6 +39,8 @@
 	clocks map[int]*standin.VMClock // by node
 
 	senders map[string]sender // by engine: the last one that might send commands
+
+	sequencer func(settings.BackendServer) *engine.Sequencer // for engines that take commands
 }
 
 func newLeaseCluster(nodes, engines int) *leaseCluster {
@@ -82,6 +85,7 @@
 		Clock:      c.clocks[i].Clock(),
 		RenewEvery: time.Second, TableRenewEvery: 5 * time.Second, PollEvery: 2 * time.Second, ProbeAfter: 100 * time.Millisecond, ProbeTimeout: 200 * time.Millisecond, Seed: uint64(i),
 	}
+	cfg.Sequencer = c.sequencer
 	store := &platform.StoreClient{Address: tableAddress, HTTP: cfg.HTTP}
 	if c.store != nil {
 		c.lossy[i] = newLossyTable(store)
@@ -186,10 +190,10 @@
 		if v := c.checkSenders(); v != "" {
 			violation = v
 		}
-		for engine, names := range c.owners() {
+		for name, names := range c.owners() {
 			// A handover takes no virtual time and may come between the reads of two nodes.
-			if len(names) > 1 && len(c.owners()[engine]) > 1 {
-				violation = fmt.Sprintf("%v own %s", names, engine)
+			if len(names) > 1 && len(c.owners()[name]) > 1 {
+				violation = fmt.Sprintf("%v own %s", names, name)
 			}
 		}
 	}
--- a/node/owned.go
+++ b/node/owned.go
@@ -76,7 +76,7 @@
 	if n.cfg.Sequencer != nil {
 		o.seq = n.cfg.Sequencer(b)
 		o.seq.Slots, o.seq.Model, o.seq.InUse = b.Slots, b.BaseModel, o.needsAdapter
-		o.seq.CanSend = o.canSendCommand
+		o.seq.CanSend, o.seq.IsEnding = o.canSendCommand, o.mustEndLoads
 	}
 	o.sched.SetMode(time.Now(), engine.Mode{Recovering: true})
 	return o
@@ -92,13 +92,17 @@
 	return o.sched.NeedsAdapter(name)
 }
 
-// canSendCommand reports whether a command that has begun may still be sent.
+// canSendCommand reports whether a command may still be sent that is part of one that has begun.
 func (o *ownedEngine) canSendCommand() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return !o.stopped && o.leaseAllowsCommands(time.Now())
+	return !o.stopped && !o.handingOver && o.leaseAllowsCommands(time.Now())
 }
 
+// mustEndLoads reports whether loads end after the command in flight. They go on after the
+// end of their context, since that would cut the command.
+func (o *ownedEngine) mustEndLoads() bool { return o.n.ctx.Err() != nil || o.isEnding() }
+
 // delayCommands keeps commands from starting for d.
 func (o *ownedEngine) delayCommands(d time.Duration) {
 	o.mu.Lock()
