Check the generation of a consent and give it in one step

Callers saw nothing of it that is known. A witness compared the generation of a request with its own, and then looked at its promises under another lock. Between the two, or while a new generation begins, the promises may have been forgotten: it then agreed in the old generation to what it had promised not to, and a promise in versions of the old generation stayed in the new one.

By reading, two owners do not follow from it: a round of consents begins before the witness reads its generation, so its lease ends within a lease of the witness's confirmation, which all others wait for, and a fence in the old generation is refused after a restore. That rests on three packages; a promise that stayed only kept leases from being extended. So the check moves to where the promises are: they belong to a generation, under one lock.

--- a/membership/doc.go
+++ b/membership/doc.go
@@ -23,8 +23,8 @@
 //	round.Add(witness.Session)                            // for each consent
 //	ok := round.Enough()
 //
-//	ok = promises.Consent(process, version, now)          // at the witness
-//	ok = promises.Promise(process, version, now)
+//	ok = promises.Consent(process, generation, version, now) // at the witness
+//	ok = promises.Promise(process, generation, version, now)
 //
 //	ok = membership.MayReplace(set, promised)             // at the node that replaces it
 //
--- a/membership/promises.go
+++ b/membership/promises.go
@@ -12,7 +12,8 @@
 // A promise names the version of the session row that the replacing node has read.
 // The owner names the version that it has confirmed. Once an owner has renewed its
 // session, earlier promises against it have no effect, since the transaction that
-// ends its session requires the earlier version.
+// ends its session requires the earlier version. Versions are those of one generation of the
+// table, and a witness answers for the latest one that it knows only.
 type Promises struct {
 	// LeaseTime is how long after a consent a lease that counts it may be in use,
 	// including the margin for clocks.
@@ -21,9 +22,10 @@
 	// without a renewal in the table.
 	Retention time.Duration
 
-	mu       sync.Mutex
-	contacts map[string]time.Time // by process: the last time its lease was known to be in use
-	promised map[string]promise   // by process
+	mu         sync.Mutex
+	generation int64                // of the table, in which the promises were given
+	contacts   map[string]time.Time // by process: the last time its lease was known to be in use
+	promised   map[string]promise   // by process
 }
 
 type promise struct {
@@ -56,9 +58,12 @@
 
 // Consent reports whether the process may count on this witness for an extension of the
 // lease that it holds by the session row at the given version.
-func (p *Promises) Consent(process string, version int64, now time.Time) bool {
+func (p *Promises) Consent(process string, generation, version int64, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if generation != p.generation {
+		return false
+	}
 	if pr, ok := p.promised[process]; ok && version <= pr.version {
 		return false
 	}
@@ -69,9 +74,12 @@
 // Promise reports whether this witness promises to give no more consent for the session
 // row at the given version. It does not while a lease that counts its last
 // consent may be in use.
-func (p *Promises) Promise(process string, version int64, now time.Time) bool {
+func (p *Promises) Promise(process string, generation, version int64, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if generation != p.generation {
+		return false
+	}
 	if at, ok := p.contacts[process]; ok && now.Sub(at) <= p.LeaseTime {
 		return false
 	}
@@ -82,11 +90,12 @@
 	return true
 }
 
-// ForgetPromises deletes all promises, since a restored table gives out versions again. The
-// contacts stay.
-func (p *Promises) ForgetPromises() {
+// StartGeneration deletes all promises, since a restored table gives out versions again, and
+// gives neither consents nor promises in an earlier generation any more. The contacts stay.
+func (p *Promises) StartGeneration(generation int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.generation = generation
 	clear(p.promised)
 }
 
--- a/node/fence.go
+++ b/node/fence.go
@@ -114,7 +114,7 @@
 
 func (m *members) requestPromise(ctx context.Context, other member, w table.Witness) bool {
 	if id, _ := m.n.session.identity(); id == w.Session {
-		return m.n.promises.Promise(other.Process, other.version, time.Now())
+		return m.n.promises.Promise(other.Process, other.readIn, other.version, time.Now())
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.n.cfg.ProbeTimeout)
 	defer cancel()
--- a/node/peers.go
+++ b/node/peers.go
@@ -41,7 +41,7 @@
 		Node: s.n.cfg.Name, Process: s.n.process, Revision: s.n.store.Tree().Rev(), Holding: holding, Session: id, Generation: generation, Quarantines: s.n.quarantines(),
 		// A witness without a lease may have been fenced, and then counts as having promised
 		// not to agree.
-		Agreed: req.Msg.GetHold() && holding && req.Msg.GetGeneration() == generation && s.n.promises.Consent(req.Msg.GetProcess(), req.Msg.GetSessionVersion(), now),
+		Agreed: req.Msg.GetHold() && holding && s.n.promises.Consent(req.Msg.GetProcess(), req.Msg.GetGeneration(), req.Msg.GetSessionVersion(), now),
 	}), nil
 }
 
@@ -50,7 +50,7 @@
 	now := time.Now()
 	id, _ := s.n.session.identity()
 	return connect.NewResponse(&peerpb.PromiseResponse{
-		Session: id, Promised: req.Msg.GetGeneration() == s.n.generations.Current() && s.n.promises.Promise(req.Msg.GetProcess(), req.Msg.GetSessionVersion(), now),
+		Session: id, Promised: s.n.promises.Promise(req.Msg.GetProcess(), req.Msg.GetGeneration(), req.Msg.GetSessionVersion(), now),
 	}), nil
 }
 
--- a/node/restore.go
+++ b/node/restore.go
@@ -23,7 +23,7 @@
 	}
 	// Promises and session timers name versions that are given out again. They end before the
 	// new generation is known, so that none of that is lost.
-	n.promises.ForgetPromises()
+	n.promises.StartGeneration(generation)
 	n.members.recordReadFailure()
 	n.clearClaims()
 	n.generations.Advance(generation, time.Now())
--- a/node/witness_test.go
+++ b/node/witness_test.go
@@ -58,3 +58,21 @@
 		}
 	})
 }
+
+// Guards against a consent in the generation of the table that ends, in the moment in which promises are forgotten.
+func TestConsentWhilePromisesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newStoreCluster(4, 8)
+		defer c.close()
+		time.Sleep(10 * time.Second)
+		of, witness := c.nodes[0], c.nodes[1]
+		generation := witness.generations.Current()
+		is.True(c.askForConsent(t, of, witness).GetAgreed())
+		witness.promises.StartGeneration(generation + 1) // the first step of ObserveGeneration
+		is.True(!c.askForConsent(t, of, witness).GetAgreed())
+		promise, err := (&peerServer{witness}).Promise(t.Context(), connect.NewRequest(&peerpb.PromiseRequest{Process: "p", SessionVersion: 1, Generation: generation}))
+		is.NoErr(err)
+		is.True(!promise.Msg.GetPromised())
+	})
+}
