Hand over engines beside others that wait for a command

Seen by callers: at a planned stop, engines have their next owner late, since a command to another engine of the same node has no response.

Cause: a node handed its engines over one by one, and waited for the commands of each.

Fix: engines with commands in flight are handed over beside the others. Those without follow each other as before, so that a next owner of several is not told of all at once.

Evidence: TestCommandDelaysHandoverOfNoOtherEngine fails on the parent (20 of 20 runs) and passes 30 of 30 now. go test of node and demo passed once.

Not changed: if the next owner reads the sessions in the moment in which the node announces that it leaves, it may hand the engine back, which then has no owner until the next poll.

--- a/node/handover.go
+++ b/node/handover.go
@@ -1,6 +1,9 @@
 package node
 
-import "context"
+import (
+	"context"
+	"sync"
+)
 
 // startHandover hands an engine over in the background, unless its ownership is ending already.
 func (n *Node) startHandover(ctx context.Context, o *ownedEngine) {
@@ -62,11 +65,18 @@
 	}
 }
 
+// handOverAll hands over all engines. Those with commands in flight delay no others.
 func (n *Node) handOverAll(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		var wg sync.WaitGroup
+		defer wg.Wait()
 		for _, o := range n.ownedEngines() {
+			if o.hasCommandsInFlight() {
+				wg.Go(func() { n.handOver(ctx, o) })
+				continue
+			}
 			n.handOver(ctx, o)
 		}
 	}()
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -65,3 +65,29 @@
 		is.Equal(len(c.owners()["e0"]), 1)
 	})
 }
+
+// Guards against engines that wait for their release, since a command to another engine has no response.
+func TestCommandDelaysHandoverOfNoOtherEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newLeaseCluster(3, 24)
+		defer c.close()
+		is.Equal(c.watch(10*time.Second+700*time.Millisecond), "") // between two polls
+		leaving := c.nodes[0]
+		engines := leaving.ownedEngines()
+		is.True(len(engines) > 5)
+		for _, o := range engines {
+			is.True(o.beginCommand())
+		}
+		go leaving.HandOverEngines(t.Context())
+		is.Equal(c.watch(time.Second), "")
+		is.Equal(len(leaving.undisputedEngines()), 0)
+		for i, o := range engines {
+			o.endCommand()
+			time.Sleep(50 * time.Millisecond)
+			is.Equal(len(leaving.ownedEngines()), len(engines)-i-1)
+		}
+		is.Equal(c.watch(time.Second), "")
+		is.Equal(len(c.owners()), len(c.docs))
+	})
+}
