--- a/node/lost_renewal_test.go
+++ b/node/lost_renewal_test.go
@@ -44,3 +44,25 @@
 		}
 	}
 }
+
+// Guards against a lease that counts from a renewal that conflicted: the row that it reads back
+// is of an earlier one, which was applied and got no response.
+func TestLeaseDoesNotCountFromRenewalThatConflicts(t *testing.T) {
+	testOnStore(t, 1, 1, func(is *is.I, c *leaseCluster) {
+		time.Sleep(5*time.Second + 500*time.Millisecond) // between two renewals
+		n, tbl := c.nodes[0], c.lossy[0]
+		tbl.losing.Store(true)
+		for len(tbl.applied) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		applied := time.Now()
+		tbl.losing.Store(false)
+		validFor := n.cfg.LeaseTTL - n.cfg.LeaseMargin
+		for time.Since(applied) < 2*n.cfg.RenewEvery-50*time.Millisecond { // until the second renewal after it
+			is.True(n.session.leaseLeft() <= validFor-time.Since(applied))
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(n.cfg.RenewEvery / 2)
+		is.True(n.session.leaseValid()) // its renewal was applied
+	})
+}
