--- a/node/fence_test.go
+++ b/node/fence_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/vanilladrift/vanilladrift/standin"
+	"github.com/vanilladrift/vanilladrift/table"
 )
 
 // takeoverTime is how long after the first one the other engines of a fenced owner may be taken
@@ -56,6 +57,39 @@
 	})
 }
 
+// Guards against engines of a dead owner that wait for the next poll: all nodes fence its session
+// at once, those whose write conflicts read it again, and no announcement tells them.
+func TestNodesThatFenceAtOnceNeedNoAnnouncement(t *testing.T) {
+	testOnStore(t, 5, 16, func(is *is.I, c *leaseCluster) {
+		is.Equal(c.watch(10*time.Second), "")
+		i := slices.IndexFunc(c.nodes, func(n *Node) bool { return len(n.ownedEngines()) > 2 })
+		dead := c.nodes[i]
+		owned := dead.ownedEngines()
+		c.kill(dead)
+		session := table.Session{Node: dead.Name()}.Key()
+		c.setFault(standin.TableFault{ApplyLate: func(tx table.Tx) time.Duration {
+			if slices.ContainsFunc(tx.Puts, func(p table.Put) bool { return p.Key == session }) {
+				return time.Minute
+			}
+			return 0
+		}})
+		time.Sleep(9500 * time.Millisecond)                          // all have seen the session expire, and are between two polls
+		c.setFault(standin.TableFault{Delay: 20 * time.Millisecond}) // so that all read before the first one writes
+		live := slices.Delete(slices.Clone(c.nodes), i, i+1)
+		for _, tbl := range c.lossy {
+			tbl.hidesOwners.Store(true)
+		}
+		var polls sync.WaitGroup
+		for _, n := range live {
+			polls.Go(func() { n.pollMembers(n.ctx) })
+		}
+		polls.Wait()
+		for _, o := range owned {
+			is.True(slices.ContainsFunc(live, func(n *Node) bool { return n.ownedEngine(o.name) != nil }))
+		}
+	})
+}
+
 // Guards against engines of a dead owner that wait for up to a poll interval after its session
 // was fenced, since the nodes that should own them poll at other times.
 func TestEnginesOfFencedOwnerDoNotWaitForPolls(t *testing.T) {
--- a/node/lossy_test.go
+++ b/node/lossy_test.go
@@ -10,11 +10,12 @@
 )
 
 // lossyTable is a client of the store that can lose the response to one transaction, and
-// then fail all calls.
+// then fail all calls, or only those that read all ownership rows.
 type lossyTable struct {
-	store   *platform.StoreClient
-	losing  atomic.Bool
-	applied chan bool // the transaction whose response is lost was applied
+	store       *platform.StoreClient
+	losing      atomic.Bool
+	applied     chan bool // the transaction whose response is lost was applied
+	hidesOwners atomic.Bool
 }
 
 func newLossyTable(store *platform.StoreClient) *lossyTable {
@@ -28,7 +29,7 @@
 func (l *lossyTable) Read(ctx context.Context, q table.Query) ([]table.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if l.losing.Load() {
+	if l.losing.Load() || l.hidesOwners.Load() && q.Prefix == table.OwnerPrefix {
 		return nil, &table.Error{Op: "read", Kind: table.Unavailable}
 	}
 	return l.store.Read(ctx, q)
