Delay single links and single commands of the stand-ins

A delay of all links to an engine also holds back the next owner, and a count of held commands is used up before the one that matters. SetDelay now takes the host that writes, which DialFrom names, and HoldCommand is a function that is asked for each command.

--- a/standin/pipe_conn_test.go
+++ b/standin/pipe_conn_test.go
@@ -60,14 +60,14 @@
 				n := &PipeNetwork{}
 				client, server := dialPipe(is, n)
 				start := time.Now()
-				n.SetDelay("s:80", func() time.Duration { return 500 * time.Millisecond })
+				n.SetDelay("", "s:80", func() time.Duration { return 500 * time.Millisecond })
 				for _, text := range []string{"one", "two"} {
 					_, err := io.WriteString(client, text)
 					is.NoErr(err)
 					time.Sleep(100 * time.Millisecond)
-					n.SetDelay("s:80", func() time.Duration { return 600 * time.Millisecond })
+					n.SetDelay("", "s:80", func() time.Duration { return 600 * time.Millisecond })
 				}
-				n.SetDelay("s:80", nil)
+				n.SetDelay("", "s:80", nil)
 				readEnded := make(chan error)
 				go func() {
 					_, err := client.Read(make([]byte, 1))
@@ -93,10 +93,12 @@
 		fault func(n *PipeNetwork, r *Replica)
 		want  int // of commands that arrive
 	}{
-		{"a slow link", func(n *PipeNetwork, _ *Replica) { n.SetDelay("s:80", func() time.Duration { return time.Second }) }, 1},
-		{"a slow replica", func(_ *PipeNetwork, r *Replica) { r.SetFault(ReplicaFault{HoldCommands: 1, HoldTime: time.Second}) }, 1},
+		{"a slow link", func(n *PipeNetwork, _ *Replica) { n.SetDelay("", "s:80", func() time.Duration { return time.Second }) }, 1},
+		{"a slow replica", func(_ *PipeNetwork, r *Replica) {
+			r.SetFault(ReplicaFault{HoldCommand: func() time.Duration { return time.Second }})
+		}, 1},
 		{"a slow replica that restarts", func(_ *PipeNetwork, r *Replica) {
-			r.SetFault(ReplicaFault{HoldCommands: 1, HoldTime: time.Second})
+			r.SetFault(ReplicaFault{HoldCommand: func() time.Duration { return time.Second }})
 			time.AfterFunc(500*time.Millisecond, r.Restart)
 		}, 1},
 	} {
--- a/standin/pipe_network.go
+++ b/standin/pipe_network.go
@@ -16,11 +16,14 @@
 type PipeNetwork struct {
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
-	silent    map[string]*atomic.Bool         // by address, of the connections since the last Silence
-	delays    map[string]func() time.Duration // by address
-	lastPort  int                             // last port that was assigned for port 0
+	silent    map[string]*atomic.Bool // by address, of the connections since the last Silence
+	delays    map[pipeLink]func() time.Duration
+	lastPort  int // last port that was assigned for port 0
 }
 
+// pipeLink is the link from a host to an address.
+type pipeLink struct{ from, to string }
+
 type pipeListener struct {
 	network *PipeNetwork
 	address pipeAddr
@@ -56,8 +59,13 @@
 	return l, nil
 }
 
-// Dial connects to the listener at an address.
+// Dial connects to the listener at an address, from a host without a name.
 func (n *PipeNetwork) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return n.DialFrom(ctx, "", address)
+}
+
+// DialFrom connects a host to the listener at an address.
+func (n *PipeNetwork) DialFrom(ctx context.Context, host, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l, silent := n.listeners[address], n.silentFlag(address)
 	n.mu.Unlock()
@@ -67,7 +75,7 @@
 	client, server := net.Pipe()
 	select {
 	case l.conns <- &pipeConn{Conn: server, address: l.address, silent: silent}:
-		return &pipeConn{Conn: client, address: l.address, silent: silent, delay: func() time.Duration { return n.delayTo(address) }}, nil
+		return &pipeConn{Conn: client, address: l.address, silent: silent, delay: func() time.Duration { return n.delayOn(pipeLink{host, address}) }}, nil
 	case <-l.closed:
 		return nil, &net.OpError{Op: "dial", Net: "wire", Addr: l.address, Err: errors.New("connection reset")}
 	case <-ctx.Done():
@@ -84,22 +92,22 @@
 	delete(n.silent, address)
 }
 
-// SetDelay delays what is written to an address, on connections that are open as well, by
+// SetDelay delays what a host writes to an address, on connections that are open as well, by
 // what a function returns for each write. A nil function ends it.
-func (n *PipeNetwork) SetDelay(address string, delay func() time.Duration) {
+func (n *PipeNetwork) SetDelay(host, address string, delay func() time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.delays == nil {
-		n.delays = make(map[string]func() time.Duration)
+		n.delays = make(map[pipeLink]func() time.Duration)
 	}
-	n.delays[address] = delay
+	n.delays[pipeLink{host, address}] = delay
 }
 
-// delayTo returns the delay of the next write to an address.
-func (n *PipeNetwork) delayTo(address string) time.Duration {
+// delayOn returns the delay of the next write on a link.
+func (n *PipeNetwork) delayOn(link pipeLink) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if delay := n.delays[address]; delay != nil {
+	if delay := n.delays[link]; delay != nil {
 		return delay()
 	}
 	return 0
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -17,12 +17,13 @@
 // ReplicaFault selects the failures of a [Replica]. A counter is decremented each
 // time that its failure is applied.
 type ReplicaFault struct {
-	LoseCommands  int           // commands that get no reply and are applied after CommandDelay
-	CommandDelay  time.Duration // of the commands that get no reply
-	HoldCommands  int           // commands that are received, and looked at HoldTime later
-	HoldTime      time.Duration // the sender may have given them up meanwhile
-	CutStreams    int           // streams that are interrupted after their third event
-	LoseResponses int           // plain requests that run but get no response
+	LoseCommands int           // commands that get no reply and are applied after CommandDelay
+	CommandDelay time.Duration // of the commands that get no reply
+	// HoldCommand, if set, returns how long a command that was received waits until it is
+	// looked at. Its sender may have given it up by then.
+	HoldCommand   func() time.Duration
+	CutStreams    int // streams that are interrupted after their third event
+	LoseResponses int // plain requests that run but get no response
 	// CrashPart is a part of prompts that crashes the replica when it begins to respond;
 	// the replica starts again after CrashDowntime.
 	CrashPart     string
--- a/standin/replica_commands.go
+++ b/standin/replica_commands.go
@@ -25,13 +25,9 @@
 // has closed the connection. It ignores other requests.
 func (r *Replica) holdCommand(req *http.Request) error {
 	r.mu.Lock()
-	held := r.fault.HoldCommands > 0 && platform.IsCommand(req)
-	if held {
-		r.fault.HoldCommands--
-	}
-	d := r.fault.HoldTime
+	hold := r.fault.HoldCommand
 	r.mu.Unlock()
-	if !held {
+	if hold == nil || !platform.IsCommand(req) {
 		return nil
 	}
 	body, err := io.ReadAll(req.Body)
@@ -39,7 +35,7 @@
 		return err
 	}
 	req.Body = io.NopCloser(bytes.NewReader(body))
-	time.Sleep(d)
+	time.Sleep(hold())
 	return nil
 }
 
