--- a/demo/platform_system.go
+++ b/demo/platform_system.go
@@ -51,6 +51,20 @@
 }
 
 func newPlatformSystem(n entry.Network, logOut io.Writer) (*platformSystem, error) {
+	sys, err := newPlatform(n)
+	if err != nil {
+		return nil, err
+	}
+	for i := range daemonCount {
+		if err := sys.startDaemon(fmt.Sprintf("front-%d", i+1), sys.storeAddr, logOut); err != nil {
+			return nil, err
+		}
+	}
+	return sys, nil
+}
+
+// newPlatform starts the stand-in of the platform, without daemons.
+func newPlatform(n entry.Network) (*platformSystem, error) {
 	sys := &platformSystem{
 		listeners: listeners{network: n}, store: &standin.Store{}, versions: map[string]int64{},
 		client: &http.Client{Transport: &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: workers}},
@@ -80,11 +94,6 @@
 			return nil, err
 		}
 	}
-	for i := range daemonCount {
-		if err := sys.startDaemon(fmt.Sprintf("front-%d", i+1), storeAddr, logOut); err != nil {
-			return nil, err
-		}
-	}
 	return sys, nil
 }
 
