Draw plans with planned stops and commands in flight

No drawn plan closed a node, and none had commands in flight, so the faults of a stop beside a handover were not found. The new plans stop nodes that hand over engines while a command to each is in flight for up to a second, beside cuts, freezes, restarts and late writes; the time to stop ends before some commands do.

--- a/node/lease_fuzz_test.go
+++ b/node/lease_fuzz_test.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"testing"
@@ -28,8 +29,12 @@
 // restoreSteps lists the actions of a plan on the platform's store.
 var restoreSteps = append([]string{"restore", "restore", "restore", "apply-late", "roll"}, leaseSteps...)
 
+// stopSteps lists the actions of a plan with planned stops, also of nodes with commands in flight.
+var stopSteps = append([]string{"stop", "stop", "stop", "stop", "apply-late"}, leaseSteps...)
+
 var (
 	leaseStepGen   = leaseStepsFrom(leaseSteps)
+	stopStepGen    = leaseStepsFrom(stopSteps)
 	restoreStepGen = leaseStepsFrom(restoreSteps)
 )
 
@@ -82,6 +87,9 @@
 		violation = c.watch(s.span / 10)
 		c.kill(node)
 		c.start(s.node % len(c.nodes))
+	case "stop":
+		violation = c.stop(node, s.span/5, time.Duration(s.num)*time.Millisecond)
+		c.start(s.node % len(c.nodes))
 	case "kill":
 		c.kill(node)
 	case "restart":
@@ -98,6 +106,29 @@
 	return violation
 }
 
+// stopGrace is how long a planned stop may take in a plan. Some commands are longer in flight.
+const stopGrace = 300 * time.Millisecond
+
+// stop hands over the engines of a node, to each of which a command is in flight, and closes the node
+// some time later, as a planned stop does. It returns a violation that it saw meanwhile.
+func (c *leaseCluster) stop(n *Node, closeAfter, command time.Duration) (violation string) {
+	for _, o := range n.ownedEngines() {
+		if o.beginCommand() {
+			time.AfterFunc(command, o.endCommand)
+		}
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, closeAfter+stopGrace)
+	defer cancel()
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { n.HandOverEngines(ctx) })
+	violation = c.watch(closeAfter)
+	tasks.Go(func() { _ = n.Close(ctx) }) // the session row stays if commands last too long
+	violation += c.watch(stopGrace + command + time.Second)
+	c.kill(n)
+	return violation
+}
+
 // At no time may two nodes own an engine under a valid lease, whatever happens to members
 // and store. Once all faults are over, every engine has an owner again.
 func TestOneOwnerWhileMembersChange(t *testing.T) {
@@ -127,6 +158,20 @@
 	})
 }
 
+// At no time may a node be able to send commands to an engine, or have some in flight, under a lower
+// fencing token than another had before, while nodes stop as planned beside faults of store and network.
+func TestTokensGrowWhileNodesStop(t *testing.T) {
+	if !*randomSeeds {
+		fixSeed(t)
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		plan := rapid.SliceOfN(stopStepGen, 3, 25).Draw(rt, "plan")
+		if v := runLeasePlan(t, newStoreCluster, plan); len(v) > 0 {
+			rt.Fatal(v, plan)
+		}
+	})
+}
+
 func runLeasePlan(t *testing.T, newCluster func(nodes, engines int) *leaseCluster, plan []step) (violations []string) {
 	defer limitProcessors()()
 	synctest.Test(t, func(_ *testing.T) {
