--- a/engine/sequencer_test.go
+++ b/engine/sequencer_test.go
@@ -371,10 +371,8 @@
 				}
 				return e.execute(c), nil
 			}
-			ending := false
-			s.IsEnding = func() bool { return ending }
-			time.AfterFunc(time.Second, func() { ending = true })
 			start := time.Now()
+			s.IsEnding = func() bool { return time.Since(start) >= time.Second }
 			_, err := s.Load(t.Context(), "m/a", 1)
 			is.True(time.Since(start) <= time.Second+endingCheckInterval)
 			is.True(sent > 1)
