--- a/node/node_test.go
+++ b/node/node_test.go
@@ -271,6 +271,39 @@
 	})
 }
 
+// Guards against a new owner that evicts the adapter of a stream of which it has not heard from its
+// entry node: every slot is in use, so that any eviction interrupts one.
+func TestNewOwnerEvictsNoAdapterInUse(t *testing.T) {
+	runInCluster(t, 4, 2, func(t *testing.T, c *cluster) {
+		is := is.NewRelaxed(t)
+		c.mustEdit(settings.Branch, "/counter", map[string]string{"deadline": "2m"})
+		c.mustEdit(settings.Backend, engineProcess(1), map[string]string{"drain": "on"})
+		time.Sleep(settingsDeadline)
+		owner := c.ownerOf(0)
+		entry := (owner + 1) % 4
+		c.engines[0].SetFault(standin.EngineFault{Slowdown: 8})
+		ended := make(chan bool, testSlots)
+		for a := range testSlots {
+			c.spawn(func() {
+				c.sendRequest(entry, "counter", a, "", 400, true)
+				ended <- true
+			})
+		}
+		time.Sleep(5 * time.Second)
+		loaded := c.engines[0].Loaded()
+		is.Equal(len(loaded), testSlots)
+		is.Equal(len(c.engines[0].Record().Started), testSlots)
+		c.killNode(owner, true)
+		c.churn(20*time.Second, entry, owner+2, owner+3)
+		is.True(c.ownerOf(0) >= 0) // another node took over
+		is.Equal(len(ended), 0)
+		is.Equal(c.engines[0].Loaded(), loaded)
+		c.engines[0].SetFault(standin.EngineFault{})
+		c.wg.Wait()
+		is.Equal(c.outcomes["incomplete"], 0)
+	})
+}
+
 func TestDrainedEngineGetsNoNewWork(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
