Count a command without a response until it can no longer arrive

An engine could get a command with a lower token after one with a higher token: a command counted as over at the timeout of its call (300 ms), although the network or the engine's VM may still hold it. The owner then released the engine, or took it over again itself after the store was restored, and the commands under the next token could be first. Any planned stop beside a lossy or slow link will do. That the engine does not execute the late one does not help: it has arrived.

A command without a response now counts until Config.CommandArrivalBound after the end of its call: for the release of the ownership row, for a takeover by the same process, and for forgetting a former ownership, also at sequenced engines. A new owner after one that ended without a release sends nothing for at least as long. HandoverDelayMS needs nothing: the release comes after the wait.

TestUnansweredCommandsAreReported guards what counts: commands that were not sent or were refused do not.

Not covered: a process that is killed and started again under the same name takes over without a delay.

--- a/engine/send_check_test.go
+++ b/engine/send_check_test.go
@@ -8,6 +8,34 @@
 	"github.com/matryer/is"
 )
 
+// Guards against commands whose arrival nobody waits for: one that may have been sent gets no response.
+// Those that were not sent or were refused cannot arrive any more.
+func TestUnansweredCommandsAreReported(t *testing.T) {
+	for _, tt := range []struct {
+		name       string
+		err        error
+		unanswered int
+	}{
+		{"no response", context.DeadlineExceeded, 1},
+		{"not sent", &Error{Op: "order", Kind: NotSent}, 0},
+		{"refused", &Error{Op: "order", Kind: Refused}, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := newSequencedEngine(2)
+				s := e.sequencer()
+				unanswered := 0
+				s.OnUnanswered = func() { unanswered++ }
+				s.Send = func(context.Context, Command) (Reply, error) { return "", tt.err }
+				_, err := s.Load(t.Context(), "m/a", 1)
+				is.True(err != nil)
+				is.Equal(unanswered, tt.unanswered)
+			})
+		})
+	}
+}
+
 // Guards against commands that are sent after the lease has ended, since only the sequencer looks at it.
 func TestCommandCarriesItsSendCheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -45,6 +45,9 @@
 	// before each command, since a load takes several commands with waits between
 	// them, during which the lease may end. Send finds it in its context; see [MaySend].
 	CanSend func() bool
+	// OnUnanswered, if set, is called when a command ends without a response. It may still
+	// arrive at the engine.
+	OnUnanswered func()
 	// InUse reports whether an adapter must not be unloaded to make room. If it
 	// is nil, any adapter may be unloaded.
 	InUse func(name string) bool
@@ -248,7 +251,11 @@
 		}
 		ctx = WithSendCheck(ctx, s.CanSend)
 	}
-	return s.Send(ctx, c)
+	reply, err := s.Send(ctx, c)
+	if err != nil && !IsKind(err, NotSent, Refused) && s.OnUnanswered != nil {
+		s.OnUnanswered()
+	}
+	return reply, err
 }
 
 // advanceSequence increments the sequence number for an accepted command and
--- a/node/config.go
+++ b/node/config.go
@@ -28,7 +28,7 @@
 	// Table, if set, is used instead of a client of TableURL.
 	Table *table.Client
 	// Sequencer, if set, returns the sequencer of a sequenced engine. The node sets its
-	// fields Slots, Model, InUse and CanSend.
+	// fields Slots, Model, InUse, CanSend and OnUnanswered.
 	Sequencer func(b settings.BackendServer) *engine.Sequencer
 	// SettingsPushed is set when another component installs the settings in
 	// [Node.Store]. The node then reads them neither from the table nor from peers.
@@ -53,6 +53,11 @@
 	LeaseTTL    time.Duration // default 6 s
 	LeaseMargin time.Duration // default 1 s
 	RenewEvery  time.Duration // default 1.5 s
+	// CommandArrivalBound is how long a command may still arrive at its engine after its call has
+	// ended without a response, held by the network or unread at the engine's VM. The next owner
+	// sends nothing before. A lease is valid for LeaseTTL less LeaseMargin, and others may send
+	// after LeaseTTL and LeaseMargin, so the bound must fit in between.
+	CommandArrivalBound time.Duration // default twice LeaseMargin, at most 1 s
 	// TableRenewEvery, if it is longer than RenewEvery, is the time between two renewals in
 	// the table while the node's witnesses agree to extend its lease in between.
 	TableRenewEvery time.Duration
@@ -79,7 +84,11 @@
 	Process string
 }
 
-const defaultProbeAfter = 300 * time.Millisecond
+const (
+	defaultProbeAfter = 300 * time.Millisecond
+	// maxCommandArrivalDefault is longer than packets wait in full queues of a region.
+	maxCommandArrivalDefault = time.Second
+)
 
 func (c Config) withDefaults() Config {
 	setDefault := func(d *time.Duration, v time.Duration) {
@@ -89,6 +98,7 @@
 	}
 	setDefault(&c.LeaseTTL, 6*time.Second)
 	setDefault(&c.LeaseMargin, time.Second)
+	setDefault(&c.CommandArrivalBound, min(2*c.LeaseMargin, maxCommandArrivalDefault))
 	setDefault(&c.RenewEvery, 1500*time.Millisecond)
 	c.TableRenewEvery = max(c.TableRenewEvery, c.RenewEvery)
 	setDefault(&c.PollEvery, time.Second)
@@ -127,6 +137,8 @@
 		return &Error{Op: op, Kind: Invalid, Reason: "table URL is empty"}
 	case d.LeaseMargin*2 >= d.LeaseTTL:
 		return &Error{Op: op, Kind: Invalid, Reason: "lease margin must be less than half of the lease TTL"}
+	case d.LeaseTTL-d.LeaseMargin+d.CommandArrivalBound > d.LeaseTTL+d.LeaseMargin:
+		return &Error{Op: op, Kind: Invalid, Reason: "commands must arrive within twice the lease margin after their lease has ended"}
 	case d.RenewEvery*2 >= d.LeaseTTL-d.LeaseMargin:
 		return &Error{Op: op, Kind: Invalid, Reason: "lease TTL less the margin must exceed two renewal intervals"}
 	case d.TableRenewEvery >= maxExtension:
--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/standin"
@@ -35,6 +36,9 @@
 
 	clocks map[int]*standin.VMClock // by node
 
+	// sequencer, if set, returns what sends a node's commands to an engine.
+	sequencer func(node string) *engine.Sequencer
+
 	senders map[string]sender // by engine: the last one that might send commands
 }
 
@@ -85,6 +89,9 @@
 		c.lossy[i] = newLossyTable(store)
 		cfg.Table = &table.Client{Read: c.lossy[i].Read, Apply: c.lossy[i].Apply}
 	}
+	if c.sequencer != nil {
+		cfg.Sequencer = func(settings.BackendServer) *engine.Sequencer { return c.sequencer(name) }
+	}
 	n := New(cfg)
 	if c.store != nil {
 		store.OnGeneration = n.ObserveGeneration
--- a/node/owned.go
+++ b/node/owned.go
@@ -46,6 +46,7 @@
 	handingOver        bool                          // a handover is in progress
 	commandsInFlight   int                           // commands without a response yet
 	commandsUnanswered int                           // commands that failed without a response
+	arrivalsUntil      time.Time                     // commands without a response may arrive until then
 	boot               string
 	lastCommandEnd     time.Time
 	lastReport         time.Time
@@ -73,7 +74,7 @@
 	if n.cfg.Sequencer != nil {
 		o.seq = n.cfg.Sequencer(b)
 		o.seq.Slots, o.seq.Model, o.seq.InUse = b.Slots, b.BaseModel, o.needsAdapter
-		o.seq.CanSend = o.canSendCommand
+		o.seq.CanSend, o.seq.OnUnanswered = o.canSendCommand, o.recordUnanswered
 	}
 	o.sched.SetMode(time.Now(), engine.Mode{Recovering: true})
 	return o
@@ -324,11 +325,24 @@
 	return o.stopped || o.handingOver
 }
 
-// hasCommandsInFlight reports whether commands are without a response.
+// hasCommandsInFlight reports whether commands may still arrive at the engine.
 func (o *ownedEngine) hasCommandsInFlight() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.commandsInFlight > 0
+	return o.mayCommandsArrive(time.Now())
+}
+
+// mayCommandsArrive reports whether commands may still arrive at the engine. One that got a response
+// has arrived; another one may be on its way after the end of its call. The caller must hold o.mu.
+func (o *ownedEngine) mayCommandsArrive(now time.Time) bool {
+	return o.commandsInFlight > 0 || now.Before(o.arrivalsUntil)
+}
+
+// recordUnanswered records that the call of a command has ended without a response.
+func (o *ownedEngine) recordUnanswered() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.arrivalsUntil = time.Now().Add(o.n.cfg.CommandArrivalBound)
 }
 
 func (o *ownedEngine) abortHandover() {
@@ -337,8 +351,8 @@
 	o.handingOver = false
 }
 
-// awaitCommands waits until no command is in flight. No command can start during a
-// handover.
+// awaitCommands waits until no command may arrive at the engine any more. No command can
+// start during a handover.
 func (o *ownedEngine) awaitCommands(ctx context.Context) bool {
 	for {
 		if !o.hasCommandsInFlight() {
@@ -377,10 +391,10 @@
 	o.apply(o.sched.RefuseAll(time.Now(), engine.NoOwner))
 }
 
-// isOver reports whether no command of an ended ownership can reach the engine any more. A
-// sequenced engine does not execute one that was on its way after a later one.
+// isOver reports whether no command of an ended ownership can reach the engine any more, nor be
+// executed. A sequenced engine does not execute one after a later one.
 func (o *ownedEngine) isOver() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.stopped && o.commandsInFlight == 0 && (o.commandsUnanswered == 0 || o.seq != nil)
+	return o.stopped && !o.mayCommandsArrive(time.Now()) && (o.commandsUnanswered == 0 || o.seq != nil)
 }
--- a/node/restore.go
+++ b/node/restore.go
@@ -108,8 +108,8 @@
 	n.takeOverReleased(name)
 }
 
-// hasCommandsInFlight reports whether commands of former ownerships of this process are
-// without a response.
+// hasCommandsInFlight reports whether commands of former ownerships of this process may
+// still arrive at an engine.
 func (n *Node) hasCommandsInFlight(engineName string) bool {
 	return slices.ContainsFunc(n.formerOwnerships(engineName), (*ownedEngine).hasCommandsInFlight)
 }
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -54,7 +54,7 @@
 		}
 		tx.Checks = append(tx.Checks, check)
 		var o *ownedEngine
-		if o, changed = n.writeOwner(ctx, b, old, self, tx, row); o != nil && old.LastNode != self.Node {
+		if o, changed = n.writeOwner(ctx, b, old, self, tx, row); o != nil {
 			o.delayCommands(n.commandDelayAfter(old))
 		}
 	})
@@ -95,12 +95,16 @@
 // commandDelayAfter returns how long a new owner sends no commands. Two VMs must not
 // alternate as owners within OwnerAlternationGap. After a single change of owner,
 // fencing tokens tell the commands of the two apart. A delay is therefore needed only
-// if the former owner had taken over the engine shortly before.
+// if the former owner had taken over the engine shortly before, or ended without
+// releasing the engine, so that its commands may still arrive.
 func (n *Node) commandDelayAfter(old table.Owner) time.Duration {
-	if old.Node == "" {
+	switch {
+	case old.LastNode == n.cfg.Name:
+		return 0
+	case old.Node == "":
 		return time.Duration(old.HandoverDelayMS) * time.Millisecond
 	}
-	return n.ownerAlternationDelay()
+	return max(n.cfg.CommandArrivalBound, n.ownerAlternationDelay())
 }
 
 // ownerAlternationDelay is the delay after an owner whose lease has ended: it took over the
