End a command with the lease

An engine could get a command of an owner whose lease had ended: a command that began in the last moment of the lease went on for the 300 ms of its timeout, and its bytes could be sent until then. Others may send twice the lease margin after the lease, which has to cover the arrival of a late command.

Each command, also each retry, now ends at the end of the lease, if that comes before its timeout. Left out: timers stand still while the VM is suspended, so a call that was in progress then ends up to 300 ms after the VM resumes.

--- a/engine/send_check_test.go
+++ b/engine/send_check_test.go
@@ -4,19 +4,21 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
 
-// Guards against commands whose arrival nobody waits for: one that may have been sent gets no response.
-// Those that were not sent or were refused cannot arrive any more.
+// Guards against commands whose arrival nobody waits for: one that may have been sent gets no response,
+// and ends with its lease. Those that were not sent or were refused cannot arrive any more.
 func TestUnansweredCommandsAreReported(t *testing.T) {
+	const left = 40 * time.Millisecond
 	for _, tt := range []struct {
 		name       string
-		err        error
+		err        error // nil: no response
 		unanswered int
 	}{
-		{"no response", context.DeadlineExceeded, 1},
+		{"no response", nil, 1},
 		{"not sent", &Error{Op: "order", Kind: NotSent}, 0},
 		{"refused", &Error{Op: "order", Kind: Refused}, 0},
 	} {
@@ -26,8 +28,17 @@
 				e := newSequencedEngine(2)
 				s := e.sequencer()
 				unanswered := 0
+				s.TimeLeft = func() time.Duration { return left }
 				s.OnUnanswered = func() { unanswered++ }
-				s.Send = func(context.Context, Command) (Reply, error) { return "", tt.err }
+				s.Send = func(ctx context.Context, _ Command) (Reply, error) {
+					if tt.err != nil {
+						return "", tt.err
+					}
+					sent := time.Now()
+					<-ctx.Done()
+					is.Equal(time.Since(sent), left)
+					return "", ctx.Err()
+				}
 				_, err := s.Load(t.Context(), "m/a", 1)
 				is.True(err != nil)
 				is.Equal(unanswered, tt.unanswered)
--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -45,6 +45,8 @@
 	// before each command, since a load takes several commands with waits between
 	// them, during which the lease may end. Send finds it in its context; see [MaySend].
 	CanSend func() bool
+	// TimeLeft, if set, returns after how long a command must have ended: with the lease.
+	TimeLeft func() time.Duration
 	// OnUnanswered, if set, is called when a command ends without a response. It may still
 	// arrive at the engine.
 	OnUnanswered func()
@@ -243,7 +245,7 @@
 	return reply, nil
 }
 
-// send sends a command while CanSend permits it.
+// send sends a command while CanSend permits it, and ends it with TimeLeft.
 func (s *Sequencer) send(ctx context.Context, c Command) (Reply, error) {
 	if s.CanSend != nil {
 		if !s.CanSend() {
@@ -251,6 +253,11 @@
 		}
 		ctx = WithSendCheck(ctx, s.CanSend)
 	}
+	if s.TimeLeft != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, s.TimeLeft())
+		defer cancel()
+	}
 	reply, err := s.Send(ctx, c)
 	if err != nil && !IsKind(err, NotSent, Refused) && s.OnUnanswered != nil {
 		s.OnUnanswered()
--- a/node/config.go
+++ b/node/config.go
@@ -28,7 +28,7 @@
 	// Table, if set, is used instead of a client of TableURL.
 	Table *table.Client
 	// Sequencer, if set, returns the sequencer of a sequenced engine. The node sets its
-	// fields Slots, Model, InUse, CanSend and OnUnanswered.
+	// fields Slots, Model, InUse, CanSend, TimeLeft and OnUnanswered.
 	Sequencer func(b settings.BackendServer) *engine.Sequencer
 	// SettingsPushed is set when another component installs the settings in
 	// [Node.Store]. The node then reads them neither from the table nor from peers.
@@ -55,8 +55,8 @@
 	RenewEvery  time.Duration // default 1.5 s
 	// CommandArrivalBound is how long a command may still arrive at its engine after its call has
 	// ended without a response, held by the network or unread at the engine's VM. The next owner
-	// sends nothing before. A lease is valid for LeaseTTL less LeaseMargin, and others may send
-	// after LeaseTTL and LeaseMargin, so the bound must fit in between.
+	// sends nothing before. A command ends with the lease, valid for LeaseTTL less LeaseMargin, and
+	// others may send after LeaseTTL and LeaseMargin, so the bound must fit in between.
 	CommandArrivalBound time.Duration // default twice LeaseMargin, at most 1 s
 	// TableRenewEvery, if it is longer than RenewEvery, is the time between two renewals in
 	// the table while the node's witnesses agree to extend its lease in between.
--- a/node/late_command_test.go
+++ b/node/late_command_test.go
@@ -102,6 +102,34 @@
 	}
 }
 
+// Guards against a command that is on its way when its lease ends, so that it arrives after those of
+// the next owner.
+func TestCommandEndsWithItsLease(t *testing.T) {
+	const left = 100 * time.Millisecond // of the lease when the command is sent: less than its timeout
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newUnansweredCluster()
+		defer c.close()
+		time.Sleep(10 * time.Second)
+		owner := c.nodes[slices.IndexFunc(c.nodes, func(n *Node) bool { return len(n.ownedEngines()) > 0 })]
+		c.cutFromStore(owner, true)
+		for _, n := range c.nodes {
+			c.net.SetBlocked(owner.Name(), n.Name(), true)
+			c.net.SetBlocked(n.Name(), owner.Name(), true)
+		}
+		o := owner.ownedEngines()[0]
+		time.Sleep(owner.session.leaseLeft() - left)
+		is.True(owner.session.leaseValid())
+		leaseEnd := time.Now().Add(left)
+		end := sendUnanswered(o)
+		is.Equal(end, leaseEnd)
+		next, ok := c.nextSender(o.name, o.token)
+		is.True(ok)
+		t.Log("the next owner may send after", next.Sub(end))
+		is.True(next.Sub(end) >= lateArrival)
+	})
+}
+
 // Guards against a delay after an owner that ended without releasing the engine in which its last
 // commands may still arrive.
 func TestDelayAfterEndedOwnerCoversLateCommands(t *testing.T) {
--- a/node/owned.go
+++ b/node/owned.go
@@ -74,7 +74,7 @@
 	if n.cfg.Sequencer != nil {
 		o.seq = n.cfg.Sequencer(b)
 		o.seq.Slots, o.seq.Model, o.seq.InUse = b.Slots, b.BaseModel, o.needsAdapter
-		o.seq.CanSend, o.seq.OnUnanswered = o.canSendCommand, o.recordUnanswered
+		o.seq.CanSend, o.seq.TimeLeft, o.seq.OnUnanswered = o.canSendCommand, n.session.leaseLeft, o.recordUnanswered
 	}
 	o.sched.SetMode(time.Now(), engine.Mode{Recovering: true})
 	return o
