--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -51,6 +51,11 @@
 	// IsEnding, if set, reports whether no more commands will be sent. A load of several
 	// commands then ends after the one in flight, without waiting for what the engine does.
 	IsEnding func() bool
+	// TimeLeft, if set, returns after how long a command must have ended: with the lease.
+	TimeLeft func() time.Duration
+	// OnUnanswered, if set, is called when a command ends without a response. It may still
+	// arrive at the engine.
+	OnUnanswered func()
 	// InUse reports whether an adapter must not be unloaded to make room. If it
 	// is nil, any adapter may be unloaded.
 	InUse func(name string) bool
@@ -269,7 +274,7 @@
 	return reply, nil
 }
 
-// send sends a command while CanSend permits it.
+// send sends a command while CanSend permits it, and ends it with TimeLeft.
 func (s *Sequencer) send(ctx context.Context, c Command) (Reply, error) {
 	if s.CanSend != nil {
 		if !s.CanSend() {
@@ -277,7 +282,16 @@
 		}
 		ctx = WithSendCheck(ctx, s.CanSend)
 	}
-	return s.Send(ctx, c)
+	if s.TimeLeft != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, s.TimeLeft())
+		defer cancel()
+	}
+	reply, err := s.Send(ctx, c)
+	if err != nil && !IsKind(err, NotSent, Refused) && s.OnUnanswered != nil {
+		s.OnUnanswered()
+	}
+	return reply, err
 }
 
 // advanceSequence increments the sequence number for an accepted command and
--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -38,9 +38,10 @@
 
 	clocks map[int]*standin.VMClock // by node
 
-	senders map[string]sender // by engine: the last one that might send commands
+	// sequencer, if set, returns what sends the commands to an engine.
+	sequencer func(b settings.BackendServer) *engine.Sequencer
 
-	sequencer func(settings.BackendServer) *engine.Sequencer // for engines that take commands
+	senders map[string]sender // by engine: the last one that might send commands
 }
 
 func newLeaseCluster(nodes, engines int) *leaseCluster {
