--- a/node/handover.go
+++ b/node/handover.go
@@ -14,7 +14,7 @@
 
 // handOver stops grants, waits for commands in flight and releases the engine. Running
 // streams continue; the new owner learns of them from their entry nodes. If a handover of the
-// engine is in progress, handOver waits for its end.
+// engine is in progress, handOver waits for its end, and tries once more if it has failed.
 func (n *Node) handOver(ctx context.Context, o *ownedEngine) {
 	if o.handoverLock.Acquire(ctx, 1) != nil {
 		return
--- a/node/owned.go
+++ b/node/owned.go
@@ -92,15 +92,15 @@
 	return o.sched.NeedsAdapter(name)
 }
 
-// canSendCommand reports whether a command may still be sent that is part of one that has begun.
+// canSendCommand reports whether a load that has begun may send another command.
 func (o *ownedEngine) canSendCommand() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return !o.stopped && !o.handingOver && o.leaseAllowsCommands(time.Now())
 }
 
-// mustEndLoads reports whether loads end after the command in flight. They go on after the
-// end of their context, since that would cut the command.
+// mustEndLoads reports whether a load that has begun has to end after the command in flight, since
+// the ownership or the node ends.
 func (o *ownedEngine) mustEndLoads() bool { return o.n.ctx.Err() != nil || o.isEnding() }
 
 // delayCommands keeps commands from starting for d.
