Show owners that take turns after an idle takeover

The check over arrivals found it under the race detector, in a test of late commands: front-2 had taken engine-1 over at 14.000, sent its first command at 20.662 and released the engine at 22.000; front-3, the former owner, took it over and sent a command at 22.210. Between the first command of one owner and that of the next lay 1.5 s instead of the 3 s that the platform asks of VMs that take turns.

A release tells the next owner to wait for what is left of the gap since the takeover. The engine sees commands, not takeovers: an owner without load may send its first command long after it.

--- a/demo/late_command_test.go
+++ b/demo/lost_owner_test.go
@@ -30,10 +30,14 @@
 	maxCommandDelay = 1200 * time.Millisecond
 )
 
+// takeoverTime is longer than it takes until engines of a daemon that is cut off have other owners.
+const takeoverTime = 10 * time.Second
+
 // Guards against commands that arrive after those of the next owner, since their sender released
 // the engine while they were on their way.
 func TestLateCommandsArriveBeforeTheNextOwners(t *testing.T) {
-	playLateCommands(t, 8, func(l *lateCommands) {
+	playLostOwner(t, 8, func(l *lostOwner) {
+		l.startLoad()
 		l.slowLinks()
 		time.Sleep(l.between(0, minCommandDelay))
 		l.stopOwner()
@@ -43,7 +47,8 @@
 // Guards against commands that an engine reads after those of the next owner, since their sender
 // released the engine when it gave them up.
 func TestCommandsThatEnginesReadLateArriveBeforeTheNextOwners(t *testing.T) {
-	playLateCommands(t, 8, func(l *lateCommands) {
+	playLostOwner(t, 8, func(l *lostOwner) {
+		l.startLoad()
 		for _, r := range l.replicas {
 			r.SetFault(standin.ReplicaFault{HoldCommand: l.lateness})
 		}
@@ -55,17 +60,30 @@
 // Guards against commands that arrive after those of the next owner, since the lease of their
 // sender ended while they were on their way.
 func TestLateCommandsOfOwnersWithoutTheStoreArriveBeforeTheNextOwners(t *testing.T) {
-	playLateCommands(t, 4, func(l *lateCommands) {
+	playLostOwner(t, 4, func(l *lostOwner) {
+		l.startLoad()
 		l.setCut(true)
 		time.Sleep(l.between(0, 2*time.Second))
 		l.slowLinks()
-		time.Sleep(10 * time.Second)
+		time.Sleep(takeoverTime)
+	})
+}
+
+// Guards against owners that come back soon after the first command of the owner that replaced
+// them, since it had taken the engine over long before.
+func TestOwnersDoNotTakeTurnsAfterAnIdleTakeover(t *testing.T) {
+	playLostOwner(t, 4, func(l *lostOwner) {
+		l.setCut(true)
+		time.Sleep(takeoverTime)
 		l.setCut(false)
+		time.Sleep(l.between(0, time.Second))
+		l.startLoad()
+		time.Sleep(ownerAlternationGap)
 	})
 }
 
-// lateCommands is a system of which one daemon is disturbed.
-type lateCommands struct {
+// lostOwner is a system that loses one daemon, which owns engines.
+type lostOwner struct {
 	*platformSystem
 	is      *is.I
 	pipes   *standin.PipeNetwork
@@ -77,15 +95,18 @@
 	rng    *rand.Rand
 	dialed map[string]map[string]bool // addresses by daemon, without those of engines
 	isCut  bool                       // between that daemon and all but engines and callers
+
+	load    sync.WaitGroup
+	stopped atomic.Bool // the load
 }
 
-// playLateCommands plays load on a system which loses an owner, for a number of seeds.
-func playLateCommands(t *testing.T, seeds uint64, lose func(l *lateCommands)) {
+// playLostOwner plays the loss of an owner that has sent commands, for a number of seeds.
+func playLostOwner(t *testing.T, seeds uint64, lose func(l *lostOwner)) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(2)) // more threads add only contention in virtual time
 	for seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := startLateCommands(t, seed)
+				l := startLostOwner(t, seed)
 				defer checkOwners(t, l.platformSystem)
 				defer time.Sleep(time.Minute) // lets background goroutines time out
 				defer l.close()
@@ -95,8 +116,8 @@
 	}
 }
 
-func startLateCommands(t *testing.T, seed uint64) *lateCommands {
-	l := &lateCommands{
+func startLostOwner(t *testing.T, seed uint64) *lostOwner {
+	l := &lostOwner{
 		is: is.New(t), pipes: &standin.PipeNetwork{}, rng: rand.New(rand.NewPCG(seed, 7)), dialed: map[string]map[string]bool{},
 	}
 	var err error
@@ -116,7 +137,7 @@
 	return l
 }
 
-func (l *lateCommands) dial(ctx context.Context, daemon, address string) (net.Conn, error) {
+func (l *lostOwner) dial(ctx context.Context, daemon, address string) (net.Conn, error) {
 	l.mu.Lock()
 	isEngine := slices.ContainsFunc(l.replicas, func(r *standin.Replica) bool { return r.Self.Address == address })
 	if !isEngine {
@@ -131,46 +152,55 @@
 	return l.pipes.DialFrom(ctx, daemon, address)
 }
 
-func (l *lateCommands) play(lose func(l *lateCommands)) {
-	traffic := newPlatformTraffic(l.platformSystem, 1)
-	traffic.run(300)
+func (l *lostOwner) play(lose func(l *lostOwner)) {
+	newPlatformTraffic(l.platformSystem, 1).run(300)
 	time.Sleep(ownerAlternationGap) // from now on the next owner need not wait
-	var load sync.WaitGroup
-	defer load.Wait()
-	var ended atomic.Bool
-	defer ended.Store(true)
-	for range 2 {
-		load.Go(func() {
-			for !ended.Load() {
-				traffic.run(100)
-			}
-		})
-	}
 	owned := l.ownedEngines()[0]
 	l.owner, l.address = slices.Index(l.names, owned.Node), owned.Address
+	defer l.load.Wait()
+	defer l.stopped.Store(true)
 	lose(l)
+	for start := time.Now(); !l.hasNextOwner(owned.FencingToken) && time.Since(start) < takeoverTime; {
+		time.Sleep(100 * time.Millisecond)
+	}
+	l.is.True(l.hasNextOwner(owned.FencingToken)) // no other owner sent commands
 	time.Sleep(2 * maxCommandDelay)
-	changed := func(r *standin.Replica) bool {
-		return slices.ContainsFunc(r.Record().Commands, func(a standin.Arrival) bool { return a.FencingToken > owned.FencingToken })
+}
+
+// hasNextOwner reports whether commands arrived under a higher token.
+func (l *lostOwner) hasNextOwner(token int64) bool {
+	return slices.ContainsFunc(l.replicas, func(r *standin.Replica) bool {
+		return slices.ContainsFunc(r.Record().Commands, func(a standin.Arrival) bool { return a.FencingToken > token })
+	})
+}
+
+// startLoad sends requests until the play ends.
+func (l *lostOwner) startLoad() {
+	traffic := newPlatformTraffic(l.platformSystem, 2)
+	for range 2 {
+		l.load.Go(func() {
+			for !l.stopped.Load() {
+				traffic.run(100)
+			}
+		})
 	}
-	l.is.True(slices.ContainsFunc(l.replicas, changed)) // no other owner sent commands
 }
 
 // slowLinks makes the links from the owner to the engines slow, as when packets are lost.
-func (l *lateCommands) slowLinks() {
+func (l *lostOwner) slowLinks() {
 	for _, r := range l.replicas {
 		l.pipes.SetDelay(l.names[l.owner], r.Self.Address, l.lateness)
 	}
 }
 
 // stopOwner stops the owner, as SIGTERM does.
-func (l *lateCommands) stopOwner() {
+func (l *lostOwner) stopOwner() {
 	l.daemons[l.owner].Close()
 	l.daemons[l.owner] = nil
 }
 
 // setCut cuts the owner from the store and from the other daemons, or ends that.
-func (l *lateCommands) setCut(isCut bool) {
+func (l *lostOwner) setCut(isCut bool) {
 	l.mu.Lock()
 	l.isCut = isCut
 	addresses := slices.Collect(maps.Keys(l.dialed[l.names[l.owner]]))
@@ -183,7 +213,7 @@
 }
 
 // lateness returns a random delay of a command: none for every other one.
-func (l *lateCommands) lateness() time.Duration {
+func (l *lostOwner) lateness() time.Duration {
 	if l.between(0, 2) == 0 {
 		return 0
 	}
@@ -191,7 +221,7 @@
 }
 
 // between returns a random duration.
-func (l *lateCommands) between(low, high time.Duration) time.Duration {
+func (l *lostOwner) between(low, high time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return low + time.Duration(l.rng.Int64N(int64(high-low)))
