Count the gap between alternating owners from commands, not from takeovers

Engines saw VMs take turns: commands of one owner, of the next, and 1.5 s later of the first again, where 3 s must lie between; and commands that an engine read late came after those of the next owner.

Cause: the delay after a release, and after an owner whose lease had ended, counted from its takeover. An engine sees commands. An owner without load may send its first one long after its takeover, or in the last moment of its lease, and a takeover needs a lease but does not renew it. After a session that was removed, or replaced by that of another process, nothing is known of when it took over.

The delay after a release now counts from the end of the first command; an owner that sent none passes on the rest of its own delay. After a lease it is the gap less twice the margin, and the whole gap if the session was removed or replaced. After a command without a response, the next owner waits for CommandArrivalBound once more than the release did.

--- a/node/commands.go
+++ b/node/commands.go
@@ -85,6 +85,9 @@
 	defer o.mu.Unlock()
 	o.commandsInFlight--
 	o.lastCommandEnd = time.Now()
+	if o.firstCommandEnd.IsZero() {
+		o.firstCommandEnd = o.lastCommandEnd
+	}
 }
 
 // sendCommand sends one command. The end of the ownership does not cancel it, so its
--- a/node/owned.go
+++ b/node/owned.go
@@ -50,6 +50,7 @@
 	commandsUnanswered int                           // commands that failed without a response
 	arrivalsUntil      time.Time                     // commands without a response may arrive until then
 	boot               string
+	firstCommandEnd    time.Time // zero before
 	lastCommandEnd     time.Time
 	lastReport         time.Time
 	reportPending      bool
@@ -379,12 +380,26 @@
 			row.FormerOwners = append(row.WithoutFormerOwner(row.Process).FormerOwners,
 				table.FormerOwner{Node: row.Node, Process: row.Process, Address: row.Address, FencingToken: row.FencingToken})
 		}
-		row.HandoverDelayMS = max(0, (o.n.cfg.OwnerAlternationGap - time.Since(o.takenOverAt)).Milliseconds())
+		row.HandoverDelayMS = o.handoverDelay().Milliseconds()
 		row.Node, row.Process, row.Address = "", "", ""
 		return row
 	})
 }
 
+// handoverDelay returns for how long after a release the next owner sends no commands. The gap between
+// VMs that alternate counts from the first command here; without one, the delay after the former owner goes
+// on. After a command without a response the next owner waits for CommandArrivalBound once more, since
+// an engine may read late what has arrived in time.
+func (o *ownedEngine) handoverDelay() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delay := max(0, time.Until(o.noCommandsUntil), time.Until(o.arrivalsUntil.Add(o.n.cfg.CommandArrivalBound)))
+	if !o.firstCommandEnd.IsZero() {
+		delay = max(delay, time.Until(o.firstCommandEnd.Add(o.n.cfg.OwnerAlternationGap)))
+	}
+	return delay
+}
+
 // stop ends the ownership: it refuses all waiting work, and no command can start.
 func (o *ownedEngine) stop() {
 	o.mu.Lock()
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -91,20 +91,23 @@
 // commandDelayAfter returns how long a new owner sends no commands. Two VMs must not
 // alternate as owners within OwnerAlternationGap. After a single change of owner,
 // fencing tokens tell the commands of the two apart. A delay is therefore needed only
-// if the former owner had taken over the engine shortly before, or ended without
+// if the former owner may have sent its first command shortly before, or ended without
 // releasing the engine, so that its commands may still arrive. An earlier session of this node may have
 // ended during its delay.
 func (n *Node) commandDelayAfter(old table.Owner) time.Duration {
 	if old.Node == "" || old.Node == n.cfg.Name {
 		return time.Duration(old.HandoverDelayMS) * time.Millisecond
 	}
+	if m, ok := n.members.get(old.Node); !ok || m.Process != old.Process {
+		return n.cfg.OwnerAlternationGap // its session was replaced or removed, maybe just now
+	}
 	return max(n.cfg.CommandArrivalBound, n.ownerAlternationDelay())
 }
 
-// ownerAlternationDelay is the delay after an owner whose lease has ended: it took over the
-// engine at least LeaseTTL less LeaseMargin ago.
+// ownerAlternationDelay is the delay after an owner whose lease has ended. It may have sent its first
+// command in the last moment of the lease, twice the margin before others can take over.
 func (n *Node) ownerAlternationDelay() time.Duration {
-	return max(0, n.cfg.OwnerAlternationGap+n.cfg.LeaseMargin-n.cfg.LeaseTTL)
+	return max(0, n.cfg.OwnerAlternationGap-2*n.cfg.LeaseMargin)
 }
 
 // newOwnerRow returns the ownership row of a new owner. A former owner that did not
