Count promises of ended witnesses under the lock

A daemon ended with "concurrent map writes", and all requests of its VM were cut, when it fenced a node of whose witnesses some had ended: these were recorded without the lock under which the responses of the others are. Both are now recorded in the same place. TestPromisesBesideEndedWitnesses ended the test binary in five runs of five before and passes now.

--- a/node/fence.go
+++ b/node/fence.go
@@ -96,12 +96,8 @@
 		m.mu.Lock()
 		ended := m.endedSessions.Ended(w.Session)
 		m.mu.Unlock()
-		if ended {
-			promised[w.Session] = true
-			continue
-		}
 		wg.Go(func() {
-			if m.requestPromise(ctx, other, w) {
+			if ended || m.requestPromise(ctx, other, w) {
 				mu.Lock()
 				defer mu.Unlock()
 				promised[w.Session] = true
