Keep the delay of an owner across a restore of the store

Engines saw VMs take turns within a second: an owner that still waited after the owner before it took the engine over again from the copy without a delay, since no other node can have owned it meanwhile. That says nothing of the owner before. A claim now holds the end of the delay.

--- a/node/node.go
+++ b/node/node.go
@@ -52,7 +52,7 @@
 	formerlyOwned map[string][]*ownedEngine // no longer owned, but commands may be in flight
 	ownerHints    map[string]string         // engine to the node that is believed to own it
 	ownerChecks   map[string]time.Time      // engine to the last check of its ownership row
-	claims        map[string]bool           // engines owned when the table was last restored
+	claims        map[string]time.Time      // engines owned when the table was last restored, to the end of the delay there
 	vmList        vmlist.List
 	freshness     settings.Freshness
 	rng           *rand.Rand
@@ -83,7 +83,7 @@
 		formerlyOwned: make(map[string][]*ownedEngine),
 		ownerHints:    make(map[string]string),
 		ownerChecks:   make(map[string]time.Time),
-		claims:        make(map[string]bool),
+		claims:        make(map[string]time.Time),
 
 		suspensions:   clock.Watch{Clock: cfg.Clock},
 		reconcileLock: semaphore.NewWeighted(1),
--- a/node/restore.go
+++ b/node/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -37,11 +38,11 @@
 
 // registerAgain registers the session in a new generation of the table.
 func (n *Node) registerAgain(ctx context.Context, generation int64) {
-	owned, registered := n.session.restart(ctx, generation)
-	if n.recordClaims(generation, owned) && registered {
-		n.log.Info("ended the ownership of all engines", "generation", generation, "claims", len(owned))
+	claims, registered := n.session.restart(ctx, generation)
+	if n.recordClaims(generation, claims) && registered {
+		n.log.Info("ended the ownership of all engines", "generation", generation, "claims", len(claims))
 		n.join()
-		for _, name := range owned {
+		for name := range claims {
 			n.tasks.Go(func() { n.takeOverClaimed(ctx, name) })
 		}
 	}
@@ -67,7 +68,7 @@
 // recordClaims records the engines that this node may take over again at once, since no other
 // node can have owned them when the table was restored. It returns false if a later
 // generation has begun.
-func (n *Node) recordClaims(generation int64, engines []string) bool {
+func (n *Node) recordClaims(generation int64, claims map[string]time.Time) bool {
 	n.generationLock.Lock()
 	defer n.generationLock.Unlock()
 	if generation < n.generations.Current() {
@@ -75,9 +76,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, name := range engines {
-		n.claims[name] = true
-	}
+	maps.Copy(n.claims, claims)
 	return true
 }
 
@@ -86,7 +85,8 @@
 func (n *Node) hasClaim(engineName string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.claims[engineName]
+	_, ok := n.claims[engineName]
+	return ok
 }
 
 // dropClaim records that an ownership row of the current generation of the table exists.
@@ -115,11 +115,16 @@
 }
 
 // mayTakeOverFromCopy reports whether this node may take over an engine whose ownership
-// row, if any, is of an earlier generation of the table: the row may have been replaced in
-// writes that were lost.
-func (n *Node) mayTakeOverFromCopy(engineName string) (claimed, ok bool) {
-	claimed = n.hasClaim(engineName)
-	return claimed, claimed || n.generations.Settled(time.Now())
+// row, if any, is of an earlier generation of the table, and how long it then sends no commands. The row
+// may have been replaced in writes that were lost.
+func (n *Node) mayTakeOverFromCopy(engineName string) (delay time.Duration, ok bool) {
+	n.mu.Lock()
+	noCommandsUntil, claimed := n.claims[engineName]
+	n.mu.Unlock()
+	if claimed {
+		return max(0, time.Until(noCommandsUntil)), true
+	}
+	return n.ownerAlternationDelay(), n.generations.Settled(time.Now())
 }
 
 // confirmGenerations records which members know the current generation of the table.
--- a/node/session.go
+++ b/node/session.go
@@ -301,9 +301,9 @@
 }
 
 // restart ends a session that was registered in an earlier generation of the table, with
-// the ownership of all engines. It returns the names of those that it owned until now under
-// a valid lease.
-func (s *session) restart(ctx context.Context, generation int64) (owned []string, registered bool) {
+// the ownership of all engines. It returns those that it owned until now under a valid lease,
+// with the time until which it was to send them no commands.
+func (s *session) restart(ctx context.Context, generation int64) (claims map[string]time.Time, registered bool) {
 	if s.rowLock.Acquire(ctx, 1) != nil {
 		return nil, false
 	}
@@ -312,11 +312,11 @@
 		return nil, false
 	}
 	if s.leaseValid() {
-		owned = s.n.undisputedEngines()
+		claims = s.n.claimableEngines()
 	}
 	s.startNewEpoch(table.Session{}, 0)
 	s.setGeneration(generation)
-	return owned, true
+	return claims, true
 }
 
 // removeRow ends the session and removes its row, so that other nodes need not wait for the lease
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -58,15 +58,11 @@
 // takeOverFromCopy takes over an engine whose ownership row is of an earlier generation of
 // the table, or missing. It tells nothing about the last owner.
 func (n *Node) takeOverFromCopy(ctx context.Context, b settings.BackendServer, old table.Owner, self table.Session, check table.Check, row table.Row) (changed bool) {
-	claimed, ok := n.mayTakeOverFromCopy(b.Name)
+	delay, ok := n.mayTakeOverFromCopy(b.Name)
 	if !ok {
 		n.log.Debug("the ownership row is of before the restore; not taking the engine over yet", "engine", b.Name, "owner", old.Node)
 		return false
 	}
-	delay := n.ownerAlternationDelay()
-	if claimed {
-		delay = 0
-	}
 	return n.writeOwner(ctx, b, old, self, table.Tx{Checks: []table.Check{check}}, row, delay)
 }
 
