Clear the delay of an owner once it is over

The ownership row keeps the delay of its owner, so that its next process waits as well. Without an end of that, a process that is killed hours later would keep its engines without loads for the delay once more. The owner now writes the row again when the delay is over: one write for each takeover with a delay. At engines that check tokens or have a list of former owners the row names no delay.

--- a/node/alternation_test.go
+++ b/node/alternation_test.go
@@ -19,17 +19,20 @@
 	const (
 		gap   = 3 * time.Second
 		delay = 2 * time.Second // that the release by the other node asks for
-		end   = 500 * time.Millisecond
 	)
 	for _, tt := range []struct {
-		name string
-		end  func(n *Node)
+		name  string
+		after time.Duration // from the takeover until the owner ends
+		end   func(n *Node)
+		least time.Duration // from the takeover until the next process may send commands
+		most  time.Duration
 	}{
-		{"killed", (*Node).Kill},
-		{"released", func(n *Node) {
+		{"killed", delay / 4, (*Node).Kill, delay, gap},
+		{"released", delay / 4, func(n *Node) {
 			n.HandOverEngines(n.ctx)
 			n.Kill()
-		}},
+		}, delay, gap},
+		{"killed after the delay", 2 * delay, (*Node).Kill, 2 * delay, 2 * delay},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -51,10 +54,10 @@
 				}
 				released := time.Now()
 				first := start("n.1")
-				time.Sleep(end)
+				time.Sleep(tt.after)
 				o := first.ownedEngine("e")
 				is.True(o != nil)
-				is.True(!o.canSendCommand())
+				is.Equal(o.canSendCommand(), tt.after > delay)
 				tt.end(first)
 				second := start("n.2")
 				defer second.Kill()
@@ -64,8 +67,8 @@
 					}
 				}
 				t.Log("commands may be sent again after", time.Since(released))
-				is.True(time.Since(released) >= delay)
-				is.True(time.Since(released) <= gap+100*time.Millisecond)
+				is.True(time.Since(released) >= tt.least)
+				is.True(time.Since(released) <= tt.most+100*time.Millisecond)
 			})
 		})
 	}
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -126,6 +126,9 @@
 	n.ownerHints[b.Name] = n.cfg.Name
 	n.mu.Unlock()
 	n.tasks.Go(func() { o.recoverOwnership(n.ctx) })
+	if row.HandoverDelayMS > 0 {
+		n.tasks.Go(func() { o.clearDelay(n.ctx) })
+	}
 }
 
 // endOwnership ends the node's ownership of an engine. The engine stays in
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -70,7 +70,11 @@
 // transaction hold, and starts the ownership, which sends no commands during the delay.
 func (n *Node) writeOwner(ctx context.Context, b settings.BackendServer, old table.Owner, self table.Session, tx table.Tx, row table.Row, delay time.Duration) (changed bool) {
 	next := newOwnerRow(old, self, b.ChecksFencing || b.UnloadWaitsForRequests)
-	next.HandoverDelayMS = delay.Milliseconds()
+	if b.UnloadWaitsForRequests {
+		next.HandoverDelayMS = delay.Milliseconds()
+	} else {
+		next.HandoverDelayMS = 0 // fencing or the list of former owners guards such an engine
+	}
 	tx.Checks = append(tx.Checks, table.Check{Key: next.Key(), Version: row.Version, Generation: row.Generation})
 	tx.Puts = append(tx.Puts, table.Put{Key: next.Key(), Value: next.Encode()})
 	ver, err := n.table.Commit(ctx, tx)
