Wait for the last commands of a killed process before its successor sends

An engine could get a command with a lower token after one with a higher token: a process that was killed and started again under its name took its engines over and sent commands 20 ms after the kill, while a command of before, without a response yet, may be in the network or unread at the engine's VM.

The commands of the next process now wait until CommandArrivalBound after its start; it takes the engines over and gives grants on what they hold at once, as before.

--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 type Node struct {
 	cfg           Config
 	process       string
+	created       time.Time // after the end of earlier processes of the node
 	table         *table.Client
 	vmListClient  *vmlist.Client
 	store         *settings.Store
@@ -76,7 +77,7 @@
 func New(cfg Config) *Node {
 	cfg = cfg.withDefaults()
 	n := &Node{
-		cfg: cfg, process: cfg.Process, log: cfg.Log,
+		cfg: cfg, process: cfg.Process, created: time.Now(), log: cfg.Log,
 		table:         cfg.Table,
 		vmListClient:  &vmlist.Client{URL: cfg.VMListURL, HTTP: cfg.HTTP},
 		owned:         make(map[string]*ownedEngine),
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -96,7 +96,11 @@
 // ended during its delay.
 func (n *Node) commandDelayAfter(old table.Owner) time.Duration {
 	if old.Node == "" || old.Node == n.cfg.Name {
-		return time.Duration(old.HandoverDelayMS) * time.Millisecond
+		delay := time.Duration(old.HandoverDelayMS) * time.Millisecond
+		if old.Node != "" && old.Process != n.process {
+			delay = max(delay, n.cfg.CommandArrivalBound-time.Since(n.created)) // for what the killed process sent last
+		}
+		return delay
 	}
 	if m, ok := n.members.get(old.Node); !ok || m.Process != old.Process {
 		return n.cfg.OwnerAlternationGap // its session was replaced or removed, maybe just now
