Show a restarted owner that sends before the delay of its earlier process is over

What engines would see: commands of n0, of n1 and, 0.6 s later, of n0 again, while 3 s must lie between. n0 hands an engine over, n1 stops in an orderly way and hands it back, n0 waits as the row says, is killed and back at once.

Cause: the row tells a delay only while it names no owner. newOwnerRow sets it to 0, and the owner keeps it in its memory (noCommandsUntil). The next process of the same VM finds a row of its own (old.LastNode == self.Node in takeOver) and sends at once. What that rests on is right for the owner's own commands only, not for those of the owner before it.

No product code is changed.

--- a/node/turns_test.go
+++ b/node/turns_test.go
@@ -40,3 +40,31 @@
 		}
 	}
 }
+
+// Guards against owners that take turns: a process that takes over what an earlier one of its VM owned
+// does not know that the owner before had just been replaced.
+func TestRestartedOwnerKeepsTheDelayAfterTheOwnerBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newStaggeredCluster(5, 10)
+		defer c.close()
+		time.Sleep(20 * time.Second)
+		p := newPlayedCommands(c)
+		p.play(time.Second, nil)
+		first := c.nodes[0]
+		o, next := preferredEngine(first)
+		is.True(o != nil)
+		first.handOver(t.Context(), o)
+		second := p.playUntilSent(o.name, next)
+		second.HandOverEngines(t.Context()) // a planned stop
+		p.play(500*time.Millisecond, nil)
+		is.True(first.ownedEngine(o.name) != nil && !first.ownedEngine(o.name).canSendCommand()) // it waits
+		p.kill(first)
+		p.play(100*time.Millisecond, nil)
+		c.start(0)
+		p.play(6*time.Second, nil)
+		for _, v := range p.violations() {
+			t.Error(v)
+		}
+	})
+}
