Show owners that take turns since a delay counts from a takeover, not from a command

What engines would see: n0, n2, and 3 s later n0 and, 10 ms after that, n2. By the check of standin (a sender is back less than the gap after it was replaced), senders take turns. Each of them is back 3.0 s after its own last command, so by a reading that counts from there no rule is broken.

Cause: releaseRow counts HandoverDelayMS from takenOverAt, also if the owner itself had to wait for noCommandsUntil. Counted from the later of the two, it holds by both readings.

No product code is changed.

--- a/node/turns_test.go
+++ b/node/turns_test.go
@@ -68,3 +68,31 @@
 		}
 	})
 }
+
+// Guards against owners that take turns: an owner that had to wait before its first command hands the engine
+// back soon after that.
+func TestDelayAfterAnOwnerCountsFromItsFirstCommand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newStaggeredCluster(5, 10)
+		defer c.close()
+		time.Sleep(20 * time.Second)
+		p := newPlayedCommands(c)
+		p.play(time.Second, nil)
+		first := c.nodes[0]
+		o, next := preferredEngine(first)
+		is.True(o != nil)
+		first.handOver(t.Context(), o)
+		second := p.playUntilSent(o.name, next)
+		third, _ := second.members.nextOwner(o.name, "")
+		second.handOver(t.Context(), second.ownedEngine(o.name))
+		p.playUntilSent(o.name, third.Node)
+		back := p.node(third.Node)
+		again, _ := back.members.nextOwner(o.name, "")
+		back.handOver(t.Context(), back.ownedEngine(o.name))
+		p.playUntilSent(o.name, again.Node)
+		for _, v := range p.violations() {
+			t.Error(v)
+		}
+	})
+}
