--- a/engine/sequencer_test.go
+++ b/engine/sequencer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -372,9 +371,9 @@
 				}
 				return e.execute(c), nil
 			}
-			var ending atomic.Bool
-			s.IsEnding = ending.Load
-			time.AfterFunc(time.Second, func() { ending.Store(true) })
+			ending := false
+			s.IsEnding = func() bool { return ending }
+			time.AfterFunc(time.Second, func() { ending = true })
 			start := time.Now()
 			_, err := s.Load(t.Context(), "m/a", 1)
 			is.True(time.Since(start) <= time.Second+endingCheckInterval)
