Keep the delay of an owner that ends before it is over

Two VMs could send commands to an engine in turns within the alternation gap: an owner that had to wait after the other VM, since that had taken the engine over shortly before, was killed or released the engine. Its next process or session knew nothing of the delay, since the last node was its own, and sent at once.

The ownership row keeps the delay of its owner now, in the field that a release uses. A node that takes over from itself waits for that long again. The delay is set before the ownership is visible, no longer after. Once it is over, the owner removes it from the row, so that a later restart takes over at once as before: one more write for each takeover with a delay.

--- a/node/commands.go
+++ b/node/commands.go
@@ -139,6 +139,25 @@
 	return outcome == rowWritten
 }
 
+// clearDelay removes the delay from the ownership row once it is over, so that the next process of this
+// node does not wait again. If that fails, it does.
+func (o *ownedEngine) clearDelay(ctx context.Context) {
+	sleep(ctx, time.Until(o.noCommandsUntil))
+	if ctx.Err() != nil || o.isEnding() {
+		return
+	}
+	outcome := o.writeRow(ctx, func(row table.Owner) table.Owner {
+		if row.Process == o.n.process { // otherwise released meanwhile, with a delay for the next owner
+			row.HandoverDelayMS = 0
+		}
+		return row
+	})
+	if outcome == rowLost {
+		o.n.log.Warn("another node has taken over the engine; ending ownership", "engine", o.name)
+		o.n.endOwnership(o)
+	}
+}
+
 // rowOutcome is the outcome of a change to an ownership row.
 type rowOutcome int
 
--- a/node/owned.go
+++ b/node/owned.go
@@ -67,6 +67,7 @@
 		engineFenced: !b.ChecksFencing, hasFormerOwners: len(row.FormerOwners) > 0, olderGrantsFenced: b.UnloadWaitsForRequests,
 	}
 	o.server.Store(&b)
+	o.noCommandsUntil = o.takenOverAt.Add(time.Duration(row.HandoverDelayMS) * time.Millisecond)
 	o.sched = engine.NewScheduler(engine.SchedulerConfig{
 		Slots: b.Slots, SwapSlots: b.SwapSlots, BatchSize: b.BatchSize, NeedsIntents: !b.ChecksFencing && !b.UnloadWaitsForRequests,
 		ServesBase: b.UnloadWaitsForRequests, MaxLoads: b.MaxLoads, PrefillSpeed: b.PrefillSpeed, SerialPrefill: b.PrefillSpeed > 0, TokenTime: b.TokenTime,
@@ -97,13 +98,6 @@
 	return !o.stopped && o.leaseAllowsCommands(time.Now())
 }
 
-// delayCommands keeps commands from starting for d.
-func (o *ownedEngine) delayCommands(d time.Duration) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.noCommandsUntil = time.Now().Add(d)
-}
-
 // expectedWait returns the expected queue wait of short work on a loaded adapter.
 func (o *ownedEngine) expectedWait(now time.Time) time.Duration {
 	o.mu.Lock()
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -118,14 +118,16 @@
 	return list
 }
 
-func (n *Node) startOwnership(b settings.BackendServer, row table.Owner, ver int64) *ownedEngine {
+func (n *Node) startOwnership(b settings.BackendServer, row table.Owner, ver int64) {
 	o := newOwnedEngine(n, b, row, ver)
 	n.mu.Lock()
 	n.owned[b.Name] = o
 	n.ownerHints[b.Name] = n.cfg.Name
 	n.mu.Unlock()
 	n.tasks.Go(func() { o.recoverOwnership(n.ctx) })
-	return o
+	if row.HandoverDelayMS > 0 {
+		n.tasks.Go(func() { o.clearDelay(n.ctx) })
+	}
 }
 
 // endOwnership ends the node's ownership of an engine. The engine stays in
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -40,10 +40,7 @@
 		if old.Process == self.Process && old.Epoch == self.Epoch && old.Node == self.Node {
 			// This session wrote the row in a commit that got no response. Writing it again
 			// keeps other such commits from being applied later.
-			var o *ownedEngine
-			if o, changed = n.writeOwner(ctx, b, old, self, table.Tx{Checks: []table.Check{check}}, row); o != nil {
-				o.delayCommands(n.cfg.OwnerAlternationGap)
-			}
+			changed = n.writeOwner(ctx, b, old, self, table.Tx{Checks: []table.Check{check}}, row, n.cfg.OwnerAlternationGap)
 			return
 		}
 		tx, ok := n.checkOwnerSessionEnded(old)
@@ -53,10 +50,7 @@
 			return
 		}
 		tx.Checks = append(tx.Checks, check)
-		var o *ownedEngine
-		if o, changed = n.writeOwner(ctx, b, old, self, tx, row); o != nil {
-			o.delayCommands(n.commandDelayAfter(old))
-		}
+		changed = n.writeOwner(ctx, b, old, self, tx, row, n.commandDelayAfter(old))
 	})
 	return changed
 }
@@ -69,39 +63,43 @@
 		n.log.Debug("the ownership row is of before the restore; not taking the engine over yet", "engine", b.Name, "owner", old.Node)
 		return false
 	}
-	o, changed := n.writeOwner(ctx, b, old, self, table.Tx{Checks: []table.Check{check}}, row)
-	if o != nil && !claimed {
-		o.delayCommands(n.ownerAlternationDelay())
+	delay := n.ownerAlternationDelay()
+	if claimed {
+		delay = 0
 	}
-	return changed
+	return n.writeOwner(ctx, b, old, self, table.Tx{Checks: []table.Check{check}}, row, delay)
 }
 
 // writeOwner writes this node into the ownership row that was read, if the checks of the
-// transaction hold, and starts the ownership.
-func (n *Node) writeOwner(ctx context.Context, b settings.BackendServer, old table.Owner, self table.Session, tx table.Tx, row table.Row) (o *ownedEngine, changed bool) {
+// transaction hold, and starts the ownership, which sends no commands during the delay.
+func (n *Node) writeOwner(ctx context.Context, b settings.BackendServer, old table.Owner, self table.Session, tx table.Tx, row table.Row, delay time.Duration) (changed bool) {
 	next := newOwnerRow(old, self, b.ChecksFencing || b.UnloadWaitsForRequests)
+	if b.UnloadWaitsForRequests {
+		next.HandoverDelayMS = delay.Milliseconds()
+	} else {
+		next.HandoverDelayMS = 0 // fencing or the list of former owners guards such an engine
+	}
 	tx.Checks = append(tx.Checks, table.Check{Key: next.Key(), Version: row.Version, Generation: row.Generation})
 	tx.Puts = append(tx.Puts, table.Put{Key: next.Key(), Value: next.Encode()})
 	ver, err := n.table.Commit(ctx, tx)
 	if err != nil {
 		n.log.Info("engine takeover failed; retrying with the next poll", "engine", b.Name, "from", old.Node, "err", err)
-		return nil, table.IsKind(err, table.Conflict) // the next read shows whether the commit was applied
+		return table.IsKind(err, table.Conflict) // the next read shows whether the commit was applied
 	}
 	n.log.Info("took over the engine", "engine", b.Name, "token", next.FencingToken, "from", old.Node, "former-row-version", row.Version, "row-version", ver)
 	n.dropClaim(b.Name)
-	return n.startOwnership(b, next, ver), false
+	n.startOwnership(b, next, ver)
+	return false
 }
 
 // commandDelayAfter returns how long a new owner sends no commands. Two VMs must not
 // alternate as owners within OwnerAlternationGap. After a single change of owner,
 // fencing tokens tell the commands of the two apart. A delay is therefore needed only
 // if the former owner had taken over the engine shortly before, or ended without
-// releasing the engine, so that its commands may still arrive.
+// releasing the engine, so that its commands may still arrive. An earlier session of this node may have
+// ended during its delay.
 func (n *Node) commandDelayAfter(old table.Owner) time.Duration {
-	switch {
-	case old.LastNode == n.cfg.Name:
-		return 0
-	case old.Node == "":
+	if old.Node == "" || old.Node == n.cfg.Name {
 		return time.Duration(old.HandoverDelayMS) * time.Millisecond
 	}
 	return max(n.cfg.CommandArrivalBound, n.ownerAlternationDelay())
@@ -120,7 +118,7 @@
 	next := old
 	next.Node, next.Process, next.Epoch, next.Address = self.Node, self.Process, self.Epoch, self.Address
 	next.FencingToken, next.Generation = old.NextFencingToken(self.Generation), self.Generation
-	next.LastNode, next.HandoverDelayMS = self.Node, 0
+	next.LastNode = self.Node
 	if engineArbitrates {
 		next.FormerOwners = nil
 		return next
--- a/table/owner.go
+++ b/table/owner.go
@@ -27,7 +27,8 @@
 	// engine is released.
 	LastNode string `json:"last-node,omitempty"`
 	// HandoverDelayMS is how long after the release the next owner must not send
-	// commands. It is set when the releasing node had taken over only shortly before.
+	// commands. It is set when the releasing node had taken over only shortly before. In the row
+	// of an owner it is how long that one sends none after its takeover.
 	HandoverDelayMS int64    `json:"settle-ms,omitempty"`
 	StableAdapters  []string `json:"stable,omitempty"`
 	// FormerOwners lists processes of former owners that may still send commands.
