--- a/node/late_command_test.go
+++ b/node/late_command_test.go
@@ -146,3 +146,25 @@
 		})
 	}
 }
+
+// Guards against a lower token at an engine: a process is killed while its command is on its way, and its
+// next process sends commands under the next token at once.
+func TestRestartedOwnerWaitsForLateCommand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newUnansweredCluster()
+		defer c.close()
+		time.Sleep(10 * time.Second)
+		owner := slices.IndexFunc(c.nodes, func(n *Node) bool { return len(n.ownedEngines()) > 0 })
+		o := c.nodes[owner].ownedEngines()[0]
+		go sendUnanswered(o)
+		time.Sleep(unansweredTimeout / 3)
+		killed := time.Now()
+		c.kill(c.nodes[owner])
+		c.start(owner)
+		next, ok := c.nextSender(o.name, o.token)
+		is.True(ok)
+		t.Log("the next process may send after", next.Sub(killed))
+		is.True(next.Sub(killed) >= lateArrival)
+	})
+}
