--- a/node/lease_turns_test.go
+++ b/node/lease_turns_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/clock"
+	"github.com/vanilladrift/vanilladrift/table"
 )
 
 // Guards against VMs that take turns at an engine: the first command of an owner came in the last moment of its lease.
@@ -35,3 +38,15 @@
 		})
 	}
 }
+
+// Guards against VMs that take turns: nothing is known of when an owner took over whose session was removed or replaced.
+func TestOwnerWithoutItsSessionIsFollowedAfterTheGap(t *testing.T) {
+	is := is.New(t)
+	n := New(Config{Name: "n", Address: "10.0.0.1:1", TableURL: tableURL, Clock: clock.Virtual(), OwnerAlternationGap: 3 * time.Second, LeaseTTL: 2500 * time.Millisecond, LeaseMargin: 300 * time.Millisecond})
+	old := table.Owner{Node: "other", Process: "p1"}
+	is.Equal(n.commandDelayAfter(old), n.cfg.OwnerAlternationGap)
+	n.members.list = []member{{Session: table.Session{Node: "other", Process: "p2"}}}
+	is.Equal(n.commandDelayAfter(old), n.cfg.OwnerAlternationGap)
+	n.members.list[0].Process = old.Process
+	is.Equal(n.commandDelayAfter(old), n.cfg.OwnerAlternationGap-2*n.cfg.LeaseMargin)
+}
