End the waits of loads by a channel

A load looked 50 times a second whether its engine is handed over. It now waits for a channel that is closed then, so that it ends at once and wakes up only when something happened. TestSequencerEndsLoads asks for the end without the 20 ms of a look.

--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -25,8 +25,6 @@
 	maxCommandAttempts = 4
 	// loadPollInterval is the interval between two polls for the end of a load.
 	loadPollInterval = 15 * time.Millisecond
-	// endingCheckInterval is the interval between two checks whether a wait has to end.
-	endingCheckInterval = 20 * time.Millisecond
 	// maxCommandDelay is how long after a command was sent the engine may still
 	// execute it: the platform's bound plus a margin.
 	maxCommandDelay = 13 * time.Second
@@ -48,9 +46,10 @@
 	// before each command, since a load takes several commands with waits between
 	// them, during which the lease may end. Send finds it in its context; see [MaySend].
 	CanSend func() bool
-	// IsEnding, if set, reports whether no more commands will be sent. A load of several
-	// commands then ends after the one in flight, without waiting for what the engine does.
-	IsEnding func() bool
+	// Ending, if set, returns a channel that is closed once no more commands will be sent. A load
+	// of several commands then ends after the one in flight, without waiting for what the
+	// engine does.
+	Ending func() <-chan struct{}
 	// TimeLeft, if set, returns after how long a command must have ended: with the lease.
 	TimeLeft func() time.Duration
 	// OnUnanswered, if set, is called when a command ends without a response. It may still
@@ -188,35 +187,35 @@
 
 // wait waits for d, or less if no more commands will be sent.
 func (s *Sequencer) wait(ctx context.Context, d time.Duration) error {
-	for end := time.Now().Add(d); ; {
-		left := time.Until(end)
-		if err := sleep(ctx, min(left, endingCheckInterval)); err != nil || left <= 0 {
-			return err
-		}
-		if err := s.checkEnding(); err != nil {
-			return err
-		}
+	if err := s.checkEnding(); err != nil || d <= 0 {
+		return cmp.Or(err, ctx.Err())
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-s.ending():
+		return s.checkEnding()
 	}
 }
 
-func (s *Sequencer) checkEnding() error {
-	if s.IsEnding == nil || !s.IsEnding() {
+// ending returns a channel that is closed once no more commands will be sent.
+func (s *Sequencer) ending() <-chan struct{} {
+	if s.Ending == nil {
 		return nil
 	}
-	return &Error{Op: "order", Kind: NotSent, Err: errors.New("no more commands are sent to the engine")}
+	return s.Ending()
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
+func (s *Sequencer) checkEnding() error {
 	select {
-	case <-t.C:
+	case <-s.ending():
+		return &Error{Op: "order", Kind: NotSent, Err: errors.New("no more commands are sent to the engine")}
+	default:
 		return nil
-	case <-ctx.Done():
-		return ctx.Err()
 	}
 }
 
--- a/engine/sequencer_test.go
+++ b/engine/sequencer_test.go
@@ -372,9 +372,11 @@
 				return e.execute(c), nil
 			}
 			start := time.Now()
-			s.IsEnding = func() bool { return time.Since(start) >= time.Second }
+			ending, end := context.WithTimeout(t.Context(), time.Second)
+			defer end()
+			s.Ending = ending.Done
 			_, err := s.Load(t.Context(), "m/a", 1)
-			is.True(time.Since(start) <= time.Second+endingCheckInterval)
+			is.True(time.Since(start) <= time.Second)
 			is.True(sent > 1)
 			if lostPolls {
 				is.True(IsKind(err, Failed)) // it may still arrive
--- a/node/config.go
+++ b/node/config.go
@@ -28,7 +28,7 @@
 	// Table, if set, is used instead of a client of TableURL.
 	Table *table.Client
 	// Sequencer, if set, returns the sequencer of a sequenced engine. The node sets its
-	// fields Slots, Model, InUse, CanSend, TimeLeft, IsEnding and OnUnanswered.
+	// fields Slots, Model, InUse, CanSend, TimeLeft, Ending and OnUnanswered.
 	Sequencer func(b settings.BackendServer) *engine.Sequencer
 	// SettingsPushed is set when another component installs the settings in
 	// [Node.Store]. The node then reads them neither from the table nor from peers.
--- a/node/node.go
+++ b/node/node.go
@@ -53,7 +53,7 @@
 	formerlyOwned map[string][]*ownedEngine // no longer owned, but commands may be in flight
 	ownerHints    map[string]string         // engine to the node that is believed to own it
 	ownerChecks   map[string]time.Time      // engine to the last check of its ownership row
-	claims        map[string]time.Time      // engines owned when the table was last restored, to the end of the delay there
+	claims        map[string]time.Time      // engines owned when the table was last restored, to the end of their delays
 	vmList        vmlist.List
 	freshness     settings.Freshness
 	rng           *rand.Rand
--- a/node/owned.go
+++ b/node/owned.go
@@ -46,11 +46,13 @@
 	entryAddresses     map[string]string             // process of an entry node with grants to its address
 	stopped            bool                          // no command may start
 	handingOver        bool                          // a handover is in progress
-	commandsInFlight   int                           // commands without a response yet
-	commandsUnanswered int                           // commands that failed without a response
-	arrivalsUntil      time.Time                     // commands without a response may arrive until then
+	loads              context.Context               // ends when loads have to end
+	endLoads           context.CancelFunc
+	commandsInFlight   int       // commands without a response yet
+	commandsUnanswered int       // commands that failed without a response
+	arrivalsUntil      time.Time // commands without a response may arrive until then
 	boot               string
-	firstCommandEnd    time.Time // zero before
+	firstCommandEnd    time.Time // zero before the first one ended
 	lastCommandEnd     time.Time
 	lastReport         time.Time
 	reportPending      bool
@@ -71,6 +73,7 @@
 		engineFenced: !b.ChecksFencing, hasFormerOwners: len(row.FormerOwners) > 0, olderGrantsFenced: b.UnloadWaitsForRequests,
 	}
 	o.server.Store(&b)
+	o.loads, o.endLoads = context.WithCancel(n.ctx)
 	o.noCommandsUntil = o.takenOverAt.Add(time.Duration(row.HandoverDelayMS) * time.Millisecond)
 	o.sched = engine.NewScheduler(engine.SchedulerConfig{
 		Slots: b.Slots, SwapSlots: b.SwapSlots, BatchSize: b.BatchSize, NeedsIntents: !b.ChecksFencing && !b.UnloadWaitsForRequests,
@@ -79,7 +82,7 @@
 	if n.cfg.Sequencer != nil {
 		o.seq = n.cfg.Sequencer(b)
 		o.seq.Slots, o.seq.Model, o.seq.InUse = b.Slots, b.BaseModel, o.needsAdapter
-		o.seq.CanSend, o.seq.TimeLeft, o.seq.IsEnding = o.canSendCommand, n.session.leaseLeft, o.mustEndLoads
+		o.seq.CanSend, o.seq.TimeLeft, o.seq.Ending = o.canSendCommand, n.session.leaseLeft, o.loadsEnding
 		o.seq.OnUnanswered = o.recordUnanswered
 	}
 	o.sched.SetMode(time.Now(), engine.Mode{Recovering: true})
@@ -103,9 +106,13 @@
 	return !o.stopped && !o.handingOver && o.leaseAllowsCommands(time.Now())
 }
 
-// mustEndLoads reports whether a load that has begun has to end after the command in flight, since
-// the ownership or the node ends.
-func (o *ownedEngine) mustEndLoads() bool { return o.n.ctx.Err() != nil || o.isEnding() }
+// loadsEnding returns a channel that is closed once a load that has begun has to end after the
+// command in flight, since the ownership or the node ends.
+func (o *ownedEngine) loadsEnding() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.loads.Done()
+}
 
 // expectedWait returns the expected queue wait of short work on a loaded adapter.
 func (o *ownedEngine) expectedWait(now time.Time) time.Duration {
@@ -317,6 +324,7 @@
 		return false
 	}
 	o.handingOver = true
+	o.endLoads()
 	o.apply(o.sched.RefuseAll(time.Now(), engine.NoOwner))
 	return true
 }
@@ -352,6 +360,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.handingOver = false
+	if !o.stopped {
+		o.loads, o.endLoads = context.WithCancel(o.n.ctx)
+	}
 }
 
 // awaitCommands waits until no command may arrive at the engine any more. No command can
@@ -405,6 +416,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.stopped = true
+	o.endLoads()
 	o.apply(o.sched.RefuseAll(time.Now(), engine.NoOwner))
 }
 
