--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -267,7 +267,7 @@
 	return name
 }
 
-// noTurns is the time within which nodes must not take turns: this protocol bounds it not.
+// noTurns is the time within which nodes must not take turns: the protocol of these engines sets none.
 const noTurns = 0
 
 // checkInvariants checks what the stand-in servers recorded and returns all violations.
