--- a/clock/kernel.go
+++ b/clock/kernel.go
@@ -6,13 +6,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// origin is the time of both clocks when the process started, of which kernelBoot is counted.
+// origin is the time of both clocks when the process started, from which kernelBoot counts.
 var origin = struct {
 	steady time.Time
 	boot   time.Duration
 }{time.Now(), sinceBoot()}
 
-// kernelBoot returns the time since the VM was booted as a time that can be compared.
+// kernelBoot returns the time of CLOCK_BOOTTIME, shifted so that both clocks agree at the start of the process.
 func kernelBoot() time.Time { return origin.steady.Add(sinceBoot() - origin.boot) }
 
 // sinceBoot reads CLOCK_BOOTTIME.
--- a/entry/command.go
+++ b/entry/command.go
@@ -26,7 +26,7 @@
 	waited time.Duration // for the connection
 	begun  bool          // bytes may have been written
 	ended  bool          // the call has ended, so no bytes may be written any more
-	err    error         // of an option or the end of the connection
+	err    error         // of setting an option of the connection, or of closing it
 }
 
 type commandKey struct{}
--- a/node/commands.go
+++ b/node/commands.go
@@ -143,7 +143,7 @@
 }
 
 // clearDelay removes the delay from the ownership row once it is over, so that the next process of this
-// node does not wait again. If that fails, it does.
+// node does not wait again. A failed write only costs that process the wait.
 func (o *ownedEngine) clearDelay(ctx context.Context) {
 	sleep(ctx, time.Until(o.noCommandsUntil))
 	if ctx.Err() != nil || o.isEnding() {
