Let one function list the engines that a node owns and does not release

undisputedEngines was left with no use but in tests when claims began to hold the end of a delay. The tests now call claimableEngines, which has the same engines; their checks are the same.

--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -81,7 +81,7 @@
 		}
 		go leaving.HandOverEngines(t.Context())
 		is.Equal(c.watch(time.Second), "")
-		is.Equal(len(leaving.undisputedEngines()), 0)
+		is.Equal(len(leaving.claimableEngines()), 0)
 		for i, o := range engines {
 			o.endCommand()
 			time.Sleep(50 * time.Millisecond)
--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -128,7 +128,7 @@
 		if !n.session.leaseValid() || c.clocks[i].Suspended() {
 			continue
 		}
-		for _, name := range n.undisputedEngines() {
+		for name := range n.claimableEngines() {
 			byEngine[name] = append(byEngine[name], n.Name())
 		}
 	}
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -178,17 +178,6 @@
 	return claims
 }
 
-// undisputedEngines returns the names of the engines that this node owns and is not
-// releasing.
-func (n *Node) undisputedEngines() (names []string) {
-	for _, o := range n.ownedEngines() {
-		if !o.isEnding() {
-			names = append(names, o.name)
-		}
-	}
-	return names
-}
-
 // hasYielded reports whether this process can send no more commands with a fencing
 // token below the given one.
 func (n *Node) hasYielded(engineName string, token int64) bool {
