review: show streams that join two software versions (ORDER)

A server's software version is that of its row. One that has started again under its ID in another version is taken for one of the former version until its new row is read, and streams that have lost their server go on there.

--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -52,6 +53,10 @@
 	// OnHead, which is optional, is called when the head of a stream was sent, before its first
 	// event.
 	OnHead func(id string)
+	// Build is the version of its software; empty means v1. It may be changed between two starts.
+	Build string
+	// RowDelay is the time from a start to the first write of the row.
+	RowDelay time.Duration
 	// OnRun, which is optional, is called when a request begins to run.
 	OnRun func(id string)
 
@@ -61,12 +66,15 @@
 	stop context.CancelFunc
 	st   engineState
 	past []engineReport
+	// reported is when a report was last asked for.
+	reported time.Time
 	// Overfull counts the orders that loaded more than the slots hold.
 	overfull int
 }
 
 type engineState struct {
 	born      time.Time
+	build     string
 	sequence  int64
 	hasModel  bool
 	modelFrom time.Time            // when a load of the model ends; zero if there is none
@@ -94,7 +102,7 @@
 	}
 	e.addr = ln.Addr().String()
 	e.st = engineState{
-		born: time.Now(), hasModel: withModel, adapters: map[string]time.Time{}, used: map[string]int{}, unloading: map[string]bool{},
+		born: time.Now(), build: cmp.Or(e.Build, "v1"), hasModel: withModel, adapters: map[string]time.Time{}, used: map[string]int{}, unloading: map[string]bool{},
 	}
 	e.past = nil
 	mux := http.NewServeMux()
@@ -107,7 +115,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
 	go e.keepReports(ctx)
-	e.Rig.Record("engine %s: started at %s, born %d", e.ID, e.addr, e.st.born.UnixMilli())
+	e.Rig.Record("engine %s: started at %s as %s, born %d", e.ID, e.addr, e.st.build, e.st.born.UnixMilli())
 	return nil
 }
 
@@ -138,6 +146,13 @@
 	return fmt.Sprintf("model %v, sequence %d, adapters %v", e.hasModel(time.Now()), e.st.sequence, slices.Sorted(maps.Keys(e.st.adapters)))
 }
 
+// SinceReport returns the time since a report was last asked for.
+func (e *Engine) SinceReport() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.reported)
+}
+
 func (e *Engine) hasModel(now time.Time) bool {
 	if !e.st.modelFrom.IsZero() && !now.Before(e.st.modelFrom) {
 		e.st.hasModel, e.st.modelFrom = true, time.Time{}
@@ -148,7 +163,7 @@
 func (e *Engine) keepReports(ctx context.Context) {
 	t := time.NewTicker(lagStep)
 	defer t.Stop()
-	var written time.Time
+	written := time.Now().Add(e.RowDelay - HeartbeatMS*time.Millisecond)
 	for {
 		e.mu.Lock()
 		now := time.Now()
@@ -191,7 +206,7 @@
 		running += n
 	}
 	return map[string]any{
-		"service": e.Service, "address": e.addr, "zone": e.Zone, "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0,
+		"service": e.Service, "address": e.addr, "zone": e.Zone, "version": e.st.build, "slots": 16, "state": "ready", "cold_remaining_ms": 0,
 		"sequence": e.st.sequence, "born": e.st.born.UnixMilli(), "models": models, "coming": coming, "stage": "colocated",
 		"busy": !e.st.modelFrom.IsZero(), "waiting": 0, "running": running, "kv_used": 0, "kv_total": 200000, "handles": 0,
 	}
@@ -200,6 +215,7 @@
 func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	body := e.past[0].body
+	e.reported = time.Now()
 	e.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(body) // fails only if the caller has left
@@ -283,7 +299,7 @@
 	_, adapter, _ := strings.Cut(r.Header.Get("X-Vanilladrift-Model-Id"), "/")
 	w.Header().Set(HeaderID, id)
 	e.mu.Lock()
-	born, now := e.st.born, time.Now()
+	born, build, now := e.st.born, e.st.build, time.Now()
 	from, ok := e.st.adapters[adapter]
 	ok = (ok && !now.Before(from) || adapter == "") && e.hasModel(now) && !e.st.unloading[adapter]
 	if want := r.Header.Get(HeaderInstance); !ok || want != "" && want != e.ID {
@@ -296,7 +312,7 @@
 	e.st.used[adapter]++
 	e.mu.Unlock()
 	defer e.endRequest(born, adapter)
-	e.Rig.Record("engine %s: request %s for %q runs from event %q", e.ID, id, adapter, r.Header.Get("Last-Event-Id"))
+	e.Rig.Record("engine %s: request %s for %q runs from event %q at %s", e.ID, id, adapter, r.Header.Get("Last-Event-Id"), build)
 	if e.OnRun != nil {
 		e.OnRun(id)
 	}
@@ -317,7 +333,7 @@
 		if r.Context().Err() != nil {
 			return
 		}
-		fmt.Fprintf(w, "id: %d\ndata: piece %d of %d for %s\n\n", i, i, e.Events, id)
+		fmt.Fprintf(w, "id: %d\ndata: piece %d of %d for %s by %s\n\n", i, i, e.Events, id, build)
 		if flush() != nil {
 			return
 		}
