--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -33,6 +34,8 @@
 	// given the context of the request.
 	callerLeft func(ctx context.Context) bool
 
+	lastConn atomic.Int64 // ID of the last connection
+
 	mu    sync.Mutex
 	pools map[string]*poolTransport
 }
--- a/entry/server_conn.go
+++ b/entry/server_conn.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/vanilladrift/vanilladrift/platform"
+	"github.com/vanilladrift/vanilladrift/relay"
 )
 
 // lookValidFor is how long the last look at the caller's connection is relied on. A request
@@ -25,9 +28,24 @@
 	// beforeRequest, if set, is called before the first bytes of the next request. They are not
 	// sent if it returns an error. The HTTP transport uses a connection for one request at a time.
 	beforeRequest func() error
+	id            int64 // unique within the process
+	since         time.Time
+
+	mu       sync.Mutex
+	command  *command // without a response yet; nil if there is none
+	requests int      // that it has carried
+	lastID   string   // ID of the last of them
+}
 
-	mu      sync.Mutex
-	command *command // without a response yet; nil if there is none
+// begin prepares the connection for a request with the given ID, or for a call without one. It
+// describes the connection as it was before.
+func (c *serverConn) begin(id string) relay.Connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := relay.Connection{ID: c.id, Age: time.Since(c.since), Requests: c.requests, LastRequestID: c.lastID}
+	c.requests++
+	c.lastID = id
+	return before
 }
 
 // Write implements net.Conn.
@@ -101,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &serverConn{Conn: conn}, nil
+	return &serverConn{Conn: conn, id: c.lastConn.Add(1), since: time.Now()}, nil
 }
 
 // withLook returns the request such that its connection looks once more, just before its
@@ -114,6 +132,7 @@
 		if !ok {
 			return
 		}
+		relay.RecordConnection(ctx, conn.begin(r.Header.Get(platform.RequestIDHeader)))
 		if cmd := commandOf(ctx); cmd != nil {
 			cmd.take(conn)
 			conn.beforeRequest = cmd.beforeRequest
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -248,12 +248,14 @@
 	s.TimeLeft = time.Until(x.deadline)
 	x.event.Server, x.event.Build = s.Server.ID, s.Server.Build
 	x.event.Attempts++
+	x.event.ServerStatus, x.event.ServerNotRun, x.event.Connection = 0, false, Connection{}
 	sent := time.Now()
-	resp, err := x.handler.Transport(x.pool).RoundTrip(x.handler.NewServerRequest(ctx, s))
+	resp, err := x.handler.Transport(x.pool).RoundTrip(x.handler.NewServerRequest(withConnection(ctx, &x.event.Connection), s))
 	if err != nil {
 		return nil, ResponseHead{}, err
 	}
 	head := x.handler.DecodeResponse(resp)
+	x.event.ServerStatus, x.event.ServerNotRun = head.Status, head.NotRun
 	if head.RequestID != x.head.ID || !head.NotRun && head.Status < 300 && !head.Signed {
 		// A late response to another request, or one without the server's
 		// signature. A refusal of another request tells nothing of this one.
