--- a/entry/pause_test.go
+++ b/entry/pause_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,6 +32,7 @@
 	daemon  *Daemon
 	client  *http.Client
 	closers []io.Closer
+	late    atomic.Pointer[func(response []byte) bool] // set for servers that send responses again
 
 	mu        sync.Mutex
 	log       strings.Builder
@@ -71,6 +73,10 @@
 func (f *daemonFixture) serve(is *is.I, address string, h http.Handler) {
 	ln, err := f.network.Listen(address)
 	is.NoErr(err)
+	ln = &standin.LateCopies{Listener: ln, IsCopied: func(response []byte) bool {
+		isCopied := f.late.Load()
+		return isCopied != nil && address != "store:1" && (*isCopied)(response)
+	}}
 	srv := &http.Server{Handler: h}
 	f.closers = append(f.closers, srv)
 	go func() { _ = srv.Serve(ln) }() // returns when the server is closed
@@ -201,3 +207,7 @@
 		})
 	}
 }
+
+func (f *daemonFixture) replicas() []*standin.Replica {
+	return []*standin.Replica{f.engine, f.ledger}
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -24,6 +24,9 @@
 	HoldCommand   func() time.Duration
 	CutStreams    int // streams that are interrupted after their third event
 	LoseResponses int // plain requests that run but get no response
+	// IsFull, if set, is called for each request. If it returns true, the replica refuses the
+	// request as one that is full does.
+	IsFull func() bool
 	// CrashPart is a part of prompts, and CrashBody a body of requests, that crash the replica
 	// when it begins to respond, or in a stream after CrashEvents events. The replica starts
 	// again after CrashDowntime.
@@ -218,7 +221,7 @@
 	name := head.AdapterName()
 	timeout := time.NewTimer(head.Timeout)
 	defer timeout.Stop()
-	if !r.hasRoom() {
+	if !r.hasRoom() || r.isFull() {
 		platform.WriteNotExecuted(w, head.ID, http.StatusServiceUnavailable)
 		return
 	}
@@ -256,6 +259,13 @@
 	return len(r.requestSlots) < cap(r.requestSlots)+r.QueueSize
 }
 
+func (r *Replica) isFull() bool {
+	r.mu.Lock()
+	isFull := r.fault.IsFull
+	r.mu.Unlock()
+	return isFull != nil && isFull()
+}
+
 // startRequest records the start of a request, or returns the status of a refusal.
 func (r *Replica) startRequest(head platform.ReplicaRequest, name string) (startMS, version int64, status int) {
 	r.mu.Lock()
