--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -47,6 +47,7 @@
 
 	mu          sync.Mutex
 	transport   *http.Transport
+	single      *http.Transport // for requests that get a connection of their own
 	idleTimeout time.Duration
 	maxPerHost  int
 	hosts       map[string]*hostLimit
@@ -108,6 +109,17 @@
 	return h
 }
 
+// transportFor returns the HTTP transport for a request. One that ends its connection gets a new
+// one.
+func (t *poolTransport) transportFor(r *http.Request) *http.Transport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.Close {
+		return t.single
+	}
+	return t.transport
+}
+
 // RoundTrip implements http.RoundTripper. An error before the request was sent is a dial
 // error.
 func (t *poolTransport) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -125,10 +137,7 @@
 	if err != nil {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
 	}
-	t.mu.Lock()
-	transport := t.transport
-	t.mu.Unlock()
-	resp, err := transport.RoundTrip(r)
+	resp, err := t.transportFor(r).RoundTrip(r)
 	if err != nil {
 		h.release()
 		return nil, err
@@ -158,9 +167,18 @@
 		defer old.CloseIdleConnections()
 	}
 	t.idleTimeout = d
-	t.transport = t.parent.network.newTransport(0, d)
-	t.transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
-	t.transport.DialContext = t.parent.dial
+	t.transport = t.newTransport(d)
+	if t.single == nil {
+		t.single = t.newTransport(d)
+		t.single.DisableKeepAlives = true
+	}
+}
+
+func (t *poolTransport) newTransport(idleTimeout time.Duration) *http.Transport {
+	transport := t.parent.network.newTransport(0, idleTimeout)
+	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	transport.DialContext = t.parent.dial
+	return transport
 }
 
 // maxIdleConnsPerHost bounds the idle connections to one server. The limit on requests
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -162,8 +162,9 @@
 	attemptEvents  int             // events with content that the last attempt received
 	origin         *backend.Origin // of the stream; nil until an event was sent to the caller
 	originRecorded bool
-	trial          bool // a quarantine is tested by this request, which is sent once only
-	grants         int  // number of grants that were asked for
+	trial          bool            // a quarantine is tested by this request, which is sent once only
+	grants         int             // number of grants that were asked for
+	sentTo         map[string]bool // addresses of the servers that attempts were sent to
 	event          Event
 }
 
@@ -246,6 +247,11 @@
 func (x *exchange) roundTrip(ctx context.Context, s ServerRequest) (*http.Response, ResponseHead, error) {
 	s.Incoming, s.Body, s.ContentLength = x.r, bytes.NewReader(x.body), len(x.body)
 	s.TimeLeft = time.Until(x.deadline)
+	s.OwnConnection = x.sentTo[s.Server.Address]
+	if x.sentTo == nil {
+		x.sentTo = make(map[string]bool)
+	}
+	x.sentTo[s.Server.Address] = true
 	x.event.Server, x.event.Build = s.Server.ID, s.Server.Build
 	x.event.Attempts++
 	x.event.ServerStatus, x.event.ServerNotRun, x.event.Connection = 0, false, Connection{}
--- a/relay/request.go
+++ b/relay/request.go
@@ -46,6 +46,11 @@
 	Priority       int           // 0 is the highest
 	AdapterVersion int64         // adapter version that the server must have; 0 means any
 	LastEventID    string        // ID of the event after which the stream is resumed
+	// OwnConnection is set if the request must get a connection that carries no other: an earlier
+	// attempt was sent to the same address. All attempts have one ID, so on a connection that
+	// carried the earlier one, a second copy of its response could not be told from the
+	// response to this one.
+	OwnConnection bool
 }
 
 // ResponseHead holds the parsed headers of a server's response.
