--- a/relay/handler.go
+++ b/relay/handler.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -270,6 +271,10 @@
 		return nil, head, errors.Errorf("the answer is to request %q", head.RequestID)
 	}
 	x.recordAsks(s.Server, sent, head.Asks)
+	if head.NotRun && head.Status < http.StatusBadRequest {
+		resp.Body.Close()
+		return nil, head, errors.Errorf("the server answers with status %d that it did not run the request", head.Status)
+	}
 	return resp, head, nil
 }
 
@@ -323,6 +328,8 @@
 	switch {
 	case err != nil:
 		return result{failed: true, brokenOff: true, reason: err.Error()}
+	case head.promisesNotRun():
+		return result{failed: true, reason: "the server answered with status " + strconv.Itoa(head.Status) + " without stating that it did not run the request"}
 	case head.Status >= http.StatusInternalServerError && !complete:
 		return result{failed: true, reason: "the server failed it, and its error response is too long"}
 	case head.Status >= http.StatusInternalServerError:
--- a/relay/request.go
+++ b/relay/request.go
@@ -67,3 +67,13 @@
 	EndsWithConnection bool
 	Asks               backend.Asks // what the server asks for
 }
+
+// promisesNotRun reports whether callers take the status as a promise that the request has not
+// run.
+func (h ResponseHead) promisesNotRun() bool {
+	switch h.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
