--- a/entry/asks.go
+++ b/entry/asks.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/platform"
 )
 
 // recordAsks records what a server asked for in its response to a caller's request.
@@ -23,6 +25,16 @@
 	d.recordPause(s, a)
 }
 
+// recordLate records a response of a server that came where the one to r was due.
+func (d *Daemon) recordLate(r *http.Request, conn int64, resp *http.Response) {
+	head := platform.DecodeResponseHead(resp)
+	server := platform.ExpectedServer(r)
+	d.log.Info("dropped a late response to another request", "server", server, "conn", conn, "id", head.RequestID, "status", head.Status, "awaited", r.Header.Get(platform.RequestIDHeader))
+	if s, ok := d.state.servers.View().Server(server); ok && head.Asks.Draining {
+		d.state.setDraining(s)
+	}
+}
+
 // recordPause records that a server wants no requests, for a time or for good.
 func (d *Daemon) recordPause(s *backend.Server, a backend.Asks) {
 	now := time.Now()
--- a/entry/command_test.go
+++ b/entry/command_test.go
@@ -29,15 +29,6 @@
 	return n
 }
 
-// closeIdle closes the idle connections to servers.
-func (f *daemonFixture) closeIdle() {
-	f.daemon.transports.mu.Lock()
-	defer f.daemon.transports.mu.Unlock()
-	for _, p := range f.daemon.transports.pools {
-		p.transport.CloseIdleConnections()
-	}
-}
-
 // Guards against a command that is sent after its lease has ended, since it waited for its connection.
 func TestCommandIsNotSentAfterItsLease(t *testing.T) {
 	const token = 99 // unlike those of the daemon's own commands
@@ -58,7 +49,7 @@
 				f := newDaemonFixture(is)
 				defer f.close()
 				time.Sleep(10 * time.Second)
-				f.closeIdle()
+				f.daemon.transports.closeIdle()
 				f.setDialDelay(tt.dial)
 				leaseEnd := time.Now().Add(tt.leaseLeft)
 				ctx := engine.WithSendCheck(t.Context(), func() bool { return time.Now().Before(leaseEnd) })
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -179,7 +179,7 @@
 	}
 	prompts.IsTrialNode, requests.IsTrialNode = d.node.IsTrialNode, d.node.IsRequestTrialNode
 	d.state.store, d.state.enginesChanged = d.node.Store(), d.node.ReconcileOwnership
-	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, usable: d.state.isUsable, paused: d.isPaused, callerLeft: d.callerLeft}
+	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, usable: d.state.isUsable, paused: d.isPaused, callerLeft: d.callerLeft, onLate: d.recordLate}
 	d.metrics = newMetrics(d.node.Meter())
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
 	d.acquirer.CanUse = d.canUseEngine
--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -33,6 +33,9 @@
 	// callerLeft, which is optional, reports whether the caller of a request has left,
 	// given the context of the request.
 	callerLeft func(ctx context.Context) bool
+	// onLate, which is optional, is called for a response to another request that came before
+	// the one to r, with the ID of the connection.
+	onLate func(r *http.Request, conn int64, resp *http.Response)
 
 	lastConn atomic.Int64 // ID of the last connection
 
@@ -47,6 +50,7 @@
 
 	mu          sync.Mutex
 	transport   *http.Transport
+	control     *http.Transport // for calls without an ID, of which copies could not be told from other responses
 	single      *http.Transport // for requests that get a connection of their own
 	idleTimeout time.Duration
 	maxPerHost  int
@@ -82,6 +86,7 @@
 	for _, t := range c.pools {
 		t.mu.Lock()
 		t.transport.CloseIdleConnections()
+		t.control.CloseIdleConnections()
 		t.mu.Unlock()
 	}
 }
@@ -109,13 +114,15 @@
 	return h
 }
 
-// transportFor returns the HTTP transport for a request. One that ends its connection gets a new
-// one.
+// transportFor returns the HTTP transport for a request.
 func (t *poolTransport) transportFor(r *http.Request) *http.Transport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.Close {
+	switch {
+	case r.Close:
 		return t.single
+	case r.Header.Get(platform.RequestIDHeader) == "":
+		return t.control
 	}
 	return t.transport
 }
@@ -123,7 +130,7 @@
 // RoundTrip implements http.RoundTripper. An error before the request was sent is a dial
 // error.
 func (t *poolTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	r = t.parent.withLook(r, time.Now())
+	r, used := t.parent.withLook(r, time.Now())
 	h := t.host(r.URL.Host)
 	waited, err := h.acquire(r.Context())
 	if err == nil && waited && t.parent.usable != nil && !t.parent.usable(r.URL.Host) {
@@ -142,6 +149,7 @@
 		h.release()
 		return nil, err
 	}
+	used.closeUnlessAnswer(r, resp)
 	if keepAlive := platform.KeepAliveTimeout(resp.Header); keepAlive > 0 {
 		t.lowerIdleTimeout(keepAlive * 4 / 5)
 	}
@@ -163,11 +171,12 @@
 // setIdleTimeout replaces the HTTP transport. The connections of the old one are closed
 // when their requests end.
 func (t *poolTransport) setIdleTimeout(d time.Duration) {
-	if old := t.transport; old != nil {
-		defer old.CloseIdleConnections()
+	if t.transport != nil {
+		defer t.transport.CloseIdleConnections()
+		defer t.control.CloseIdleConnections()
 	}
 	t.idleTimeout = d
-	t.transport = t.newTransport(d)
+	t.transport, t.control = t.newTransport(d), t.newTransport(d)
 	if t.single == nil {
 		t.single = t.newTransport(d)
 		t.single.DisableKeepAlives = true
--- a/entry/server_conn.go
+++ b/entry/server_conn.go
@@ -30,21 +30,30 @@
 	beforeRequest func() error
 	id            int64 // unique within the process
 	since         time.Time
+	unread        []byte // of the response that is awaited, read already
 
 	mu       sync.Mutex
 	command  *command // without a response yet; nil if there is none
 	requests int      // that it has carried
 	lastID   string   // ID of the last of them
+	// awaited is nil once the response has begun to arrive, and if the connection has carried a
+	// HEAD request: a copy of its response states the length of a body that does not follow.
+	awaited     *awaited
+	carriedHEAD bool
 }
 
-// begin prepares the connection for a request with the given ID, or for a call without one. It
+// begin prepares the connection for a request with the given method that awaits a response. It
 // describes the connection as it was before.
-func (c *serverConn) begin(id string) relay.Connection {
+func (c *serverConn) begin(method string, a *awaited) relay.Connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.carriedHEAD = c.carriedHEAD || method == http.MethodHead
+	if c.awaited = a; c.carriedHEAD {
+		c.awaited = nil
+	}
 	before := relay.Connection{ID: c.id, Age: time.Since(c.since), Requests: c.requests, LastRequestID: c.lastID}
 	c.requests++
-	c.lastID = id
+	c.lastID = a.id
 	return before
 }
 
@@ -122,17 +131,22 @@
 	return &serverConn{Conn: conn, id: c.lastConn.Add(1), since: time.Now()}, nil
 }
 
+// use is the use of a connection by a request.
+type use struct{ conn *serverConn } // nil until the request has got one
+
 // withLook returns the request such that its connection looks once more, just before its
 // first bytes, whether the caller has left, or, for a command, whether its time is over. looked is
 // the time of the last look.
-func (c *poolTransports) withLook(r *http.Request, looked time.Time) *http.Request {
-	ctx := r.Context()
+func (c *poolTransports) withLook(r *http.Request, looked time.Time) (*http.Request, *use) {
+	ctx, u := r.Context(), &use{}
 	return r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn, ok := info.Conn.(*serverConn)
 		if !ok {
 			return
 		}
-		relay.RecordConnection(ctx, conn.begin(r.Header.Get(platform.RequestIDHeader)))
+		u.conn = conn
+		a := &awaited{id: r.Header.Get(platform.RequestIDHeader), onLate: func(resp *http.Response) { c.recordLate(r, conn, resp) }}
+		relay.RecordConnection(ctx, conn.begin(r.Method, a))
 		if cmd := commandOf(ctx); cmd != nil {
 			cmd.take(conn)
 			conn.beforeRequest = cmd.beforeRequest
@@ -145,5 +159,21 @@
 			}
 			return lingerErr
 		}
-	}}))
+	}})), u
+}
+
+// recordLate records a response to another request that came on the connection of r.
+func (c *poolTransports) recordLate(r *http.Request, conn *serverConn, resp *http.Response) {
+	if c.onLate != nil {
+		c.onLate(r, conn.id, resp)
+	}
+}
+
+// closeUnlessAnswer closes the connection of a request if a response is not to it. What comes on
+// the connection after that is not known.
+func (u *use) closeUnlessAnswer(r *http.Request, resp *http.Response) {
+	id := r.Header.Get(platform.RequestIDHeader)
+	if u.conn != nil && (platform.IsLateResponse(resp.Header, id) || id != "" && resp.Header.Get(platform.RequestIDHeader) == "") {
+		_ = u.conn.Close() // fails only if it is closed already
+	}
 }
