--- a/engine/command.go
+++ b/engine/command.go
@@ -24,6 +24,10 @@
 	Version          int64  // 0 means the newest
 	ExpectedSequence int64  // the command has no effect at another sequence number
 	FencingToken     int64
+	// OwnConnection is set if the command must get a connection that carries no other. Replies do
+	// not name their command, so elsewhere a late copy of a reply may be taken for that to the
+	// next one.
+	OwnConnection bool
 }
 
 // Reply is an engine's reply to a [Command].
--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -70,6 +70,9 @@
 	modelLoaded  bool
 	adapters     map[string]int64 // versions of adapters in slots, including those being loaded
 	loadedBefore map[string]bool  // adapters loaded before; loading them again is faster
+	// unconfirmed lists the adapters that no report has shown as loaded yet, with the sequence
+	// number after their load was accepted. The replies that said so are not certain.
+	unconfirmed  map[string]int64
 	// unanswered lists the load commands without a reply that may still be executed.
 	unanswered   []unansweredLoad
 	coldLoadTime time.Duration
@@ -79,7 +82,7 @@
 func (s *Sequencer) init() {
 	s.once.Do(func() {
 		s.commandLock = semaphore.NewWeighted(1)
-		s.adapters, s.loadedBefore = make(map[string]int64), make(map[string]bool)
+		s.adapters, s.loadedBefore, s.unconfirmed = make(map[string]int64), make(map[string]bool), make(map[string]int64)
 		s.coldLoadTime, s.warmLoadTime = 250*time.Millisecond, 25*time.Millisecond
 	})
 }
@@ -131,8 +134,14 @@
 	defer s.mu.Unlock()
 	if s.boot != "" && st.Boot != s.boot {
 		clear(s.adapters) // a restarted engine has no adapters
+		clear(s.unconfirmed)
 		s.current, s.minFetchTime = false, time.Time{}
 	}
+	for name, sequence := range s.unconfirmed {
+		if _, loaded := st.Loaded[name]; loaded && st.Sequence >= sequence {
+			delete(s.unconfirmed, name)
+		}
+	}
 	if s.current && st.Boot == s.boot && st.Sequence <= s.sequence {
 		s.modelLoaded = s.modelLoaded || slices.Contains(st.Models, s.Model)
 		return // the state has no commands from other senders
@@ -150,6 +159,10 @@
 	for name := range s.adapters {
 		s.loadedBefore[name] = true
 	}
+	clear(s.unconfirmed)
+	for name := range st.Loading {
+		s.unconfirmed[name] = st.Sequence
+	}
 }
 
 // refresh fetches the state until it is current. The caller must hold s.commandLock.
@@ -314,8 +327,13 @@
 }
 
 func (s *Sequencer) unload(ctx context.Context, name string, token int64) error {
+	if err := s.confirmLoad(ctx, name, token); err != nil {
+		return err
+	}
 	model, adapter := SplitAdapterName(name)
-	reply, err := s.sendWithRetry(ctx, Command{Model: model, Adapter: adapter, FencingToken: token})
+	// A reply that is wrongly taken for AlreadyDone would free a slot that is in use. Other wrong
+	// replies are found by the sequence number of the next command.
+	reply, err := s.sendWithRetry(ctx, Command{Model: model, Adapter: adapter, FencingToken: token, OwnConnection: true})
 	if err != nil {
 		return err
 	}
@@ -326,6 +344,9 @@
 		s.invalidate()
 		return nil
 	}
-	s.advanceSequence(func() { delete(s.adapters, name) })
+	s.advanceSequence(func() {
+		delete(s.adapters, name)
+		delete(s.unconfirmed, name)
+	})
 	return nil
 }
--- a/engine/sequencer_load.go
+++ b/engine/sequencer_load.go
@@ -52,10 +52,39 @@
 	if _, present := s.adapters[name]; reply == Accepted && !present {
 		s.sequence++
 	}
+	if _, present := s.adapters[name]; !present {
+		s.unconfirmed[name] = s.sequence
+	}
 	s.adapters[name] = c.Version
 	return reply, nil
 }
 
+// confirmLoad asks the engine whether an adapter that no report has shown as loaded is, and fails if
+// it is not. The engine would not unload it, and keeps its slot.
+func (s *Sequencer) confirmLoad(ctx context.Context, name string, token int64) error {
+	s.mu.Lock()
+	version := s.adapters[name]
+	_, unconfirmed := s.unconfirmed[name]
+	s.mu.Unlock()
+	if !unconfirmed {
+		return nil
+	}
+	model, adapter := SplitAdapterName(name)
+	c := Command{Load: true, Model: model, Adapter: adapter, Version: version, FencingToken: token, OwnConnection: true}
+	reply, err := s.sendWithRetry(ctx, c)
+	if err != nil {
+		return err
+	}
+	if reply != AlreadyDone {
+		s.invalidate() // it may not have been there at all
+		return &Error{Op: "unload", Kind: Refused, Err: errors.New("the adapter is still being loaded")}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.unconfirmed, name)
+	return nil
+}
+
 // awaitLoad waits until an accepted load has ended. It polls by sending the same
 // command again: the engine replies AlreadyDone once the load has ended, and
 // until then the command has no effect.
--- a/engine/sequencer_test.go
+++ b/engine/sequencer_test.go
@@ -25,6 +25,8 @@
 	crashes      int
 	delayCommand func() bool // reports whether a command gets no reply and is executed late
 	delayed      []Command
+	inUse        map[string]bool // adapters that requests use; an unload waits for them
+	unloading    map[string]bool // adapters to unload once they are not in use
 	down         bool
 }
 
@@ -67,6 +69,7 @@
 	e.sequence = 0
 	clear(e.loaded)
 	clear(e.loading)
+	clear(e.unloading)
 	e.recordState()
 }
 
@@ -124,11 +127,28 @@
 		e.sequence++
 		return Accepted
 	}
-	delete(e.loaded, name)
 	e.sequence++
+	if e.loaded[name] && e.inUse[name] {
+		if e.unloading == nil {
+			e.unloading = make(map[string]bool)
+		}
+		e.unloading[name] = true
+		return Accepted
+	}
+	delete(e.loaded, name)
 	return AlreadyDone
 }
 
+// endUse ends the use of an adapter, and unloads it if an unload waits for that.
+func (e *sequencedEngine) endUse(name string) {
+	delete(e.inUse, name)
+	if e.unloading[name] {
+		delete(e.unloading, name)
+		delete(e.loaded, name)
+		e.recordState()
+	}
+}
+
 func (e *sequencedEngine) sequencer() *Sequencer {
 	return &Sequencer{Slots: e.slots, Model: "m", Send: e.send, FetchState: e.fetch}
 }
--- a/engine/slot_reservation.go
+++ b/engine/slot_reservation.go
@@ -40,7 +40,7 @@
 
 // makeRoom unloads unused adapters until there is a free slot for name.
 func (s *Sequencer) makeRoom(ctx context.Context, name string, token int64) error {
-	for {
+	for attempt := 1; ; attempt++ {
 		s.mu.Lock()
 		_, present := s.adapters[name]
 		full := !present && len(s.adapters)+s.reservedSlots(time.Now()) >= s.Slots
@@ -54,7 +54,7 @@
 			return &Error{Op: "load", Kind: NoFreeSlot}
 		}
 		victim := others[i]
-		if err := s.unload(ctx, victim, token); err != nil {
+		if err := s.unload(ctx, victim, token); err != nil && (!IsKind(err, Refused) || attempt >= maxCommandAttempts) {
 			return err
 		}
 		if err := s.refresh(ctx); err != nil {
