--- a/engine/client.go
+++ b/engine/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -38,7 +39,7 @@
 	Path       string // PathCompletions or PathChat
 	Body       []byte // body of the caller's request
 	Model      string // "adapter@version"
-	ID         string // request ID; the engine echoes it
+	ID         string // request ID, which the engine echoes
 	Priority   int    // lower values run first
 	ResumeFrom int    // number of tokens received from an earlier attempt
 }
@@ -64,18 +65,14 @@
 	if err != nil {
 		return nil, &Error{Op: op, Kind: NotSent, Engine: c.Name, Err: err}
 	}
-	resp, err := c.client().Do(httpReq.WithContext(ctx))
+	resp, err := c.do(ctx, op, httpReq, req.ID)
 	if err != nil {
-		return nil, c.transportError(op, err)
+		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
 		return nil, c.statusError(op, resp)
 	}
-	if id := resp.Header.Get(HeaderRequestID); id != req.ID {
-		resp.Body.Close()
-		return nil, &Error{Op: op, Kind: WrongResponse, Engine: c.Name, Err: errors.Errorf("response is for request %q", id)}
-	}
 	return newStream(c.Name, req, resp.Body), nil
 }
 
@@ -112,9 +109,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	resp, err := c.client().Do(req.WithContext(ctx))
+	resp, err := c.doCall(ctx, op, req)
 	if err != nil {
-		return "", c.transportError(op, err)
+		return "", err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -130,9 +127,9 @@
 	if err != nil {
 		return LoadReport{}, &Error{Op: op, Kind: NotSent, Engine: c.Name, Err: err}
 	}
-	resp, err := c.client().Do(req.WithContext(ctx))
+	resp, err := c.doCall(ctx, op, req)
 	if err != nil {
-		return LoadReport{}, c.transportError(op, err)
+		return LoadReport{}, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -145,6 +142,36 @@
 	return r, nil
 }
 
+// do sends a request with an ID, and returns its response. A response without that ID, also a
+// refusal, may be a late one to another request, and tells nothing of this one.
+func (c *Client) do(ctx context.Context, op string, req *http.Request, id string) (*http.Response, error) {
+	resp, err := c.client().Do(req.WithContext(ctx))
+	if err != nil {
+		return nil, c.transportError(op, err)
+	}
+	got := resp.Header.Get(HeaderRequestID)
+	if got == id {
+		return resp, nil
+	}
+	resp.Body.Close()
+	kind := Failed
+	if resp.StatusCode == http.StatusOK {
+		kind = WrongResponse
+	}
+	return nil, &Error{Op: op, Kind: kind, Engine: c.Name, Status: resp.StatusCode, Err: errors.Errorf("response is for request %q", got)}
+}
+
+// doCall sends a command or another call with an ID of its own.
+func (c *Client) doCall(ctx context.Context, op string, req *http.Request) (*http.Response, error) {
+	id := "call-" + strconv.FormatUint(rand.Uint64(), 36)
+	req.Header.Set(HeaderRequestID, id)
+	resp, err := c.do(ctx, op, req, id)
+	if IsKind(err, WrongResponse) {
+		return nil, &Error{Op: op, Kind: Failed, Engine: c.Name, Err: err}
+	}
+	return resp, err
+}
+
 func (c *Client) client() *http.Client {
 	if c.HTTP == nil {
 		return http.DefaultClient
--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -72,7 +72,7 @@
 	loadedBefore map[string]bool  // adapters loaded before; loading them again is faster
 	// unconfirmed lists the adapters that no report has shown as loaded yet, with the sequence
 	// number after their load was accepted. The replies that said so are not certain.
-	unconfirmed  map[string]int64
+	unconfirmed map[string]int64
 	// unanswered lists the load commands without a reply that may still be executed.
 	unanswered   []unansweredLoad
 	coldLoadTime time.Duration
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -144,6 +144,9 @@
 		time.Sleep(fault.Delay)
 	}
 	w.Header().Set(engine.HeaderEngineBoot, "boot-"+strconv.Itoa(boot))
+	if id := r.Header.Get(engine.HeaderRequestID); id != "" {
+		w.Header().Set(engine.HeaderRequestID, id)
+	}
 	switch r.URL.Path {
 	case engine.PathCompletions, engine.PathChat:
 		e.serveCompletion(w, r)
@@ -230,7 +233,6 @@
 	}
 	defer e.removeStream(s)
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set(engine.HeaderRequestID, id)
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush() // sends the headers before the first token
 	e.writeStream(w, r, s)
