--- a/demo/platform.go
+++ b/demo/platform.go
@@ -36,7 +36,8 @@
 	}
 	t := newPlatformTraffic(sys, o.Seed)
 	portion := o.Requests / 5
-	t.run(portion)
+	logf("sending requests while replicas refuse some and send some responses a second time, late")
+	t.sendWhileReplicasCopy(portion)
 	logf("publishing versions while replicas lose commands and apply them late")
 	t.publishVersions(portion)
 	logf("restarting a replica without adapters while streams are cut or stall, responses are lost, and some end with their connection")
@@ -59,6 +60,24 @@
 	return summarize(o, t.result, t.result.print, t.result.violations())
 }
 
+// sendWhileReplicasCopy sends requests while replicas refuse some and send some responses to
+// requests, commands and reports a second time, where the next one is due.
+func (t *platformTraffic) sendWhileReplicasCopy(n int) {
+	var requests atomic.Int64
+	for _, r := range slices.Concat(t.sys.replicas, t.sys.ledgers) {
+		r.SetFault(standin.ReplicaFault{IsFull: func() bool { return requests.Add(1)%refusalInterval == 0 }})
+	}
+	t.sys.copiesLate.Store(true)
+	t.run(n)
+	t.sys.copiesLate.Store(false)
+	for _, r := range slices.Concat(t.sys.replicas, t.sys.ledgers) {
+		r.SetFault(standin.ReplicaFault{})
+	}
+}
+
+// refusalInterval is the number of requests for each that a replica refuses as if it were full.
+const refusalInterval = 5
+
 // publishVersions publishes new versions of the most used adapters. After
 // versionDeadline, callers must get them.
 func (t *platformTraffic) publishVersions(n int) {
--- a/demo/platform_system.go
+++ b/demo/platform_system.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -32,6 +33,7 @@
 	versionDeadline     = 5 * time.Second
 	readyTimeout        = 15 * time.Second
 	daemonMemoryBytes   = 284 << 20
+	copyInterval        = 7 // responses for each that is sent a second time
 )
 
 // softwareVersions are those of the engines, in turn.
@@ -49,6 +51,11 @@
 	callerAddrs    []string // of the daemons, for callers
 	readinessAddrs []string // of the daemons, for the balancer
 
+	// copies counts the responses of replicas since copiesLate was set; every copyInterval-th is
+	// sent a second time.
+	copies     atomic.Int64
+	copiesLate atomic.Bool
+
 	mu       sync.Mutex
 	versions map[string]int64 // latest version by adapter, if it is not 1
 }
@@ -110,15 +117,21 @@
 func (sys *platformSystem) startReplica(r *standin.Replica) error {
 	key := platform.ServersTable + "/" + r.Self.ID
 	r.WriteRow = func(row []byte) { sys.store.Put(key, row) }
-	addr, err := sys.serve(r)
+	ln, err := sys.listen(freePort)
 	if err != nil {
 		return err
 	}
-	r.Self.Address = addr
+	sys.runServer(&standin.LateCopies{Listener: ln, IsCopied: sys.isCopied}, &http.Server{Handler: r})
+	r.Self.Address = ln.Addr().String()
 	r.Start()
 	return nil
 }
 
+// isCopied reports whether a replica sends a response a second time.
+func (sys *platformSystem) isCopied([]byte) bool {
+	return sys.copiesLate.Load() && sys.copies.Add(1)%copyInterval == 0
+}
+
 func (sys *platformSystem) startDaemon(name, storeAddr string, logOut io.Writer) error {
 	var addrs [4]string
 	for i := range addrs {
