--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -103,6 +103,7 @@
 	limits       *backend.Limits
 	table        *table.Client
 	builds       *backend.BuildHistory
+	overload     caller.Overload
 	streams      *backend.StreamOrigins
 	metrics      *metrics
 
@@ -158,6 +159,7 @@
 	d.balancer = &backend.Balancer{DataCenter: s.DataCenter}
 	d.limits = &backend.Limits{}
 	d.table = &table.Client{Read: d.readStore, Apply: d.applyStore}
+	d.overload.Cores = s.Cores
 	d.builds = &backend.BuildHistory{}
 	d.streams = &backend.StreamOrigins{IsShared: d.builds.IsMixed}
 	prompts, requests := &backend.PromptQuarantine{}, &backend.RequestQuarantine{}
@@ -190,7 +192,7 @@
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine, Requests: requests, OnRequestQuarantine: d.node.LogRequestQuarantine,
 		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordAsks: d.recordAsks, IsLimited: d.limits.IsLimited, TakeTurn: d.takeTurn, Observe: d.observe,
-		CallerLeft: d.callerLeft, FindOrigin: d.findOrigin, RecordOrigin: d.streams.Begin, MayBegin: d.mayBegin,
+		IsOverloaded: d.overload.Rejects, CallerLeft: d.callerLeft, FindOrigin: d.findOrigin, RecordOrigin: d.streams.Begin, MayBegin: d.mayBegin,
 	}
 	return d, nil
 }
@@ -307,6 +309,7 @@
 	d.followTable(platform.OperatorTable, operatorPollWait(d.settings.CatchUpPeriod), 0, d.state.replaceOperatorRows, d.state.applyOperatorChanges)
 	d.followTable(platform.ServersTable, 0, serversPollInterval(d.settings.DrainPeriod), d.state.replaceServerRows, d.state.applyServerChanges)
 	d.tasks.Go(d.keepBuilds)
+	d.tasks.Go(d.watchLoad)
 	d.tasks.Go(func() {
 		t := time.NewTicker(restoredInterval)
 		defer t.Stop()
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -29,6 +29,9 @@
 	// request. It is about the time until a server completes one of its
 	// requests and can accept another.
 	busyRetryAfter = 100 * time.Millisecond
+	// overloadRetryAfter is the Retry-After of a node without processor time. The callers'
+	// next attempts reach other nodes, so they need not wait for this one to catch up.
+	overloadRetryAfter = 100 * time.Millisecond
 	// defaultMaxBodyBytes limits request bodies if the configuration sets no
 	// limit.
 	defaultMaxBodyBytes = 4 << 20
@@ -106,6 +109,9 @@
 	// the context ends only once the HTTP server has read the end of the connection, which
 	// it begins to do when it starts the handler.
 	CallerLeft func(ctx context.Context) bool
+	// IsOverloaded, which is optional, reports whether the node has too little processor time for
+	// a new request of a priority, where 0 is the highest.
+	IsOverloaded func(now time.Time, priority int) bool
 	// Observe, which is optional, is called for each finished request and each
 	// failed attempt that is followed by another.
 	Observe func(Event)
@@ -183,6 +189,9 @@
 	if x.route, ok = x.table.Match(x.r.Host, x.r.URL.Path); !ok {
 		return &Error{Op: op, Kind: NoRoute, Reason: "no route begins this path"}
 	}
+	if x.handler.IsOverloaded != nil && x.handler.IsOverloaded(x.start, x.route.Priority) {
+		return &Error{Op: op, Kind: Busy, Reason: "the node has too little processor time", RetryAfter: overloadRetryAfter}
+	}
 	attempt := x.head.ID
 	if x.isTakeUp() && x.head.Resumes != "" {
 		attempt = x.head.Resumes // its pool began the stream
