--- a/node/members.go
+++ b/node/members.go
@@ -158,6 +158,12 @@
 	return slices.Clone(m.list)
 }
 
+// sessionEnded reports whether the session of a process is known to have ended. Its row may also be
+// missing since it was not read yet.
+func (m *members) sessionEnded(process string) bool {
+	return slices.ContainsFunc(m.all(), func(other member) bool { return other.Process == process && other.Fenced })
+}
+
 // witnessCandidates returns the other nodes that can be witnesses of this one. In a table that
 // may be restored, only established sessions can: others may be missing in the copy, and then
 // nobody asks whether they know of the restore before taking over engines.
--- a/node/recovery.go
+++ b/node/recovery.go
@@ -186,27 +186,36 @@
 // ends the others, such as those whose response or release was lost.
 func (n *Node) reconcileGrants(ctx context.Context) {
 	for _, o := range n.ownedEngines() {
-		for process, ids := range o.grantsByEntry(time.Now()) {
-			n.tasks.Go(func() { o.reconcileEntry(ctx, process, ids) })
+		for process, work := range o.grantsByEntry(time.Now()) {
+			n.tasks.Go(func() { o.reconcileEntry(ctx, process, work) })
 		}
 	}
 }
 
-// grantsByEntry returns the IDs of grants older than reconcileInterval, by the process
-// of their entry node.
-func (o *ownedEngine) grantsByEntry(now time.Time) map[string][]string {
+// grantsByEntry returns the work with grants older than reconcileInterval, by the process
+// of its entry node.
+func (o *ownedEngine) grantsByEntry(now time.Time) map[string][]engine.Work {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	byEntry := make(map[string][]string)
+	byEntry := make(map[string][]engine.Work)
 	for _, w := range o.sched.Running() {
 		if w.Age(now) > reconcileInterval {
-			byEntry[w.EntryNode] = append(byEntry[w.EntryNode], w.ID)
+			byEntry[w.EntryNode] = append(byEntry[w.EntryNode], w)
 		}
 	}
 	return byEntry
 }
 
-func (o *ownedEngine) reconcileEntry(ctx context.Context, process string, ids []string) {
+func workIDs(work []engine.Work) []string {
+	ids := make([]string, 0, len(work))
+	for _, w := range work {
+		ids = append(ids, w.ID)
+	}
+	return ids
+}
+
+func (o *ownedEngine) reconcileEntry(ctx context.Context, process string, work []engine.Work) {
+	ids := workIDs(work)
 	if process == o.n.process {
 		o.releaseUnused(ids, o.n.registry.Reconcile(o.name, ids))
 		return
@@ -218,11 +227,12 @@
 		o.cancelStreams(ctx, ids)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	resp, err := o.n.members.link(address).client.Reconcile(ctx, connect.NewRequest(&peerpb.ReconcileRequest{Engine: o.name, RequestIds: ids}))
+	resp, err := o.n.members.link(address).client.Reconcile(callCtx, connect.NewRequest(&peerpb.ReconcileRequest{Engine: o.name, RequestIds: ids}))
 	if err != nil {
-		return // a node that does not respond keeps its grants
+		o.cancelStreams(ctx, o.grantsOfSilent(time.Now(), process, work))
+		return
 	}
 	if resp.Msg.GetProcess() != process {
 		o.cancelStreams(ctx, ids)
@@ -231,6 +241,20 @@
 	o.releaseUnused(ids, resp.Msg.GetInUse())
 }
 
+// grantsOfSilent returns the grants that an entry node loses if it does not respond: those whose
+// deadline has passed, as it and the engine end the streams then; and all of them if its session has
+// ended, at an engine that refuses requests beyond its capacity by itself. A node that is only cut
+// off keeps the others, since its streams go on.
+func (o *ownedEngine) grantsOfSilent(now time.Time, process string, work []engine.Work) (ids []string) {
+	ended := o.backend().UnloadWaitsForRequests && o.n.members.sessionEnded(process)
+	for _, w := range work {
+		if ended || !w.Deadline.IsZero() && now.After(w.Deadline.Add(reconcileInterval)) {
+			ids = append(ids, w.ID)
+		}
+	}
+	return ids
+}
+
 func (o *ownedEngine) releaseUnused(ids, inUse []string) {
 	used := make(map[string]bool, len(inUse))
 	for _, id := range inUse {
