--- a/relay/connection_end_test.go
+++ b/relay/connection_end_test.go
@@ -238,6 +238,7 @@
 		{"longer than the buffer, reset", long, "", resets, true},
 		{"reset in the first event", "", "id: 1\n", resets, true},
 		{"inside the first event", "", "id: 1\ndata: x\n", closes, true},
+		{"before the first event", "", "", closes, true},
 	} {
 		for _, v := range []struct {
 			proto string
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -202,7 +202,7 @@
 	perEvent, err := x.relayStream(head, resp.Body, w)
 	tokenTime = perEvent / time.Duration(x.pool.Engine.TokensPerEvent)
 	if err == nil {
-		return result{done: true, brokenOff: head.EndsWithConnection && x.lastEventID == ""}
+		return result{done: true}
 	}
 	return result{failed: true, brokenOff: !isCallerError(err), reason: err.Error()}
 }
@@ -216,7 +216,8 @@
 }
 
 // relayStream forwards complete events until the stream ends. It returns the
-// mean time between events with content.
+// mean time between events with content. A stream that has no events and whose end only the
+// connection shows was broken off, as each stream has an event.
 func (x *exchange) relayStream(head ResponseHead, body io.Reader, watch *stallWatch) (perEvent time.Duration, err error) {
 	events := newEventReader(body)
 	var first, last time.Time
@@ -254,6 +255,9 @@
 			return 0, callerLeftError(err)
 		}
 	}
+	if head.EndsWithConnection && x.attemptEvents == 0 && x.lastEventID == "" {
+		return 0, errors.New("the connection ended before the first event")
+	}
 	if !x.headerWritten {
 		x.writeHeader(head)
 	}
