--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -135,7 +135,7 @@
 	waited, err := h.acquire(r.Context())
 	if err == nil && waited && t.parent.usable != nil && !t.parent.usable(r.URL.Host) {
 		h.release()
-		err = errors.New("the server is draining or gone")
+		err = errServerLeft
 	}
 	if err == nil && t.parent.paused != nil && t.parent.paused(r.URL.Host) {
 		h.release()
@@ -147,6 +147,9 @@
 	resp, err := t.transportFor(r).RoundTrip(r)
 	if err != nil {
 		h.release()
+		if used.serverLeft.Load() {
+			err = &net.OpError{Op: "dial", Net: "tcp", Err: err}
+		}
 		return nil, err
 	}
 	used.closeUnlessAnswer(r, resp)
--- a/entry/pool_transport_test.go
+++ b/entry/pool_transport_test.go
@@ -172,3 +172,22 @@
 	paused.Store(false)
 	is.NoErr(f.get(context.Background(), ""))
 }
+
+// Guards against requests that reach a server too late, since it began to drain while their
+// connection was made.
+func TestRequestIsNotSentToServerThatLeftMeanwhile(t *testing.T) {
+	is := is.New(t)
+	f := newTransportFixture(t, 2)
+	var draining atomic.Bool
+	f.transports.usable = func(string) bool { return !draining.Load() }
+	f.transports.network.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		draining.Store(true)
+		time.Sleep(lookValidFor + 10*time.Millisecond)
+		return dial(ctx, network, address)
+	}
+	err := f.get(context.Background(), "")
+	is.True(err != nil && transport.IsDialError(err)) // so it counts as not sent
+	f.transports.network.Dial = dial
+	draining.Store(false)
+	is.NoErr(f.get(context.Background(), ""))
+}
--- a/entry/server_conn.go
+++ b/entry/server_conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,7 +20,10 @@
 // processor.
 const lookValidFor = 100 * time.Millisecond
 
-var errCallerLeft = errors.New("the caller left before the request was sent")
+var (
+	errCallerLeft = errors.New("the caller left before the request was sent")
+	errServerLeft = errors.New("the server is draining or gone")
+)
 
 // serverConn is a connection to a server. It does not send a request whose caller has left, nor a
 // command whose time is over.
@@ -132,11 +136,15 @@
 }
 
 // use is the use of a connection by a request.
-type use struct{ conn *serverConn } // nil until the request has got one
+type use struct {
+	conn *serverConn // nil until the request has got one
+	// serverLeft is set if the request was not sent, since its server had left meanwhile.
+	serverLeft atomic.Bool
+}
 
 // withLook returns the request such that its connection looks once more, just before its
-// first bytes, whether the caller has left, or, for a command, whether its time is over. looked is
-// the time of the last look.
+// first bytes, whether the caller or the server has left, or, for a command, whether its time is
+// over. looked is the time of the last look.
 func (c *poolTransports) withLook(r *http.Request, looked time.Time) (*http.Request, *use) {
 	ctx, u := r.Context(), &use{}
 	return r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -154,9 +162,16 @@
 		}
 		lingerErr := conn.carry(nil)
 		conn.beforeRequest = func() error {
-			if c.callerLeft != nil && time.Since(looked) > lookValidFor && c.callerLeft(ctx) {
+			if time.Since(looked) <= lookValidFor {
+				return lingerErr
+			}
+			if c.callerLeft != nil && c.callerLeft(ctx) {
 				return errCallerLeft
 			}
+			if c.usable != nil && !c.usable(r.URL.Host) {
+				u.serverLeft.Store(true)
+				return errServerLeft
+			}
 			return lingerErr
 		}
 	}})), u
