--- a/entry/late_copies_test.go
+++ b/entry/late_copies_test.go
@@ -112,3 +112,20 @@
 		})
 	}
 }
+
+// Guards against replies to commands, which name no request, that are taken for the answers to
+// requests: a copy of one could not be told from a damaged answer.
+func TestControlCallsHaveTheirOwnConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newDaemonFixture(is)
+		defer f.close()
+		time.Sleep(10 * time.Second)
+		isReply := func(response []byte) bool { return !isAnswer(response) }
+		f.late.Store(&isReply)
+		for n := range 100 {
+			status := f.send(is, "/chat/x", fmt.Sprintf("r%d", n), fmt.Sprintf("a%d", n%5))
+			is.True(status == http.StatusOK || status == http.StatusServiceUnavailable) // its adapter may not be loaded yet
+		}
+	})
+}
