--- a/caller/overload.go
+++ b/caller/overload.go
@@ -14,15 +14,15 @@
 	// highUse and fullUse are the parts of the processor time in use from which less is admitted,
 	// slowly and fast. What is left is for work that does not come from callers, such as reading
 	// which servers leave.
-	highUse = 0.85
-	fullUse = 0.95
+	highUse = 0.70
+	fullUse = 0.80
 	// highLoss and fullLoss are the same for the part of the time by which timers fired late.
 	highLoss = 0.1
 	fullLoss = 0.25
 	// slowDecrease and fastDecrease are the factors on what is admitted after a window of high or
 	// full use, and increase is what is added after another one.
 	slowDecrease = 0.9
-	fastDecrease = 0.7
+	fastDecrease = 0.6
 	increase     = 0.05
 	// allAdmitted and allHighAdmitted are the levels from which on all requests, and all of the
 	// highest priority, are admitted. Requests of the highest priority are rejected only below the
