--- a/caller/overload.go
+++ b/caller/overload.go
@@ -14,8 +14,8 @@
 	// highUse and fullUse are the parts of the processor time in use from which less is admitted,
 	// slowly and fast. What is left is for work that does not come from callers, such as reading
 	// which servers leave.
-	highUse = 0.70
-	fullUse = 0.80
+	highUse = 0.75
+	fullUse = 0.85
 	// highLoss and fullLoss are the same for the part of the time by which timers fired late.
 	highLoss = 0.1
 	fullLoss = 0.25
