--- a/engine/slot_reservation.go
+++ b/engine/slot_reservation.go
@@ -23,14 +23,10 @@
 	s.unanswered = append(s.unanswered, unansweredLoad{c.ExpectedSequence, time.Now()})
 }
 
-// startClockMargin allows for the difference between the clocks of an engine and of this VM.
-const startClockMargin = 2 * time.Second
-
 // reservedSlots returns the number of slots to keep free for load commands
 // without a reply. While the engine keeps running, the next accepted command
 // invalidates them. After a restart, however, the sequence number starts from 0
-// and can reach their expected numbers again. Of a former owner's commands, one is
-// assumed. The caller must hold s.mu.
+// and can reach their expected numbers again. The caller must hold s.mu.
 func (s *Sequencer) reservedSlots(now time.Time) int {
 	s.unanswered = slices.DeleteFunc(s.unanswered, func(u unansweredLoad) bool { return now.Sub(u.sentAt) > maxCommandDelay })
 	n := 0
@@ -39,10 +35,6 @@
 			n++
 		}
 	}
-	startedLately := !s.startedAt.IsZero() && now.Sub(s.startedAt) < maxCommandDelay+startClockMargin
-	if s.TakenOver && startedLately && now.Sub(s.begun) < maxCommandDelay {
-		n++
-	}
 	return min(n, s.Slots-1)
 }
 
--- a/node/owned.go
+++ b/node/owned.go
@@ -83,7 +83,7 @@
 		o.seq = n.cfg.Sequencer(b)
 		o.seq.Slots, o.seq.Model, o.seq.InUse = b.Slots, b.BaseModel, o.needsAdapter
 		o.seq.CanSend, o.seq.TimeLeft, o.seq.Ending = o.canSendCommand, n.session.leaseLeft, o.loadsEnding
-		o.seq.OnUnanswered, o.seq.TakenOver = o.recordUnanswered, row.FencingToken > 1
+		o.seq.OnUnanswered = o.recordUnanswered
 	}
 	o.sched.SetMode(time.Now(), engine.Mode{Recovering: true})
 	return o
