--- a/engine/late_replies_test.go
+++ b/engine/late_replies_test.go
@@ -59,6 +59,24 @@
 	})
 }
 
+// Guards against an engine that gets more loads than it has slots for, since an adapter that was to be
+// confirmed was unloaded by another sender, and its slot used.
+func TestConfirmationDoesNotLoadAnAdapter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newSequencedEngine(2)
+		s := e.sequencer()
+		_, err := s.Load(t.Context(), "m/a", 1)
+		is.NoErr(err)
+		e.execute(Command{Model: "m", Adapter: "a", ExpectedSequence: e.sequence})
+		for _, adapter := range []string{"b", "c"} {
+			e.execute(Command{Load: true, Model: "m", Adapter: adapter, ExpectedSequence: e.sequence})
+		}
+		_, _ = s.Unload(t.Context(), "m/a", 1) // it is not there
+		is.Equal(e.crashes, 0)
+	})
+}
+
 // Whichever replies come a second time, the engine never gets more loads than it has slots for, and
 // loads work again afterwards.
 func TestLateRepliesNeverExceedSlots(t *testing.T) {
@@ -96,12 +114,7 @@
 				e.endUse(name)
 			}
 			time.Sleep(2 * time.Second)
-			if _, err := s.Load(context.Background(), "m/z", 1); err != nil {
-				failure = "load failed after the faults ended: " + err.Error()
-			}
-			if e.crashes > 0 {
-				failure = "the engine got more loads than it has slots"
-			}
+			failure = e.failureAfterFaults(s)
 		})
 		if failure != "" {
 			rt.Fatal(failure)
--- a/engine/sequencer_load.go
+++ b/engine/sequencer_load.go
@@ -60,8 +60,12 @@
 }
 
 // confirmLoad asks the engine whether an adapter that no report has shown as loaded is, and fails if
-// it is not. The engine would not unload it, and keeps its slot.
+// it is not. The engine would not unload it, and keeps its slot. After a conflict it does not ask
+// again, since the command would load an adapter that is gone, without making room for it.
 func (s *Sequencer) confirmLoad(ctx context.Context, name string, token int64) error {
+	if err := s.refresh(ctx); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	version := s.adapters[name]
 	_, unconfirmed := s.unconfirmed[name]
@@ -71,7 +75,7 @@
 	}
 	model, adapter := SplitAdapterName(name)
 	c := Command{Load: true, Model: model, Adapter: adapter, Version: version, FencingToken: token, OwnConnection: true}
-	reply, err := s.sendWithRetry(ctx, c)
+	reply, err := s.sendOnce(ctx, c)
 	if err != nil {
 		return err
 	}
--- a/engine/sequencer_test.go
+++ b/engine/sequencer_test.go
@@ -153,6 +153,18 @@
 	return &Sequencer{Slots: e.slots, Model: "m", Send: e.send, FetchState: e.fetch}
 }
 
+// failureAfterFaults returns what is wrong once all faults have ended, or "".
+func (e *sequencedEngine) failureAfterFaults(s *Sequencer) string {
+	_, err := s.Load(context.Background(), "m/z", 1)
+	switch {
+	case e.crashes > 0:
+		return "the engine got more loads than it has slots"
+	case err != nil:
+		return "load failed after the faults ended: " + err.Error()
+	}
+	return ""
+}
+
 func TestSequencerLoads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -331,12 +343,7 @@
 			e.delayCommand = nil
 			e.deliverDelayed()
 			time.Sleep(2 * time.Second)
-			if _, err := s.Load(context.Background(), "m/z", 1); err != nil {
-				failure = "load failed after the faults ended: " + err.Error()
-			}
-			if e.crashes > 0 {
-				failure = "the engine got more loads than it has slots"
-			}
+			failure = e.failureAfterFaults(s)
 		})
 		if failure != "" {
 			rt.Fatal(failure)
