Measure the age of what a node knows of the operator's and the servers' tables

The log of an incident could not tell a poll that was late from a row that was written late. A follower now knows up to when it has passed on all changes, on the clock that goes on while the VM is suspended; the age is in the log of each request and a metric. Each read of the operator's rows is logged with the time on the store's clock, the duration of the call and the age before.

--- a/caller/overload.go
+++ b/caller/overload.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// maxLateness is the lateness from which all new requests are rejected. A request waits so
+	// MaxLateness is the lateness from which all new requests are rejected. A request waits so
 	// long for the processor several times until its response begins.
-	maxLateness = 100 * time.Millisecond
+	MaxLateness = 100 * time.Millisecond
 	// loadWindow is the time over which the use of the processor is measured.
 	loadWindow = 200 * time.Millisecond
 	// highUse and fullUse are the parts of the processor time in use from which less is admitted,
@@ -104,7 +104,7 @@
 	if o.last.At.IsZero() {
 		return 1, 1
 	}
-	if late := max(min(o.before, o.last.Late), min(o.last.Late, now.Sub(o.last.Next))); late > maxLateness {
+	if late := max(min(o.before, o.last.Late), min(o.last.Late, now.Sub(o.last.Next))); late > MaxLateness {
 		return 0, 0
 	}
 	admitted := allAdmitted - o.rejected
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -102,6 +102,8 @@
 	balancer     *backend.Balancer
 	limits       *backend.Limits
 	table        *table.Client
+	operatorFeed *feed.Follower
+	serversFeed  *feed.Follower
 	builds       *backend.BuildHistory
 	overload     caller.Overload
 	streams      *backend.StreamOrigins
@@ -181,13 +183,21 @@
 	}
 	prompts.IsTrialNode, requests.IsTrialNode = d.node.IsTrialNode, d.node.IsRequestTrialNode
 	d.state.store, d.state.enginesChanged = d.node.Store(), d.node.ReconcileOwnership
+	d.operatorFeed = d.newFollower(platform.OperatorTable, operatorPollWait(s.CatchUpPeriod), 0, d.state.replaceOperatorRows, d.state.applyOperatorChanges)
+	d.operatorFeed.OnRead = func(r feed.Read) {
+		l.Info("operator's rows read", "version", r.Version, "rows", r.Rows, "complete", r.Complete, "store-ms", r.StoreTime.Milliseconds(), "call-ms", r.Elapsed.Milliseconds(), "age-ms", r.Age.Milliseconds())
+	}
+	d.serversFeed = d.newFollower(platform.ServersTable, 0, serversPollInterval(s.DrainPeriod), d.state.replaceServerRows, d.state.applyServerChanges)
 	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, usable: d.state.isUsable, paused: d.isPaused, callerLeft: d.callerLeft, onLate: d.recordLate}
 	d.metrics = newMetrics(d.node.Meter())
+	for f, name := range map[*feed.Follower]string{d.operatorFeed: "configuration-age-seconds", d.serversFeed: "servers-age-seconds"} {
+		d.node.Meter().Gauge(name, "time since when changes of the table may have been missed", func() float64 { return d.age(f).Seconds() })
+	}
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
 	d.acquirer.CanUse = d.canUseEngine
 	d.acquirer.RequestGrant = d.withTurnDelays(d.acquirer.RequestGrant)
 	d.relayHandler = &relay.Handler{
-		Table: d.state.routes.Load, Servers: d.state.servers.View, RequiredVersion: d.state.adapterVersion,
+		Table: d.state.routes.Load, TableAge: func() time.Duration { return d.age(d.operatorFeed) }, Servers: d.state.servers.View, RequiredVersion: d.state.adapterVersion,
 		DecodeRequest: platform.DecodeRequestHead, NewServerRequest: platform.NewReplicaRequest, DecodeResponse: platform.DecodeResponseHead, RequestIDHeader: platform.RequestIDHeader,
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine, Requests: requests, OnRequestQuarantine: d.node.LogRequestQuarantine,
@@ -306,8 +316,8 @@
 	d.callerServer = caller.NewServer(&http.Server{Handler: d.relayHandler, ReadHeaderTimeout: headTimeout, ConnContext: withCallerConn})
 	go func() { _ = d.callerServer.Serve(ln) }() // returns after Shutdown
 	d.node.Start()
-	d.followTable(platform.OperatorTable, operatorPollWait(d.settings.CatchUpPeriod), 0, d.state.replaceOperatorRows, d.state.applyOperatorChanges)
-	d.followTable(platform.ServersTable, 0, serversPollInterval(d.settings.DrainPeriod), d.state.replaceServerRows, d.state.applyServerChanges)
+	d.tasks.Go(func() { d.operatorFeed.Run(d.ctx) })
+	d.tasks.Go(func() { d.serversFeed.Run(d.ctx) })
 	d.tasks.Go(d.keepBuilds)
 	d.tasks.Go(d.watchLoad)
 	d.tasks.Go(func() {
@@ -327,10 +337,10 @@
 	return nil
 }
 
-func (d *Daemon) followTable(tableName string, wait, interval time.Duration, reset func(table.Snapshot), apply func(table.Changes)) {
-	f := &feed.Follower{
+func (d *Daemon) newFollower(tableName string, wait, interval time.Duration, reset func(table.Snapshot), apply func(table.Changes)) *feed.Follower {
+	return &feed.Follower{
 		Table: tableName, ReadAll: d.store.ReadTable, ReadChanges: d.store.WaitChanges, Reset: reset, Apply: apply,
-		PollWait: wait, ResponseTimeout: storeTimeout, MinInterval: interval, RetryDelay: minStoreRetryDelay, MaxRetryDelay: maxStoreRetryDelay,
+		PollWait: wait, ResponseTimeout: storeTimeout, MinInterval: interval, RetryDelay: minStoreRetryDelay, MaxRetryDelay: maxStoreRetryDelay, Clock: d.network.Clock,
 		OnDown: func(err error) {
 			d.log.Warn("store lost", "table", tableName, "err", err)
 			if tableName == platform.ServersTable {
@@ -349,7 +359,16 @@
 			}
 		},
 	}
-	d.tasks.Go(func() { f.Run(d.ctx) })
+}
+
+// age returns the time since when changes of the follower's table may have been missed, or 0 if no
+// poll has been answered yet.
+func (d *Daemon) age(f *feed.Follower) time.Duration {
+	at := f.CurrentAt()
+	if at.IsZero() {
+		return 0
+	}
+	return d.network.Clock.Boot().Sub(at)
 }
 
 // serveReadiness responds to the load balancer's readiness checks.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -54,7 +54,7 @@
 	d.log.Info(msg, "id", ev.ID, "route", ev.Route, "pool", ev.Pool, "adapter", ev.Adapter, "server", ev.Server,
 		"status", ev.Status, "kind", ev.Kind, "reason", ev.Reason, "attempts", ev.Attempts, "events", ev.EventsSent,
 		"age-ms", ev.Elapsed.Milliseconds(), "grant-ms", ev.TimeToGrant.Milliseconds(), "first-ms", ev.TimeToFirstByte.Milliseconds(),
-		"gap-ms", ev.MaxEventGap.Milliseconds(), "left-ms", ev.TimeLeft.Milliseconds(), "retry-ms", ev.RetryAfter.Milliseconds(), "config", ev.ConfigVersion, "prompt-parts", parts, "fingerprint", ev.Fingerprint,
+		"gap-ms", ev.MaxEventGap.Milliseconds(), "left-ms", ev.TimeLeft.Milliseconds(), "retry-ms", ev.RetryAfter.Milliseconds(), "config", ev.ConfigVersion, "config-age-ms", ev.ConfigAge.Milliseconds(), "prompt-parts", parts, "fingerprint", ev.Fingerprint,
 		"server-status", ev.ServerStatus, "server-not-run", ev.ServerNotRun, "conn", ev.Connection.ID, "conn-age-ms", ev.Connection.Age.Milliseconds(),
 		"conn-requests", ev.Connection.Requests, "conn-last", ev.Connection.LastRequestID,
 		"build", ev.Build, "resumes", ev.Resumes, "after-event", ev.LastEventID)
--- a/entry/pause_test.go
+++ b/entry/pause_test.go
@@ -33,6 +33,9 @@
 	client  *http.Client
 	closers []io.Closer
 	late    atomic.Pointer[func(response []byte) bool] // set for servers that send responses again
+	catchUp time.Duration                              // of the settings
+	// path, if set, replaces dial.
+	path func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu        sync.Mutex
 	log       strings.Builder
@@ -94,7 +97,14 @@
 }
 
 func newDaemonFixture(is *is.I) *daemonFixture {
-	f := &daemonFixture{arrivals: map[string]time.Time{}}
+	f := &daemonFixture{}
+	f.start(is)
+	return f
+}
+
+// start starts the stand-ins and the daemon.
+func (f *daemonFixture) start(is *is.I) {
+	f.arrivals = make(map[string]time.Time)
 	f.serve(is, "store:1", &f.store)
 	f.store.Put(platform.ConfigRowKey, platform.ExampleConfig)
 	f.engine = &standin.Replica{
@@ -105,16 +115,18 @@
 	f.startReplica(is, f.engine)
 	f.startReplica(is, f.ledger)
 	n := Network{Listen: f.network.Listen, Dial: f.dial, PeerLeft: isLeft}
+	if f.path != nil {
+		n.Dial = f.path
+	}
 	var err error
 	f.daemon, err = New(platform.Settings{
 		Node: "n", IP: netip.MustParseAddr("10.0.0.1"), CallerAddress: "10.0.0.1:1", ReadinessAddress: "10.0.0.1:2", PeerAddress: "10.0.0.1:3", OperatorAddress: "10.0.0.1:4",
 		StoreAddress: "store:1", MemoryBytes: 1 << 30, OwnerAlternationGap: 3 * time.Second, GracePeriod: 8 * time.Second, DrainPeriod: 2 * time.Second,
-		RetryRatio: 0.2, RetrySlack: 54, RetryWindow: 10 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 54, RetryWindow: 10 * time.Second, CatchUpPeriod: f.catchUp,
 	}, n, log.New(f))
 	is.NoErr(err)
 	is.NoErr(f.daemon.Start())
 	f.client = &http.Client{Transport: n.newTransport(0, time.Second)}
-	return f
 }
 
 func (f *daemonFixture) close() {
--- /dev/null
+++ b/entry/store_path_test.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/platform"
+	"github.com/vanilladrift/vanilladrift/standin"
+)
+
+// storePath is the path of a daemon to the store.
+type storePath struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	mu        sync.Mutex
+	lateness  time.Duration // after which the daemon notices that it is connected, or that bytes have come
+	openAgain time.Time     // until then nothing arrives
+}
+
+func (p *storePath) set(lateness time.Duration, openAgain time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lateness, p.openAgain = lateness, openAgain
+}
+
+// wait waits until something that has just been sent has arrived, and was noticed.
+func (p *storePath) wait(ctx context.Context) error {
+	p.mu.Lock()
+	d := p.lateness + max(0, time.Until(p.openAgain))
+	p.mu.Unlock()
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// connect dials; a connection that took too long is given up.
+func (p *storePath) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	if address != "store:1" {
+		return p.dial(ctx, network, address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if err := p.wait(ctx); err != nil {
+		return nil, &net.OpError{Op: "dial", Err: err}
+	}
+	c, err := p.dial(ctx, network, address)
+	return &storeConn{c, p}, err
+}
+
+// storeConn is a connection over a path.
+type storeConn struct {
+	net.Conn
+	path *storePath
+}
+
+// Read implements net.Conn.
+func (c *storeConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	_ = c.path.wait(context.Background()) // the context has no end
+	return n, err
+}
+
+// putVersion writes a version of the configuration with a route whose prefix is the version.
+func (f *daemonFixture) putVersion(version int) {
+	v := strconv.Itoa(version)
+	route := `"routes": [{"name": "added", "host": "assist.example", "prefix": "/` + v + `/", "type": "idempotent", "timeout_ms": 3000, "service": "ledger", "max_attempts": 2},`
+	config := bytes.Replace(platform.ExampleConfig, []byte(`"version": 1`), []byte(`"version": `+v), 1)
+	f.store.Put(platform.ConfigRowKey, bytes.Replace(config, []byte(`"routes": [`), []byte(route), 1))
+}
+
+// Guards against a configuration that is not in force in time after the store was away, since the
+// times in which the daemon finds that out add up, and its processor is as late as it may be while
+// requests are admitted.
+func TestConfigurationIsInForceAfterTheStoreWasAway(t *testing.T) {
+	const away, step, changeAfter = 1500 * time.Millisecond, 100 * time.Millisecond, 50 * time.Millisecond
+	for _, tt := range []struct {
+		name string
+		lose func(f *daemonFixture, p *storePath) (back time.Time) // when the store can be reached again
+	}{
+		{"connections fall silent", func(f *daemonFixture, _ *storePath) time.Time {
+			f.network.Silence("store:1")
+			return time.Now()
+		}},
+		{"nothing arrives", func(_ *daemonFixture, p *storePath) time.Time {
+			back := time.Now().Add(away)
+			p.set(caller.MaxLateness, back)
+			return back
+		}},
+		{"calls are rejected", func(f *daemonFixture, _ *storePath) time.Time {
+			f.store.SetFault(standin.TableFault{Down: true})
+			time.AfterFunc(away, func() { f.store.SetFault(standin.TableFault{}) })
+			return time.Now().Add(away)
+		}},
+		{"history is lost", func(f *daemonFixture, p *storePath) time.Time {
+			back := time.Now().Add(away)
+			p.set(caller.MaxLateness, back)
+			time.AfterFunc(away, f.store.DropHistory)
+			return back
+		}},
+	} {
+		for _, catchUp := range []time.Duration{0, 4 * time.Second} {
+			t.Run(tt.name+"/"+catchUp.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f, p := &daemonFixture{catchUp: catchUp}, &storePath{}
+					f.path = p.connect
+					p.dial = f.network.Dial
+					f.start(is)
+					defer f.close()
+					time.Sleep(10 * time.Second)
+					bound, version := catchUp, 1
+					if catchUp == 0 {
+						bound = defaultCatchUpPeriod
+					}
+					for age := time.Duration(0); age < bound; age += step {
+						version += 2
+						f.putVersion(version) // the next poll begins
+						p.set(caller.MaxLateness, time.Time{})
+						time.Sleep(age)
+						back := tt.lose(f, p)
+						time.Sleep(changeAfter)
+						f.putVersion(version + 1)
+						time.Sleep(time.Until(back.Add(bound)))
+						if status := f.send(is, "/"+strconv.Itoa(version+1)+"/x", "r"+strconv.Itoa(version), ""); status != http.StatusOK {
+							t.Errorf("store lost %v after a poll began: status %d at the end of the catch-up period", age, status)
+						}
+						p.set(0, time.Time{})
+						time.Sleep(5 * time.Second)
+					}
+				})
+			})
+		}
+	}
+}
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -19,10 +19,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/vanilladrift/vanilladrift/clock"
 	"github.com/vanilladrift/vanilladrift/table"
 )
 
@@ -44,6 +46,8 @@
 	// OnReadAgain, which is optional, is called before the complete table is read again,
 	// with the version that the follower had and the reason.
 	OnReadAgain func(version int64, reason string)
+	// OnRead, which is optional, is called before rows are passed on.
+	OnRead func(r Read)
 	// PollWait is how long the store waits for a change before it responds.
 	// ResponseTimeout is the time allowed for a response beyond that.
 	PollWait        time.Duration
@@ -54,7 +58,9 @@
 	// further failure, up to MaxRetryDelay.
 	RetryDelay    time.Duration
 	MaxRetryDelay time.Duration
+	Clock         clock.Clock
 
+	current    atomic.Pointer[time.Time] // see CurrentAt
 	version    int64
 	generation int64 // in which the version was read
 	synced     bool
@@ -93,10 +99,12 @@
 	if !f.synced {
 		ctx, cancel := context.WithTimeout(ctx, f.ResponseTimeout)
 		defer cancel()
+		sent := f.Clock.Boot()
 		snapshot, err := f.ReadAll(ctx, f.Table)
 		if err != nil {
 			return err
 		}
+		f.observeRead(sent, Read{Version: snapshot.Version, Rows: len(snapshot.Rows), Complete: true, StoreTime: snapshot.StoreTime})
 		f.version, f.generation, f.synced = snapshot.Version, snapshot.Generation, true
 		f.unproved = true
 		f.Reset(snapshot)
@@ -108,6 +116,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+f.ResponseTimeout)
 	defer cancel()
+	sent := f.Clock.Boot()
 	changes, err := f.ReadChanges(ctx, f.Table, f.version, wait)
 	if reason := f.incompleteReason(changes, err); reason != "" {
 		f.synced = false
@@ -124,11 +133,36 @@
 	}
 	f.version, f.unproved = changes.Version, false
 	if len(changes.Rows) > 0 {
+		f.observeRead(sent, Read{Version: changes.Version, Rows: len(changes.Rows), StoreTime: changes.StoreTime})
 		f.Apply(changes)
+	} else if f.Clock.Boot().Sub(sent) >= wait {
+		sent = sent.Add(wait) // the store held the poll open for so long, without a change
 	}
+	f.current.Store(&sent)
 	return nil
 }
 
+// CurrentAt returns the time, on the clock that goes on while the VM is suspended, up to which all
+// changes have been passed on. It is zero until the first poll for changes has been answered,
+// since a complete read may be out of date.
+func (f *Follower) CurrentAt() time.Time {
+	if at := f.current.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+func (f *Follower) observeRead(sent time.Time, r Read) {
+	if f.OnRead == nil {
+		return
+	}
+	r.Elapsed = f.Clock.Boot().Sub(sent)
+	if at := f.CurrentAt(); !at.IsZero() {
+		r.Age = sent.Sub(at)
+	}
+	f.OnRead(r)
+}
+
 // incompleteReason returns why changes may be missing in a response, or "".
 func (f *Follower) incompleteReason(changes table.Changes, err error) string {
 	switch {
--- a/relay/event.go
+++ b/relay/event.go
@@ -27,6 +27,7 @@
 	Connection      Connection // of the last attempt
 	EventsSent      int        // stream events forwarded to the caller
 	ConfigVersion   int64
+	ConfigAge       time.Duration // time since when changes of the configuration may have been missed
 	Elapsed         time.Duration // since the request was received
 	TimeToGrant     time.Duration // from receipt of the request to its first grant for an engine
 	TimeToFirstByte time.Duration // from receipt of the request to the first byte of the response
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -52,6 +52,9 @@
 	// Table returns the configuration in force, or nil before it was first
 	// read.
 	Table func() *route.Table
+	// TableAge, which is optional, returns the time since when changes of the configuration may have
+	// been missed.
+	TableAge func() time.Duration
 	// Servers returns the backend servers, or nil before they were first read.
 	Servers func() *backend.View
 	// RequiredVersion returns the version of an adapter that a server must have,
@@ -497,6 +500,9 @@
 	if x.table != nil {
 		ev.ConfigVersion = x.table.Version()
 	}
+	if x.handler.TableAge != nil {
+		ev.ConfigAge = x.handler.TableAge()
+	}
 	if !x.deadline.IsZero() {
 		ev.TimeLeft = time.Until(x.deadline)
 	}
--- a/table/tx.go
+++ b/table/tx.go
@@ -1,5 +1,7 @@
 package table
 
+import "time"
+
 // Row is one row of the table. A table that is restored from a copy gives out versions
 // again, so they are comparable only within one generation of the table.
 type Row struct {
@@ -58,7 +60,8 @@
 type Snapshot struct {
 	Rows       []Row
 	Version    int64
-	Generation int64 // see [Row]
+	Generation int64         // see [Row]
+	StoreTime  time.Duration // of the response, on the store's clock; 0 if it is not stated
 }
 
 // Changes is the response to a poll for changes after a version: the changed
@@ -66,7 +69,8 @@
 type Changes struct {
 	Rows       []ChangedRow
 	Version    int64
-	Generation int64 // see [Row]
+	Generation int64         // see [Row]
+	StoreTime  time.Duration // of the response, on the store's clock; 0 if it is not stated
 }
 
 // ChangedRow is a row that was written or removed.
