Ask the store again at once when it should have ended a poll

Cause: a poll without a response was awaited for a second beyond the time that the store holds it, and retried after a delay. Wait, timeout, delay and connection setup added up to the whole catch-up period, and the last call itself was not counted.

The response to a poll that the store has held may now take 400 ms; without one the follower polls again at once. The wait and the delay between failed polls follow from the catch-up period less a last call on a late processor. The first poll after a complete read, which may be out of date, has no wait and no interval before it. Idle nodes poll every 1.7 s instead of 1.3 s where the catch-up period is 3 s.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -31,9 +31,14 @@
 	defaultCatchUpPeriod = 3 * time.Second
 	// minOperatorPollWait bounds the calls of nodes with a short catch-up period.
 	minOperatorPollWait = 500 * time.Millisecond
-	// pollRecoveryReserve is the part of the catch-up period in which a poll without a
-	// response is replaced: after a delay, it may first need a connection.
-	pollRecoveryReserve = minStoreRetryDelay*3/2 + dialTimeout
+	// pollGrace is how long the response to a poll may take once the store no longer holds it.
+	pollGrace = 400 * time.Millisecond
+	// callSteps is the number of steps of a store call that wait for the processor: the end of a
+	// timer, the connection, the request, the response and the use of its rows.
+	callSteps = 5
+	// lateCallReserve is the part of the catch-up period that a last call takes: it needs a
+	// connection, and the processor may be as late as it is while requests are admitted.
+	lateCallReserve = dialTimeout + callSteps*caller.MaxLateness
 	// maxServersPollInterval is the longest time between two polls for servers. Their rows
 	// also tell which adapters they have loaded.
 	maxServersPollInterval = 2 * time.Second
@@ -78,7 +83,7 @@
 	restoredInterval = 200 * time.Millisecond
 	// minStoreRetryDelay and maxStoreRetryDelay bound the delay before a failed store
 	// call is retried: many times the usual response time, and less than a poll waits
-	// anyway.
+	// anyway. See [storeRetryDelay].
 	minStoreRetryDelay = 200 * time.Millisecond
 	maxStoreRetryDelay = time.Second
 	// headTimeout bounds the time in which a caller sends the head of a request.
@@ -137,7 +142,15 @@
 // response is lost on a connection that stays open, the next poll has a response within the
 // catch-up period.
 func operatorPollWait(catchUp time.Duration) time.Duration {
-	return max(minOperatorPollWait, cmp.Or(catchUp, defaultCatchUpPeriod)-storeTimeout-pollRecoveryReserve)
+	return max(minOperatorPollWait, cmp.Or(catchUp, defaultCatchUpPeriod)-pollGrace-lateCallReserve)
+}
+
+// storeRetryDelay returns the longest mean delay before a failed poll is sent again. A poll that
+// was lost just before the store could be reached again, a delay of up to 3/2 of the mean and a last call fit
+// into the catch-up period.
+func storeRetryDelay(catchUp time.Duration) time.Duration {
+	d := (cmp.Or(catchUp, defaultCatchUpPeriod) - storeTimeout - lateCallReserve) * 2 / 3
+	return min(maxStoreRetryDelay, max(minStoreRetryDelay, d))
 }
 
 // serverRowTTL returns how long the row of a server that is gone stays in a store that was
@@ -340,7 +353,7 @@
 func (d *Daemon) newFollower(tableName string, wait, interval time.Duration, reset func(table.Snapshot), apply func(table.Changes)) *feed.Follower {
 	return &feed.Follower{
 		Table: tableName, ReadAll: d.store.ReadTable, ReadChanges: d.store.WaitChanges, Reset: reset, Apply: apply,
-		PollWait: wait, ResponseTimeout: storeTimeout, MinInterval: interval, RetryDelay: minStoreRetryDelay, MaxRetryDelay: maxStoreRetryDelay, Clock: d.network.Clock,
+		PollWait: wait, PollGrace: pollGrace, ResponseTimeout: storeTimeout, MinInterval: interval, RetryDelay: minStoreRetryDelay, MaxRetryDelay: storeRetryDelay(d.settings.CatchUpPeriod), Clock: d.network.Clock,
 		OnDown: func(err error) {
 			d.log.Warn("store lost", "table", tableName, "err", err)
 			if tableName == platform.ServersTable {
--- a/entry/daemon_test.go
+++ b/entry/daemon_test.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/node"
 	"github.com/vanilladrift/vanilladrift/platform"
 )
@@ -59,8 +60,9 @@
 func TestOperatorPollEndsWithinCatchUpPeriod(t *testing.T) {
 	is := is.New(t)
 	for _, catchUp := range []time.Duration{2500 * time.Millisecond, 3 * time.Second, 10 * time.Second} {
-		wait := operatorPollWait(catchUp)
-		is.True(wait+storeTimeout+minStoreRetryDelay*3/2+dialTimeout <= catchUp)
+		wait, lastCall := operatorPollWait(catchUp), dialTimeout+callSteps*caller.MaxLateness
+		is.True(wait+pollGrace+lastCall <= catchUp)
+		is.True(storeTimeout+storeRetryDelay(catchUp)*3/2+lastCall <= catchUp)
 		is.True(wait > 0)
 	}
 	is.Equal(operatorPollWait(0), operatorPollWait(3*time.Second))
--- a/entry/store_path_test.go
+++ b/entry/store_path_test.go
@@ -60,6 +60,10 @@
 	return &storeConn{c, p}, err
 }
 
+// stepLateness is how late the daemon notices a step of a call when requests are still admitted: its
+// timer or its connection is late, and then the goroutine that waits for it.
+const stepLateness = 2 * caller.MaxLateness
+
 // storeConn is a connection over a path.
 type storeConn struct {
 	net.Conn
@@ -96,7 +100,7 @@
 		}},
 		{"nothing arrives", func(_ *daemonFixture, p *storePath) time.Time {
 			back := time.Now().Add(away)
-			p.set(caller.MaxLateness, back)
+			p.set(stepLateness, back)
 			return back
 		}},
 		{"calls are rejected", func(f *daemonFixture, _ *storePath) time.Time {
@@ -106,7 +110,7 @@
 		}},
 		{"history is lost", func(f *daemonFixture, p *storePath) time.Time {
 			back := time.Now().Add(away)
-			p.set(caller.MaxLateness, back)
+			p.set(stepLateness, back)
 			time.AfterFunc(away, f.store.DropHistory)
 			return back
 		}},
@@ -128,7 +132,7 @@
 					for age := time.Duration(0); age < bound; age += step {
 						version += 2
 						f.putVersion(version) // the next poll begins
-						p.set(caller.MaxLateness, time.Time{})
+						p.set(stepLateness, time.Time{})
 						time.Sleep(age)
 						back := tt.lose(f, p)
 						time.Sleep(changeAfter)
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -17,6 +17,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync/atomic"
@@ -48,9 +49,11 @@
 	OnReadAgain func(version int64, reason string)
 	// OnRead, which is optional, is called before rows are passed on.
 	OnRead func(r Read)
-	// PollWait is how long the store waits for a change before it responds.
-	// ResponseTimeout is the time allowed for a response beyond that.
+	// PollWait is how long the store waits for a change before it responds, and PollGrace
+	// how long its response may take then (0 means ResponseTimeout). After that the follower polls again at once, without
+	// a wait. ResponseTimeout is the time allowed for the response to a call without a wait.
 	PollWait        time.Duration
+	PollGrace       time.Duration
 	ResponseTimeout time.Duration
 	// MinInterval is the shortest time between two polls.
 	MinInterval time.Duration
@@ -65,6 +68,7 @@
 	generation int64 // in which the version was read
 	synced     bool
 	unproved   bool // no changes were read since the last complete read
+	overdue    bool // the store should have ended the last poll, and no response came
 	down       bool
 }
 
@@ -78,11 +82,15 @@
 				f.down = true
 				f.OnDown(err)
 			}
+			if f.overdue {
+				f.overdue = false
+				continue // its connection may have gone silent
+			}
 			sleep(ctx, jitter(delay))
 			delay = min(2*delay, f.MaxRetryDelay)
 			continue
 		}
-		if f.down && f.unproved {
+		if f.unproved {
 			continue // the complete read may be out of date
 		}
 		if f.down {
@@ -110,14 +118,18 @@
 		f.Reset(snapshot)
 		return nil
 	}
-	wait := f.PollWait
-	if f.down {
-		wait = 0 // detects early that the store is available again
+	wait, timeout := f.PollWait, f.PollWait+cmp.Or(f.PollGrace, f.ResponseTimeout)
+	if f.down || f.unproved {
+		wait = 0 // tells early that the store is available, or what was missed
+	}
+	if wait == 0 {
+		timeout = f.ResponseTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+f.ResponseTimeout)
+	pollCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := f.Clock.Boot()
-	changes, err := f.ReadChanges(ctx, f.Table, f.version, wait)
+	changes, err := f.ReadChanges(pollCtx, f.Table, f.version, wait)
+	f.overdue = wait > 0 && err != nil && pollCtx.Err() != nil
 	if reason := f.incompleteReason(changes, err); reason != "" {
 		f.synced = false
 		if f.OnReadAgain != nil {
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/clock"
 	"github.com/vanilladrift/vanilladrift/table"
 )
 
@@ -286,3 +287,70 @@
 		stop()
 	})
 }
+
+// Guards against changes that are seen late, since the store's response to a poll is lost on a connection
+// that stays open, and is awaited for as long as that to any other call.
+func TestPollWithoutResponseIsSentAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tbl := &stubTable{rows: map[string]int64{}}
+		tbl.putRow("a")
+		rec := &recorder{versions: map[string]int64{}}
+		f := newFollower(tbl, rec)
+		f.PollWait, f.PollGrace, f.ResponseTimeout = 2*time.Second, 300*time.Millisecond, 5*time.Second
+		stop := run(f)
+		time.Sleep(time.Second)
+		tbl.update(func() { tbl.hangs = true })
+		time.Sleep(1500 * time.Millisecond) // the second poll hangs since 0.5 s
+		tbl.update(func() {
+			tbl.hangs = false
+			tbl.putRow("b")
+		})
+		time.Sleep(f.PollWait + f.PollGrace - 500*time.Millisecond + time.Millisecond)
+		is.Equal(rec.version("b"), int64(2))
+		stop()
+	})
+}
+
+// Guards against rows of a complete read that is out of date, which stay in use for an interval
+// although the changes since are to be had.
+func TestCompleteReadIsProvedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tbl := &stubTable{rows: map[string]int64{}}
+		tbl.putRow("a")
+		tbl.stale = &table.Snapshot{Version: 1, Rows: []table.Row{{Key: "a", Version: 1}}}
+		tbl.putRow("b")
+		rec := &recorder{versions: map[string]int64{}}
+		f := newFollower(tbl, rec)
+		f.MinInterval = 2 * time.Second
+		stop := run(f)
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(rec.version("b"), int64(2))
+		stop()
+	})
+}
+
+// Guards against an age that hides what was missed: it must count from when a poll was sent, or
+// from the end of the time for which the store held it, and never from a complete read alone.
+func TestAgeOfWhatAFollowerKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tbl := &stubTable{rows: map[string]int64{}}
+		tbl.putRow("a")
+		rec := &recorder{versions: map[string]int64{}}
+		f := newFollower(tbl, rec)
+		f.PollWait, f.Clock = 2*time.Second, clock.Virtual()
+		is.True(f.CurrentAt().IsZero())
+		stop := run(f)
+		start := time.Now()
+		time.Sleep(time.Second)
+		is.Equal(f.CurrentAt(), start)
+		time.Sleep(2 * time.Second)
+		is.Equal(f.CurrentAt(), start.Add(f.PollWait))
+		tbl.update(func() { tbl.down = true })
+		time.Sleep(10 * time.Second)
+		is.True(!f.CurrentAt().After(start.Add(2 * f.PollWait)))
+		stop()
+	})
+}
