Give no final answer for an unknown route while the configuration may be out of date

Callers do not retry a 404.

A node knows up to when it has all changes. If that is longer ago than the catch-up period, or not known yet, it answers 503 with a Retry-After that leads to another node. What the node knows is served as before. TestUnknownRouteIsNoFinalAnswerWhileTheConfigurationMayBeOld fails without the change.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -210,7 +210,7 @@
 	d.acquirer.CanUse = d.canUseEngine
 	d.acquirer.RequestGrant = d.withTurnDelays(d.acquirer.RequestGrant)
 	d.relayHandler = &relay.Handler{
-		Table: d.state.routes.Load, TableAge: func() time.Duration { return d.age(d.operatorFeed) }, Servers: d.state.servers.View, RequiredVersion: d.state.adapterVersion,
+		Table: d.state.routes.Load, IsTableCurrent: d.isConfigurationCurrent, TableAge: func() time.Duration { return d.age(d.operatorFeed) }, Servers: d.state.servers.View, RequiredVersion: d.state.adapterVersion,
 		DecodeRequest: platform.DecodeRequestHead, NewServerRequest: platform.NewReplicaRequest, DecodeResponse: platform.DecodeResponseHead, RequestIDHeader: platform.RequestIDHeader,
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine, Requests: requests, OnRequestQuarantine: d.node.LogRequestQuarantine,
@@ -384,6 +384,13 @@
 	return d.network.Clock.Boot().Sub(at)
 }
 
+// isConfigurationCurrent reports whether the node has every configuration that was confirmed longer
+// than the catch-up period ago.
+func (d *Daemon) isConfigurationCurrent() bool {
+	at := d.operatorFeed.CurrentAt()
+	return !at.IsZero() && d.network.Clock.Boot().Sub(at) <= cmp.Or(d.settings.CatchUpPeriod, defaultCatchUpPeriod)
+}
+
 // serveReadiness responds to the load balancer's readiness checks.
 func (d *Daemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if d.shuttingDown.Load() || d.state.routes.Load() == nil || d.state.servers.View() == nil {
--- a/entry/pause_test.go
+++ b/entry/pause_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/clock"
 	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/relay"
 	"github.com/vanilladrift/vanilladrift/standin"
@@ -114,7 +115,7 @@
 	f.ledger = &standin.Replica{Self: backend.Server{ID: "ledger", Pool: "ledger", Address: "10.0.0.3:1", MaxRequests: 16}, QueueSize: 16}
 	f.startReplica(is, f.engine)
 	f.startReplica(is, f.ledger)
-	n := Network{Listen: f.network.Listen, Dial: f.dial, PeerLeft: isLeft}
+	n := Network{Listen: f.network.Listen, Dial: f.dial, PeerLeft: isLeft, Clock: clock.Virtual()}
 	if f.path != nil {
 		n.Dial = f.path
 	}
--- a/entry/store_path_test.go
+++ b/entry/store_path_test.go
@@ -149,3 +149,24 @@
 		}
 	}
 }
+
+// Guards against a final answer to a request without a route, from a node that cannot know whether
+// the route has been added meanwhile.
+func TestUnknownRouteIsNoFinalAnswerWhileTheConfigurationMayBeOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newDaemonFixture(is)
+		defer f.close()
+		time.Sleep(10 * time.Second)
+		is.Equal(f.send(is, "/unknown/x", "r1", ""), http.StatusNotFound)
+		f.store.SetFault(standin.TableFault{Down: true})
+		time.Sleep(2 * defaultCatchUpPeriod) // a poll that is open is ended by the store
+		f.putVersion(2)
+		is.Equal(f.send(is, "/2/x", "r2", ""), http.StatusServiceUnavailable)
+		is.Equal(f.send(is, "/orders/x", "r3", ""), http.StatusOK) // what the node knows is served
+		f.store.SetFault(standin.TableFault{})
+		time.Sleep(defaultCatchUpPeriod)
+		is.Equal(f.send(is, "/2/x", "r4", ""), http.StatusOK)
+		is.Equal(f.send(is, "/unknown/x", "r5", ""), http.StatusNotFound)
+	})
+}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -29,9 +29,10 @@
 	// request. It is about the time until a server completes one of its
 	// requests and can accept another.
 	busyRetryAfter = 100 * time.Millisecond
-	// overloadRetryAfter is the Retry-After of a node without processor time. The callers'
-	// next attempts reach other nodes, so they need not wait for this one to catch up.
-	overloadRetryAfter = 100 * time.Millisecond
+	// otherNodeRetryAfter is the Retry-After of a node without processor time, or whose configuration
+	// may be out of date. The callers' next attempts reach other nodes, so they need not wait for
+	// this one to catch up.
+	otherNodeRetryAfter = 100 * time.Millisecond
 	// defaultMaxBodyBytes limits request bodies if the configuration sets no
 	// limit.
 	defaultMaxBodyBytes = 4 << 20
@@ -52,6 +53,9 @@
 	// Table returns the configuration in force, or nil before it was first
 	// read.
 	Table func() *route.Table
+	// IsTableCurrent, which is optional, reports whether the configuration has all changes that it
+	// should have. If it may lack some, a request without a route is not rejected for good.
+	IsTableCurrent func() bool
 	// TableAge, which is optional, returns the time since when changes of the configuration may have
 	// been missed.
 	TableAge func() time.Duration
@@ -190,10 +194,13 @@
 	}
 	var ok bool
 	if x.route, ok = x.table.Match(x.r.Host, x.r.URL.Path); !ok {
+		if x.handler.IsTableCurrent != nil && !x.handler.IsTableCurrent() {
+			return &Error{Op: op, Kind: NotReady, Reason: "no route that the node knows begins this path, and its configuration may be out of date", RetryAfter: otherNodeRetryAfter}
+		}
 		return &Error{Op: op, Kind: NoRoute, Reason: "no route begins this path"}
 	}
 	if x.handler.IsOverloaded != nil && x.handler.IsOverloaded(x.start, x.route.Priority) {
-		return &Error{Op: op, Kind: Busy, Reason: "the node has too little processor time", RetryAfter: overloadRetryAfter}
+		return &Error{Op: op, Kind: Busy, Reason: "the node has too little processor time", RetryAfter: otherNodeRetryAfter}
 	}
 	attempt := x.head.ID
 	if x.isTakeUp() && x.head.Resumes != "" {
