Hold an owner's refusals at the nodes that asked, and for longer if it has no processor time

Cause: a node without processor time rejects requests of its callers, but the requests of other nodes for grants are not bounded.

A refusal that does not depend on the adapter is now held by the node that asked: for 100 ms while an engine recovers, as long as each request waits anyway; and for the time that the owner states while it has too little processor time, so that all nodes together ask it about 100 times a second in vain. Work that accepts a longer wait or has a later deadline asks at once.

TestRefusedRequestsOfNodesAreBounded: 1,000 of 1,000 requests reached the owner before, 10 after.

--- a/caller/acquire.go
+++ b/caller/acquire.go
@@ -14,9 +14,9 @@
 // still arrive.
 const refusalGrace = 500 * time.Millisecond
 
-// ownerChangeDelay is the delay before another attempt while a new owner takes
+// OwnerChangeDelay is the delay before another attempt while a new owner takes
 // over an engine.
-const ownerChangeDelay = 100 * time.Millisecond
+const OwnerChangeDelay = 100 * time.Millisecond
 
 // acquireGrant acquires a grant for an engine that will run the request.
 func (h *Handler) acquireGrant(ctx context.Context, c completion, id string, opts attemptOptions) (Grant, error) {
--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -74,11 +74,11 @@
 		if req.Speculative || !errors.As(err, &r) || !a.shouldRetry(r.Reason) {
 			return g, err
 		}
-		if time.Now().Add(ownerChangeDelay).After(req.Work.Deadline) {
+		if time.Now().Add(OwnerChangeDelay).After(req.Work.Deadline) {
 			return Grant{}, r
 		}
 		select {
-		case <-time.After(ownerChangeDelay):
+		case <-time.After(OwnerChangeDelay):
 		case <-ctx.Done():
 			return Grant{}, r
 		}
--- a/caller/grant_search_test.go
+++ b/caller/grant_search_test.go
@@ -93,7 +93,7 @@
 		is := is.New(t)
 		var requested []string
 		start := time.Now()
-		usableFor := map[string]time.Duration{"e0": ownerChangeDelay / 2, "e1": 3 * ownerChangeDelay / 2}
+		usableFor := map[string]time.Duration{"e0": OwnerChangeDelay / 2, "e1": 3 * OwnerChangeDelay / 2}
 		a := &Acquirer{
 			Router: engine.NewRouter(engine.RouterConfig{}), Mu: &sync.Mutex{}, SpendRetry: func() bool { return false },
 			CanUse: func(name string) bool { return time.Since(start) < usableFor[name] },
@@ -106,7 +106,7 @@
 			Work: engine.Work{ID: "1", Adapter: "m/a", Deadline: start.Add(time.Minute)}, Engines: []string{"e0", "e1"},
 		})
 		is.True(err != nil)
-		is.Equal(time.Since(start), 2*ownerChangeDelay)
+		is.Equal(time.Since(start), 2*OwnerChangeDelay)
 		is.Equal(len(requested), 3)
 		is.Equal(requested[2], "e1")
 	})
--- a/caller/overload.go
+++ b/caller/overload.go
@@ -111,6 +111,12 @@
 	return min(1, admitted/allHighAdmitted), max(0, admitted-allHighAdmitted)
 }
 
+// IsHigh reports whether some requests are rejected.
+func (o *Overload) IsHigh(now time.Time) bool {
+	_, low := o.Admitted(now)
+	return low < 1
+}
+
 // Rejects reports whether a new request of the given priority, where 0 is the highest, is to be
 // rejected.
 func (o *Overload) Rejects(now time.Time, priority int) bool {
--- a/node/admission.go
+++ b/node/admission.go
@@ -56,8 +56,11 @@
 // follows one owner hint.
 func (n *Node) acquireGrant(ctx context.Context, engineName string, w engine.Work) (caller.Grant, error) {
 	owner := n.ownerHint(engineName)
+	if r, ok := n.held.get(time.Now(), engineName, &w); ok && owner != n.cfg.Name {
+		return caller.Grant{}, &r
+	}
 	for range 2 {
-		resp, err := n.requestGrant(ctx, owner, engineName, w)
+		resp, hold, err := n.requestGrant(ctx, owner, engineName, w)
 		if err != nil {
 			n.clearOwnerHint(engineName, owner)
 			return caller.Grant{}, &caller.Refusal{Reason: engine.NoOwner, RetryAfter: ownerChangeRetry}
@@ -69,11 +72,13 @@
 				Engine: engineName, ID: w.ID, FencingToken: resp.GetToken(), QueueWait: time.Duration(resp.GetWaitMs()) * time.Millisecond,
 			}, nil
 		case peerpb.AdmitResponse_VERDICT_REFUSED:
-			return caller.Grant{}, &caller.Refusal{
+			r := caller.Refusal{
 				Reason:     engine.RefusalReason(resp.GetReason()),
 				RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond,
 				QueueWait:  time.Duration(resp.GetWaitMs()) * time.Millisecond,
 			}
+			n.held.hold(time.Now(), engineName, &w, r, hold)
+			return caller.Grant{}, &r
 		}
 		n.clearOwnerHint(engineName, owner)
 		next := resp.GetOwnerHint()
@@ -107,7 +112,8 @@
 	}
 }
 
-func (n *Node) requestGrant(ctx context.Context, owner, engineName string, w engine.Work) (*peerpb.AdmitResponse, error) {
+// requestGrant asks the owner for a grant. hold is how long the owner wants a refusal to be held.
+func (n *Node) requestGrant(ctx context.Context, owner, engineName string, w engine.Work) (resp *peerpb.AdmitResponse, hold time.Duration, err error) {
 	req := &peerpb.AdmitRequest{
 		Engine: engineName, RequestId: w.ID, Adapter: w.Adapter, Entry: n.cfg.Name, EntryProcess: n.process,
 		ShortClass: w.Short, Resumed: w.Resumed, Tokens: int32(w.ExpectedTokens), PromptTokens: int32(w.PromptTokens),
@@ -115,22 +121,22 @@
 		FirstByMs: millisUntil(w.FirstTokenDeadline), AimByMs: millisUntil(w.FirstTokenTarget), Limit: n.knownLimit(engineName),
 	}
 	if owner == n.cfg.Name {
-		return n.admit(ctx, req, n.cfg.Address), nil
+		return n.admit(ctx, req, n.cfg.Address), 0, nil
 	}
 	m, ok := n.members.get(owner)
 	if !ok {
-		return nil, &caller.Refusal{Reason: engine.NoOwner}
+		return nil, 0, &caller.Refusal{Reason: engine.NoOwner}
 	}
 	client, ctx, cancel, ok := n.members.beginCall(ctx, m.Address)
 	if !ok {
-		return nil, &caller.Refusal{Reason: engine.NoOwner}
+		return nil, 0, &caller.Refusal{Reason: engine.NoOwner}
 	}
 	defer cancel()
-	resp, err := client.Admit(ctx, connect.NewRequest(req))
+	r, err := client.Admit(ctx, connect.NewRequest(req))
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return resp.Msg, nil
+	return r.Msg, statedHoldTime(r.Header()), nil
 }
 
 // millisUntil returns the milliseconds until t, at least 1, and 0 for the zero time.
--- a/node/config.go
+++ b/node/config.go
@@ -50,6 +50,9 @@
 	// nil means that none does. The owner of an engine keeps to its limit, and so does
 	// [Node.TakeTurn].
 	Limits *backend.Limits
+	// IsOverloaded, which is optional, reports whether the node has too little processor time for all
+	// that callers and other nodes ask of it.
+	IsOverloaded func(now time.Time) bool
 	// PeerScheme is "http" or "https".
 	PeerScheme string
 	// Operators holds the credentials of operators; the zero value rejects every
--- /dev/null
+++ b/node/held_refusals.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/engine"
+)
+
+const (
+	// refusedAsksInterval is the mean time between two requests that an owner without processor time
+	// refuses, over all nodes.
+	refusedAsksInterval = 10 * time.Millisecond
+	// maxHoldTime bounds how long a node holds a refusal, whatever the number of nodes.
+	maxHoldTime = 2 * time.Second
+	// headerHoldTime is the header of a refusal with the milliseconds for which the node that asked
+	// holds it.
+	headerHoldTime = "Vanilladrift-Hold-Ms"
+)
+
+// heldRefusal is an owner's refusal that holds for like work until a time.
+type heldRefusal struct {
+	refusal caller.Refusal
+	until   time.Time
+	maxWait time.Duration // see [engine.Work]
+	left    time.Duration // until the deadline of the work that was refused
+}
+
+// holdsFor reports whether the owner would refuse the work for the same reason.
+func (h *heldRefusal) holdsFor(now time.Time, w *engine.Work) bool {
+	if !now.Before(h.until) {
+		return false
+	}
+	switch h.refusal.Reason {
+	case engine.Overflow:
+		return w.MaxWait > 0 && w.MaxWait <= h.maxWait
+	case engine.DeadlineUnmet:
+		return w.Deadline.Sub(now) <= h.left
+	}
+	return true
+}
+
+// heldRefusals holds the last refusals of engines, so that a node with many requests for an engine does
+// not ask its owner for each of them. The zero value holds none.
+type heldRefusals struct {
+	mu       sync.Mutex
+	byEngine map[string]heldRefusal
+}
+
+// hold records a refusal. It is held for the time that the owner states, and for as long as a node
+// waits anyway before it asks again. A refusal that depends on the adapter is not held.
+func (r *heldRefusals) hold(now time.Time, engineName string, w *engine.Work, refusal caller.Refusal, stated time.Duration) {
+	d := min(stated, maxHoldTime)
+	switch refusal.Reason {
+	case engine.Recovering:
+		d = max(d, caller.OwnerChangeDelay)
+	case engine.Overflow, engine.DeadlineUnmet, engine.QueueFull:
+	default:
+		return
+	}
+	if d <= 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byEngine == nil {
+		r.byEngine = make(map[string]heldRefusal)
+	}
+	r.byEngine[engineName] = heldRefusal{refusal: refusal, until: now.Add(d), maxWait: w.MaxWait, left: w.Deadline.Sub(now)}
+}
+
+// get returns the refusal that holds for work on an engine.
+func (r *heldRefusals) get(now time.Time, engineName string, w *engine.Work) (caller.Refusal, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.byEngine[engineName]
+	if ok && !now.Before(h.until) {
+		delete(r.byEngine, engineName)
+	}
+	return h.refusal, ok && h.holdsFor(now, w)
+}
+
+// statedHoldTime returns the hold time that the header of a refusal states, or 0.
+func statedHoldTime(h http.Header) time.Duration {
+	ms, err := strconv.Atoi(h.Get(headerHoldTime))
+	if err != nil || ms < 0 {
+		return 0 // stated only by owners without processor time
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// stateHoldTime sets the header of a refusal while this node has too little processor time.
+// Otherwise the refused requests of all nodes would take what the node needs for its own, as it
+// rejects only those of callers.
+func (n *Node) stateHoldTime(h http.Header) {
+	if n.cfg.IsOverloaded != nil && n.cfg.IsOverloaded(time.Now()) {
+		d := min(maxHoldTime, time.Duration(n.LiveNodes())*refusedAsksInterval)
+		h.Set(headerHoldTime, strconv.FormatInt(d.Milliseconds(), 10))
+	}
+}
--- /dev/null
+++ b/node/held_refusals_test.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/caller"
+	"github.com/vanilladrift/vanilladrift/engine"
+)
+
+// lineCounter counts the lines of a log that contain a text.
+type lineCounter struct {
+	text string
+	mu   sync.Mutex
+	n    int
+}
+
+// Write implements io.Writer.
+func (c *lineCounter) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n += bytes.Count(p, []byte(c.text))
+	return len(p), nil
+}
+
+func (c *lineCounter) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n
+}
+
+// Guards against the requests of other nodes that an owner refuses and that take its processor, while
+// it rejects only the requests of its callers.
+func TestRefusedRequestsOfNodesAreBounded(t *testing.T) {
+	const asks = 1000 // one a millisecond
+	for _, overloaded := range []bool{false, true} {
+		t.Run(fmt.Sprintf("overloaded %v", overloaded), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newLeaseCluster(2, 1)
+				defer c.close()
+				time.Sleep(10 * time.Second)
+				owner, _ := c.ownerOf("e0")
+				is.True(owner != nil)
+				other := c.nodes[0]
+				if other == owner {
+					other = c.nodes[1]
+				}
+				refused := &lineCounter{text: "admission refused"}
+				owner.log = log.New(refused)
+				owner.cfg.IsOverloaded = func(time.Time) bool { return overloaded }
+				for i := range asks {
+					w := engine.Work{ID: fmt.Sprintf("w%d", i), Adapter: "m/a1", Deadline: time.Now().Add(5 * time.Second), MaxWait: 50 * time.Millisecond}
+					_, err := other.acquireGrant(t.Context(), "e0", w)
+					is.True(err != nil) // the engine cannot be reached
+					time.Sleep(time.Millisecond)
+				}
+				t.Logf("%d of %d requests reached the owner", refused.count(), asks)
+				is.True(refused.count() > 0)
+				is.True(refused.count() <= asks/100+1) // one per delay of a node that waits for an owner
+			})
+		})
+	}
+}
+
+// Guards against refusals that are held for work to which they do not apply.
+func TestHeldRefusalIsForLikeWork(t *testing.T) {
+	now := time.Unix(100, 0)
+	const hold = 300 * time.Millisecond
+	work := func(left, maxWait time.Duration) *engine.Work {
+		return &engine.Work{Deadline: now.Add(left), MaxWait: maxWait}
+	}
+	refused := work(2*time.Second, 50*time.Millisecond)
+	for _, tt := range []struct {
+		name   string
+		reason engine.RefusalReason
+		stated time.Duration
+		after  time.Duration
+		work   *engine.Work
+		held   bool
+	}{
+		{"same wait", engine.Overflow, hold, 0, refused, true},
+		{"accepts a longer wait", engine.Overflow, hold, 0, work(2*time.Second, 60*time.Millisecond), false},
+		{"accepts any wait", engine.Overflow, hold, 0, work(2*time.Second, 0), false},
+		{"sooner deadline", engine.DeadlineUnmet, hold, 0, work(time.Second, 0), true},
+		{"later deadline", engine.DeadlineUnmet, hold, 0, work(3*time.Second, 0), false},
+		{"time is over", engine.Overflow, hold, hold, refused, false},
+		{"owner has processor time", engine.Overflow, 0, 0, refused, false},
+		{"owner has processor time and recovers", engine.Recovering, 0, caller.OwnerChangeDelay - 1, refused, true},
+		{"recovery may be over", engine.Recovering, 0, caller.OwnerChangeDelay, refused, false},
+		{"of another adapter", engine.Cold, hold, 0, refused, false},
+		{"of another load", engine.LoadFailed, hold, 0, refused, false},
+		{"longest time", engine.QueueFull, time.Hour, maxHoldTime, refused, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var r heldRefusals
+			r.hold(now, "e", refused, caller.Refusal{Reason: tt.reason, QueueWait: time.Second}, tt.stated)
+			got, held := r.get(now.Add(tt.after), "e", tt.work)
+			is.Equal(held, tt.held)
+			if held {
+				is.Equal(got.Reason, tt.reason)
+			}
+			_, held = r.get(now, "other", refused)
+			is.True(!held)
+		})
+	}
+	is := is.New(t)
+	is.Equal(statedHoldTime(http.Header{headerHoldTime: {"20"}}), 20*time.Millisecond)
+	is.Equal(statedHoldTime(http.Header{headerHoldTime: {"-1"}}), time.Duration(0))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -46,6 +46,7 @@
 	metrics       *metrics
 	turns         backend.Turns // at servers for which this node decides
 	suspensions   clock.Watch   // used by watchSuspension only
+	held          heldRefusals  // of owners
 	log           *log.Logger
 
 	mu            sync.Mutex
--- a/node/peers.go
+++ b/node/peers.go
@@ -65,7 +65,11 @@
 		// Without its session row, this owner does not know the entry node's address.
 		return connect.NewResponse(&peerpb.AdmitResponse{Verdict: peerpb.AdmitResponse_VERDICT_NOT_OWNER}), nil
 	}
-	return connect.NewResponse(s.n.admit(ctx, req.Msg, address)), nil
+	resp := connect.NewResponse(s.n.admit(ctx, req.Msg, address))
+	if resp.Msg.GetVerdict() == peerpb.AdmitResponse_VERDICT_REFUSED {
+		s.n.stateHoldTime(resp.Header())
+	}
+	return resp, nil
 }
 
 // Release implements the Peer service.
