--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -384,11 +384,11 @@
 	return d.network.Clock.Boot().Sub(at)
 }
 
-// isConfigurationCurrent reports whether the node has every configuration that was confirmed longer
-// than the catch-up period ago.
+// isConfigurationCurrent reports whether no poll for configurations is overdue, and one has been
+// answered.
 func (d *Daemon) isConfigurationCurrent() bool {
-	at := d.operatorFeed.CurrentAt()
-	return !at.IsZero() && d.network.Clock.Boot().Sub(at) <= cmp.Or(d.settings.CatchUpPeriod, defaultCatchUpPeriod)
+	f := d.operatorFeed
+	return !f.CurrentAt().IsZero() && d.age(f) <= f.PollWait+f.PollGrace
 }
 
 // serveReadiness responds to the load balancer's readiness checks.
