Ask the owners of engines that recover less and less

The delay between attempts doubles from the third on, up to 400 ms, and a refusal of an engine that recovers is held for 2.5 ms a node, at least for 100 ms, so that its owner refuses 400 requests a second at most whatever the number of nodes.

--- a/caller/acquire.go
+++ b/caller/acquire.go
@@ -14,9 +14,22 @@
 // still arrive.
 const refusalGrace = 500 * time.Millisecond
 
-// OwnerChangeDelay is the delay before another attempt while a new owner takes
-// over an engine.
-const OwnerChangeDelay = 100 * time.Millisecond
+const (
+	// OwnerChangeDelay is the delay before the second and the third attempt while a new owner takes
+	// over an engine. Further delays double, up to maxOwnerChangeDelay.
+	OwnerChangeDelay    = 100 * time.Millisecond
+	maxOwnerChangeDelay = 400 * time.Millisecond
+)
+
+// ownerChangeDelay returns the delay after an attempt, counted from 0. All requests for the engine
+// wait meanwhile, and each attempt takes processor time of several owners.
+func ownerChangeDelay(attempt int) time.Duration {
+	d := OwnerChangeDelay
+	for i := 1; i < attempt && d < maxOwnerChangeDelay; i++ {
+		d *= 2
+	}
+	return d
+}
 
 // acquireGrant acquires a grant for an engine that will run the request.
 func (h *Handler) acquireGrant(ctx context.Context, c completion, id string, opts attemptOptions) (Grant, error) {
--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -74,11 +74,12 @@
 		if req.Speculative || !errors.As(err, &r) || !a.shouldRetry(r.Reason) {
 			return g, err
 		}
-		if time.Now().Add(OwnerChangeDelay).After(req.Work.Deadline) {
+		delay := ownerChangeDelay(round)
+		if time.Now().Add(delay).After(req.Work.Deadline) {
 			return Grant{}, r
 		}
 		select {
-		case <-time.After(OwnerChangeDelay):
+		case <-time.After(delay):
 		case <-ctx.Done():
 			return Grant{}, r
 		}
--- a/caller/grant_search_test.go
+++ b/caller/grant_search_test.go
@@ -111,3 +111,13 @@
 		is.Equal(requested[2], "e1")
 	})
 }
+
+// Guards against requests that wait for an engine and take the processors of its owner and of others
+// ten times a second each.
+func TestWaitForAnOwnerAsksLessAndLess(t *testing.T) {
+	is := is.New(t)
+	for attempt, want := range []time.Duration{100, 100, 200, 400, 400, 400} {
+		is.Equal(ownerChangeDelay(attempt), want*time.Millisecond)
+	}
+	is.Equal(ownerChangeDelay(1000), maxOwnerChangeDelay)
+}
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -348,9 +348,12 @@
 		is.Equal(f.CurrentAt(), start)
 		time.Sleep(2 * time.Second)
 		is.Equal(f.CurrentAt(), start.Add(f.PollWait))
+		tbl.update(func() { tbl.putRow("b") })
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(f.CurrentAt(), start.Add(f.PollWait)) // when the poll was sent that brought the row
 		tbl.update(func() { tbl.down = true })
 		time.Sleep(10 * time.Second)
-		is.True(!f.CurrentAt().After(start.Add(2 * f.PollWait)))
+		is.True(!f.CurrentAt().After(start.Add(3*time.Second + 100*time.Millisecond))) // when the last poll was sent
 		stop()
 	})
 }
--- a/node/admission.go
+++ b/node/admission.go
@@ -77,7 +77,7 @@
 				RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond,
 				QueueWait:  time.Duration(resp.GetWaitMs()) * time.Millisecond,
 			}
-			n.held.hold(time.Now(), engineName, &w, r, hold)
+			n.held.hold(time.Now(), engineName, &w, r, hold, n.LiveNodes())
 			return caller.Grant{}, &r
 		}
 		n.clearOwnerHint(engineName, owner)
--- a/node/held_refusals.go
+++ b/node/held_refusals.go
@@ -14,6 +14,9 @@
 	// refusedAsksInterval is the mean time between two requests that an owner without processor time
 	// refuses, over all nodes.
 	refusedAsksInterval = 10 * time.Millisecond
+	// recoveringAsksInterval is the mean time between two requests that the owner of an engine that
+	// recovers refuses, over all nodes.
+	recoveringAsksInterval = 2500 * time.Microsecond
 	// maxHoldTime bounds how long a node holds a refusal, whatever the number of nodes.
 	maxHoldTime = 2 * time.Second
 	// headerHoldTime is the header of a refusal with the milliseconds for which the node that asked
@@ -50,18 +53,19 @@
 	byEngine map[string]heldRefusal
 }
 
-// hold records a refusal. It is held for the time that the owner states, and for as long as a node
-// waits anyway before it asks again. A refusal that depends on the adapter is not held.
-func (r *heldRefusals) hold(now time.Time, engineName string, w *engine.Work, refusal caller.Refusal, stated time.Duration) {
-	d := min(stated, maxHoldTime)
+// hold records a refusal. It is held for the time that the owner states, and while the engine
+// recovers at least for as long as a request waits anyway before it is sent again. A refusal that
+// depends on the adapter is not held.
+func (r *heldRefusals) hold(now time.Time, engineName string, w *engine.Work, refusal caller.Refusal, stated time.Duration, nodes int) {
+	d := stated
 	switch refusal.Reason {
 	case engine.Recovering:
-		d = max(d, caller.OwnerChangeDelay)
+		d = max(d, caller.OwnerChangeDelay, time.Duration(nodes)*recoveringAsksInterval)
 	case engine.Overflow, engine.DeadlineUnmet, engine.QueueFull:
 	default:
 		return
 	}
-	if d <= 0 {
+	if d = min(d, maxHoldTime); d <= 0 {
 		return
 	}
 	r.mu.Lock()
--- a/node/held_refusals_test.go
+++ b/node/held_refusals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"net/http"
 	"sync"
@@ -86,24 +87,26 @@
 		after  time.Duration
 		work   *engine.Work
 		held   bool
+		nodes  int // 0 means 2
 	}{
-		{"same wait", engine.Overflow, hold, 0, refused, true},
-		{"accepts a longer wait", engine.Overflow, hold, 0, work(2*time.Second, 60*time.Millisecond), false},
-		{"accepts any wait", engine.Overflow, hold, 0, work(2*time.Second, 0), false},
-		{"sooner deadline", engine.DeadlineUnmet, hold, 0, work(time.Second, 0), true},
-		{"later deadline", engine.DeadlineUnmet, hold, 0, work(3*time.Second, 0), false},
-		{"time is over", engine.Overflow, hold, hold, refused, false},
-		{"owner has processor time", engine.Overflow, 0, 0, refused, false},
-		{"owner has processor time and recovers", engine.Recovering, 0, caller.OwnerChangeDelay - 1, refused, true},
-		{"recovery may be over", engine.Recovering, 0, caller.OwnerChangeDelay, refused, false},
-		{"of another adapter", engine.Cold, hold, 0, refused, false},
-		{"of another load", engine.LoadFailed, hold, 0, refused, false},
-		{"longest time", engine.QueueFull, time.Hour, maxHoldTime, refused, false},
+		{"same wait", engine.Overflow, hold, 0, refused, true, 0},
+		{"accepts a longer wait", engine.Overflow, hold, 0, work(2*time.Second, 60*time.Millisecond), false, 0},
+		{"accepts any wait", engine.Overflow, hold, 0, work(2*time.Second, 0), false, 0},
+		{"sooner deadline", engine.DeadlineUnmet, hold, 0, work(time.Second, 0), true, 0},
+		{"later deadline", engine.DeadlineUnmet, hold, 0, work(3*time.Second, 0), false, 0},
+		{"time is over", engine.Overflow, hold, hold, refused, false, 0},
+		{"owner has processor time", engine.Overflow, 0, 0, refused, false, 0},
+		{"owner has processor time and recovers", engine.Recovering, 0, caller.OwnerChangeDelay - 1, refused, true, 0},
+		{"recovery may be over", engine.Recovering, 0, caller.OwnerChangeDelay, refused, false, 0},
+		{"many nodes wait for recovery", engine.Recovering, 0, 2 * caller.OwnerChangeDelay, refused, true, 100},
+		{"of another adapter", engine.Cold, hold, 0, refused, false, 0},
+		{"of another load", engine.LoadFailed, hold, 0, refused, false, 0},
+		{"longest time", engine.QueueFull, time.Hour, maxHoldTime, refused, false, 0},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			var r heldRefusals
-			r.hold(now, "e", refused, caller.Refusal{Reason: tt.reason, QueueWait: time.Second}, tt.stated)
+			r.hold(now, "e", refused, caller.Refusal{Reason: tt.reason, QueueWait: time.Second}, tt.stated, cmp.Or(tt.nodes, 2))
 			got, held := r.get(now.Add(tt.after), "e", tt.work)
 			is.Equal(held, tt.held)
 			if held {
