--- a/demo/configuration_test.go
+++ b/demo/configuration_test.go
@@ -34,7 +34,7 @@
 func (sys *platformSystem) hasRoute(address string, version int) (bool, error) {
 	v := strconv.Itoa(version)
 	status, err := sys.request(address, v, "probe-"+v)
-	return status != http.StatusNotFound, err
+	return status == http.StatusOK, err
 }
 
 // request sends a request on a route of plain servers to a daemon, and returns its status.
