--- a/node/admission.go
+++ b/node/admission.go
@@ -56,7 +56,7 @@
 // follows one owner hint.
 func (n *Node) acquireGrant(ctx context.Context, engineName string, w engine.Work) (caller.Grant, error) {
 	owner := n.ownerHint(engineName)
-	if r, ok := n.held.get(time.Now(), engineName, &w); ok && owner != n.cfg.Name {
+	if r, ok := n.held.get(time.Now(), engineName, owner, &w); ok && owner != n.cfg.Name {
 		return caller.Grant{}, &r
 	}
 	for range 2 {
@@ -77,7 +77,7 @@
 				RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond,
 				QueueWait:  time.Duration(resp.GetWaitMs()) * time.Millisecond,
 			}
-			n.held.hold(time.Now(), engineName, &w, r, hold, n.LiveNodes())
+			n.held.hold(time.Now(), engineName, owner, &w, r, hold, n.LiveNodes())
 			return caller.Grant{}, &r
 		}
 		n.clearOwnerHint(engineName, owner)
--- a/node/held_refusals.go
+++ b/node/held_refusals.go
@@ -26,6 +26,7 @@
 
 // heldRefusal is an owner's refusal that holds for like work until a time.
 type heldRefusal struct {
+	owner   string
 	refusal caller.Refusal
 	until   time.Time
 	maxWait time.Duration // see [engine.Work]
@@ -56,7 +57,7 @@
 // hold records a refusal. It is held for the time that the owner states, and while the engine
 // recovers at least for as long as a request waits anyway before it is sent again. A refusal that
 // depends on the adapter is not held.
-func (r *heldRefusals) hold(now time.Time, engineName string, w *engine.Work, refusal caller.Refusal, stated time.Duration, nodes int) {
+func (r *heldRefusals) hold(now time.Time, engineName, owner string, w *engine.Work, refusal caller.Refusal, stated time.Duration, nodes int) {
 	d := stated
 	switch refusal.Reason {
 	case engine.Recovering:
@@ -73,18 +74,18 @@
 	if r.byEngine == nil {
 		r.byEngine = make(map[string]heldRefusal)
 	}
-	r.byEngine[engineName] = heldRefusal{refusal: refusal, until: now.Add(d), maxWait: w.MaxWait, left: w.Deadline.Sub(now)}
+	r.byEngine[engineName] = heldRefusal{owner: owner, refusal: refusal, until: now.Add(d), maxWait: w.MaxWait, left: w.Deadline.Sub(now)}
 }
 
-// get returns the refusal that holds for work on an engine.
-func (r *heldRefusals) get(now time.Time, engineName string, w *engine.Work) (caller.Refusal, bool) {
+// get returns the refusal of an engine's owner that holds for work.
+func (r *heldRefusals) get(now time.Time, engineName, owner string, w *engine.Work) (caller.Refusal, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h, ok := r.byEngine[engineName]
 	if ok && !now.Before(h.until) {
 		delete(r.byEngine, engineName)
 	}
-	return h.refusal, ok && h.holdsFor(now, w)
+	return h.refusal, ok && h.owner == owner && h.holdsFor(now, w)
 }
 
 // statedHoldTime returns the hold time that the header of a refusal states, or 0.
--- a/node/held_refusals_test.go
+++ b/node/held_refusals_test.go
@@ -106,13 +106,15 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			var r heldRefusals
-			r.hold(now, "e", refused, caller.Refusal{Reason: tt.reason, QueueWait: time.Second}, tt.stated, cmp.Or(tt.nodes, 2))
-			got, held := r.get(now.Add(tt.after), "e", tt.work)
+			r.hold(now, "e", "owner", refused, caller.Refusal{Reason: tt.reason, QueueWait: time.Second}, tt.stated, cmp.Or(tt.nodes, 2))
+			got, held := r.get(now.Add(tt.after), "e", "owner", tt.work)
 			is.Equal(held, tt.held)
 			if held {
 				is.Equal(got.Reason, tt.reason)
 			}
-			_, held = r.get(now, "other", refused)
+			_, held = r.get(now, "other", "owner", refused)
+			is.True(!held)
+			_, held = r.get(now, "e", "next owner", refused)
 			is.True(!held)
 		})
 	}
