Count the age of a configuration from when the store answered

What callers would see: 503 and a request to try again, instead of 404, for an unknown path up to some seconds after each change of the configuration. Cause: the age counted from when the poll was sent, also if a change had ended it, and the next poll is open for as long again.

The store states its clock in each response, and the time between two responses on it bounds from below when the later one was sent. TestUnknownRouteIsFinalAfterAChange fails without it.

--- a/entry/store_path_test.go
+++ b/entry/store_path_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -170,3 +171,21 @@
 		is.Equal(f.send(is, "/unknown/x", "r5", ""), http.StatusNotFound)
 	})
 }
+
+// Guards against rejections that ask the caller to try again although the node has all changes: a poll
+// that a change has ended says less of when it was answered than one that the store has held.
+func TestUnknownRouteIsFinalAfterAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newDaemonFixture(is)
+		defer f.close()
+		time.Sleep(10 * time.Second)
+		for version := 2; version < 6; version++ {
+			f.putVersion(version)
+			for i := range 13 {
+				time.Sleep(130 * time.Millisecond)
+				is.Equal(f.send(is, "/unknown/x", fmt.Sprintf("r%d.%d", version, i), ""), http.StatusNotFound)
+			}
+		}
+	})
+}
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -65,7 +65,8 @@
 
 	current    atomic.Pointer[time.Time] // see CurrentAt
 	version    int64
-	generation int64 // in which the version was read
+	generation int64         // in which the version was read
+	storeTime  time.Duration // of the last response to a poll; 0 if it is not stated
 	synced     bool
 	unproved   bool // no changes were read since the last complete read
 	overdue    bool // the store should have ended the last poll, and no response came
@@ -144,16 +145,30 @@
 		return err
 	}
 	f.version, f.unproved = changes.Version, false
+	answered := f.earliestAnswer(sent, f.Clock.Boot(), wait, changes)
 	if len(changes.Rows) > 0 {
 		f.observeRead(sent, Read{Version: changes.Version, Rows: len(changes.Rows), StoreTime: changes.StoreTime})
 		f.Apply(changes)
-	} else if f.Clock.Boot().Sub(sent) >= wait {
-		sent = sent.Add(wait) // the store held the poll open for so long, without a change
 	}
-	f.current.Store(&sent)
+	f.storeTime = changes.StoreTime
+	f.current.Store(&answered)
 	return nil
 }
 
+// earliestAnswer returns the earliest time at which the store can have sent the response to a poll:
+// after the poll was sent, after the wait if there was no change, and after the last response by as
+// much as the store's clock has gone on since.
+func (f *Follower) earliestAnswer(sent, received time.Time, wait time.Duration, changes table.Changes) time.Time {
+	after := time.Duration(0) // the poll was sent
+	if len(changes.Rows) == 0 {
+		after = wait
+	}
+	if last := f.CurrentAt(); !last.IsZero() && f.storeTime > 0 {
+		after = max(after, last.Sub(sent)+changes.StoreTime-f.storeTime)
+	}
+	return sent.Add(min(after, received.Sub(sent)))
+}
+
 // CurrentAt returns the time, on the clock that goes on while the VM is suspended, up to which all
 // changes have been passed on. It is zero until the first poll for changes has been answered,
 // since a complete read may be out of date.
--- a/standin/store.go
+++ b/standin/store.go
@@ -159,7 +159,7 @@
 	if s.restoreCount() != before {
 		return platform.StoreResponse{}, &table.Error{Op: "stand-in", Kind: table.Unknown}
 	}
-	resp.Restores = before
+	resp.Restores, resp.StoreTime = before, time.Duration(time.Now().UnixNano())
 	return resp, err
 }
 
