Let responses take time in the test of the age, and put the row between two looks of the store

TestAgeOfWhatAFollowerKnows failed once in three runs of its package, and then 1 of 300 repeats: the row was put at the moment of one of the stand-in's looks, which are 10 ms apart.

--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -341,16 +341,21 @@
 		rec := &recorder{versions: map[string]int64{}}
 		f := newFollower(tbl, rec)
 		f.PollWait, f.Clock = 2*time.Second, clock.Virtual()
+		const delay = 3 * time.Millisecond // of responses
+		f.ReadChanges = func(ctx context.Context, name string, after int64, wait time.Duration) (table.Changes, error) {
+			defer time.Sleep(delay)
+			return tbl.readChanges(ctx, name, after, wait)
+		}
 		is.True(f.CurrentAt().IsZero())
 		stop := run(f)
 		start := time.Now()
 		time.Sleep(time.Second)
 		is.Equal(f.CurrentAt(), start)
-		time.Sleep(2 * time.Second)
-		is.Equal(f.CurrentAt(), start.Add(f.PollWait))
+		time.Sleep(2*time.Second + 5*time.Millisecond) // between two looks of the store, 10 ms apart
+		is.Equal(f.CurrentAt(), start.Add(delay+f.PollWait))
 		tbl.update(func() { tbl.putRow("b") })
 		time.Sleep(100 * time.Millisecond)
-		is.Equal(f.CurrentAt(), start.Add(3*time.Second)) // when the store answered the poll that brought the row
+		is.Equal(f.CurrentAt(), start.Add(3*time.Second+2*delay)) // when the store answered the poll that brought the row
 		tbl.update(func() { tbl.down = true })
 		time.Sleep(10 * time.Second)
 		is.True(!f.CurrentAt().After(start.Add(5*time.Second + 100*time.Millisecond))) // when the last poll was answered
