--- a/caller/overload.go
+++ b/caller/overload.go
@@ -111,8 +111,8 @@
 	return min(1, admitted/allHighAdmitted), max(0, admitted-allHighAdmitted)
 }
 
-// IsHigh reports whether some requests are rejected.
-func (o *Overload) IsHigh(now time.Time) bool {
+// RejectsSome reports whether some requests are rejected.
+func (o *Overload) RejectsSome(now time.Time) bool {
 	_, low := o.Admitted(now)
 	return low < 1
 }
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -331,8 +331,8 @@
 	})
 }
 
-// Guards against an age that hides what was missed: it must count from when a poll was sent, or
-// from the end of the time for which the store held it, and never from a complete read alone.
+// Guards against an age that hides what was missed: it must count from when the store answered a
+// poll, not from when the response came, and never from a complete read alone.
 func TestAgeOfWhatAFollowerKnows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
