--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -40,6 +40,8 @@
 
 	// sequencer, if set, returns what sends the commands to an engine.
 	sequencer func(b settings.BackendServer) *engine.Sequencer
+	// configure, if set, changes the configuration of a node before it starts.
+	configure func(cfg *Config)
 
 	senders map[string]sender // by engine: the last one that might send commands
 }
@@ -87,6 +89,9 @@
 		RenewEvery: time.Second, TableRenewEvery: 5 * time.Second, PollEvery: 2 * time.Second, ProbeAfter: 100 * time.Millisecond, ProbeTimeout: 200 * time.Millisecond, Seed: uint64(i),
 	}
 	cfg.Sequencer = c.sequencer
+	if c.configure != nil {
+		c.configure(&cfg)
+	}
 	store := &platform.StoreClient{Address: tableAddress, HTTP: cfg.HTTP}
 	if c.store != nil {
 		c.lossy[i] = newLossyTable(store)
