Authenticate client accounts, and forward their name instead of their key

Change: the configuration's accounts are part of the table of routes. A request to a route that is not public needs a key that authenticates one account; otherwise it gets 401, or 503 from a node whose configuration may be out of date. The account is looked at again before each send. Servers get its name only. An account's priority goes before its route's.

--- a/engine/work.go
+++ b/engine/work.go
@@ -9,6 +9,8 @@
 	EntryNode      string // the node that opens the stream; at an owner, the process of that node
 	Short          bool   // short or long class
 	Resumed        bool   // the caller has the first part of the stream
+	Priority       int    // 0 is the highest
+	Account        string // client account; empty if there is none
 	ExpectedTokens int    // expected number of output tokens
 	PromptTokens   int
 	Deadline       time.Time
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -51,7 +51,7 @@
 	if ev.Kind == relay.ServerFailed || ev.Kind == relay.StreamInterrupted {
 		parts = strings.Join(ev.PromptParts, ",") // tells what requests that failed have in common
 	}
-	d.log.Info(msg, "id", ev.ID, "route", ev.Route, "pool", ev.Pool, "adapter", ev.Adapter, "server", ev.Server,
+	d.log.Info(msg, "id", ev.ID, "route", ev.Route, "pool", ev.Pool, "adapter", ev.Adapter, "account", ev.Account, "server", ev.Server,
 		"status", ev.Status, "kind", ev.Kind, "reason", ev.Reason, "attempts", ev.Attempts, "events", ev.EventsSent,
 		"age-ms", ev.Elapsed.Milliseconds(), "grant-ms", ev.TimeToGrant.Milliseconds(), "first-ms", ev.TimeToFirstByte.Milliseconds(),
 		"gap-ms", ev.MaxEventGap.Milliseconds(), "left-ms", ev.TimeLeft.Milliseconds(), "retry-ms", ev.RetryAfter.Milliseconds(), "config", ev.ConfigVersion, "config-age-ms", ev.ConfigAge.Milliseconds(), "prompt-parts", parts, "fingerprint", ev.Fingerprint,
--- a/entry/state.go
+++ b/entry/state.go
@@ -79,6 +79,9 @@
 		for _, err := range unknown {
 			s.log.Warn("sending each request of a route once at most", "row-version", row.Version, "err", err)
 		}
+		if names := t.ConflictingAccounts(); len(names) > 0 {
+			s.log.Error("client accounts have keys in common; these keys authenticate nobody", "row-version", row.Version, "accounts", strings.Join(names, ","))
+		}
 		s.setRoutes(t, row)
 	case platform.IsAdapterVersionKey(key):
 		v, err := platform.DecodeAdapterVersion(row)
--- a/node/admission.go
+++ b/node/admission.go
@@ -119,6 +119,7 @@
 		ShortClass: w.Short, Resumed: w.Resumed, Tokens: int32(w.ExpectedTokens), PromptTokens: int32(w.PromptTokens),
 		TimeLeftMs: time.Until(w.Deadline).Milliseconds(), MaxWaitMs: w.MaxWait.Milliseconds(),
 		FirstByMs: millisUntil(w.FirstTokenDeadline), AimByMs: millisUntil(w.FirstTokenTarget), Limit: n.knownLimit(engineName),
+		Priority: int32(w.Priority), Account: w.Account,
 	}
 	if owner == n.cfg.Name {
 		return n.admit(ctx, req, n.cfg.Address), 0, nil
@@ -171,6 +172,7 @@
 	act := o.submit(ctx, engine.Work{
 		ID: req.GetRequestId(), Adapter: req.GetAdapter(), EntryNode: req.GetEntryProcess(), Short: req.GetShortClass(), Resumed: req.GetResumed(),
 		ExpectedTokens: int(req.GetTokens()), PromptTokens: int(req.GetPromptTokens()),
+		Priority: int(req.GetPriority()), Account: req.GetAccount(),
 		Deadline:           now.Add(time.Duration(req.GetTimeLeftMs()) * time.Millisecond),
 		MaxWait:            time.Duration(req.GetMaxWaitMs()) * time.Millisecond,
 		FirstTokenDeadline: timeAfterMillis(now, req.GetFirstByMs()), FirstTokenTarget: timeAfterMillis(now, req.GetAimByMs()),
--- a/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/peer/peerpb/peerpbconnect/peer.connect.go
@@ -57,6 +57,10 @@
 	PeerKeepStreamsProcedure = "/vanilladrift.peer.v1.Peer/KeepStreams"
 	// PeerFindStreamProcedure is the fully-qualified name of the Peer's FindStream RPC.
 	PeerFindStreamProcedure = "/vanilladrift.peer.v1.Peer/FindStream"
+	// PeerTakeQuotaProcedure is the fully-qualified name of the Peer's TakeQuota RPC.
+	PeerTakeQuotaProcedure = "/vanilladrift.peer.v1.Peer/TakeQuota"
+	// PeerYieldQuotaProcedure is the fully-qualified name of the Peer's YieldQuota RPC.
+	PeerYieldQuotaProcedure = "/vanilladrift.peer.v1.Peer/YieldQuota"
 	// PeerChangesProcedure is the fully-qualified name of the Peer's Changes RPC.
 	PeerChangesProcedure = "/vanilladrift.peer.v1.Peer/Changes"
 )
@@ -95,6 +99,10 @@
 	KeepStreams(context.Context, *connect.Request[peerpb.KeepStreamsRequest]) (*connect.Response[peerpb.KeepStreamsResponse], error)
 	// FindStream returns where a stream began, if the receiver knows.
 	FindStream(context.Context, *connect.Request[peerpb.FindStreamRequest]) (*connect.Response[peerpb.FindStreamResponse], error)
+	// TakeQuota asks the keeper of client accounts for leases on their quotas.
+	TakeQuota(context.Context, *connect.Request[peerpb.TakeQuotaRequest]) (*connect.Response[peerpb.TakeQuotaResponse], error)
+	// YieldQuota asks the former keeper of a client account to grant no more leases.
+	YieldQuota(context.Context, *connect.Request[peerpb.YieldQuotaRequest]) (*connect.Response[peerpb.YieldQuotaResponse], error)
 	// Changes returns the settings changes after a revision, or a snapshot of all
 	// documents if the responder no longer has those changes.
 	Changes(context.Context, *connect.Request[peerpb.ChangesRequest]) (*connect.Response[peerpb.ChangesResponse], error)
@@ -183,6 +191,18 @@
 			connect.WithSchema(peerMethods.ByName("FindStream")),
 			connect.WithClientOptions(opts...),
 		),
+		takeQuota: connect.NewClient[peerpb.TakeQuotaRequest, peerpb.TakeQuotaResponse](
+			httpClient,
+			baseURL+PeerTakeQuotaProcedure,
+			connect.WithSchema(peerMethods.ByName("TakeQuota")),
+			connect.WithClientOptions(opts...),
+		),
+		yieldQuota: connect.NewClient[peerpb.YieldQuotaRequest, peerpb.YieldQuotaResponse](
+			httpClient,
+			baseURL+PeerYieldQuotaProcedure,
+			connect.WithSchema(peerMethods.ByName("YieldQuota")),
+			connect.WithClientOptions(opts...),
+		),
 		changes: connect.NewClient[peerpb.ChangesRequest, peerpb.ChangesResponse](
 			httpClient,
 			baseURL+PeerChangesProcedure,
@@ -206,6 +226,8 @@
 	takeTurn    *connect.Client[peerpb.TakeTurnRequest, peerpb.TakeTurnResponse]
 	keepStreams *connect.Client[peerpb.KeepStreamsRequest, peerpb.KeepStreamsResponse]
 	findStream  *connect.Client[peerpb.FindStreamRequest, peerpb.FindStreamResponse]
+	takeQuota   *connect.Client[peerpb.TakeQuotaRequest, peerpb.TakeQuotaResponse]
+	yieldQuota  *connect.Client[peerpb.YieldQuotaRequest, peerpb.YieldQuotaResponse]
 	changes     *connect.Client[peerpb.ChangesRequest, peerpb.ChangesResponse]
 }
 
@@ -269,6 +291,16 @@
 	return c.findStream.CallUnary(ctx, req)
 }
 
+// TakeQuota calls vanilladrift.peer.v1.Peer.TakeQuota.
+func (c *peerClient) TakeQuota(ctx context.Context, req *connect.Request[peerpb.TakeQuotaRequest]) (*connect.Response[peerpb.TakeQuotaResponse], error) {
+	return c.takeQuota.CallUnary(ctx, req)
+}
+
+// YieldQuota calls vanilladrift.peer.v1.Peer.YieldQuota.
+func (c *peerClient) YieldQuota(ctx context.Context, req *connect.Request[peerpb.YieldQuotaRequest]) (*connect.Response[peerpb.YieldQuotaResponse], error) {
+	return c.yieldQuota.CallUnary(ctx, req)
+}
+
 // Changes calls vanilladrift.peer.v1.Peer.Changes.
 func (c *peerClient) Changes(ctx context.Context, req *connect.Request[peerpb.ChangesRequest]) (*connect.Response[peerpb.ChangesResponse], error) {
 	return c.changes.CallUnary(ctx, req)
@@ -308,6 +340,10 @@
 	KeepStreams(context.Context, *connect.Request[peerpb.KeepStreamsRequest]) (*connect.Response[peerpb.KeepStreamsResponse], error)
 	// FindStream returns where a stream began, if the receiver knows.
 	FindStream(context.Context, *connect.Request[peerpb.FindStreamRequest]) (*connect.Response[peerpb.FindStreamResponse], error)
+	// TakeQuota asks the keeper of client accounts for leases on their quotas.
+	TakeQuota(context.Context, *connect.Request[peerpb.TakeQuotaRequest]) (*connect.Response[peerpb.TakeQuotaResponse], error)
+	// YieldQuota asks the former keeper of a client account to grant no more leases.
+	YieldQuota(context.Context, *connect.Request[peerpb.YieldQuotaRequest]) (*connect.Response[peerpb.YieldQuotaResponse], error)
 	// Changes returns the settings changes after a revision, or a snapshot of all
 	// documents if the responder no longer has those changes.
 	Changes(context.Context, *connect.Request[peerpb.ChangesRequest]) (*connect.Response[peerpb.ChangesResponse], error)
@@ -392,6 +428,18 @@
 		connect.WithSchema(peerMethods.ByName("FindStream")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerTakeQuotaHandler := connect.NewUnaryHandler(
+		PeerTakeQuotaProcedure,
+		svc.TakeQuota,
+		connect.WithSchema(peerMethods.ByName("TakeQuota")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerYieldQuotaHandler := connect.NewUnaryHandler(
+		PeerYieldQuotaProcedure,
+		svc.YieldQuota,
+		connect.WithSchema(peerMethods.ByName("YieldQuota")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerChangesHandler := connect.NewUnaryHandler(
 		PeerChangesProcedure,
 		svc.Changes,
@@ -424,6 +472,10 @@
 			peerKeepStreamsHandler.ServeHTTP(w, r)
 		case PeerFindStreamProcedure:
 			peerFindStreamHandler.ServeHTTP(w, r)
+		case PeerTakeQuotaProcedure:
+			peerTakeQuotaHandler.ServeHTTP(w, r)
+		case PeerYieldQuotaProcedure:
+			peerYieldQuotaHandler.ServeHTTP(w, r)
 		case PeerChangesProcedure:
 			peerChangesHandler.ServeHTTP(w, r)
 		default:
@@ -483,6 +535,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.FindStream is not implemented"))
 }
 
+func (UnimplementedPeerHandler) TakeQuota(context.Context, *connect.Request[peerpb.TakeQuotaRequest]) (*connect.Response[peerpb.TakeQuotaResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.TakeQuota is not implemented"))
+}
+
+func (UnimplementedPeerHandler) YieldQuota(context.Context, *connect.Request[peerpb.YieldQuotaRequest]) (*connect.Response[peerpb.YieldQuotaResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.YieldQuota is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Changes(context.Context, *connect.Request[peerpb.ChangesRequest]) (*connect.Response[peerpb.ChangesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.Changes is not implemented"))
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -94,7 +94,7 @@
 	}
 	x.grants++
 	w := engine.Work{
-		ID: x.head.ID + "." + strconv.Itoa(x.grants), Adapter: x.head.AdapterName(),
+		ID: x.head.ID + "." + strconv.Itoa(x.grants), Adapter: x.head.AdapterName(), Priority: x.priority(), Account: x.accountName(),
 		Short:          x.head.PromptTokens < longPromptTokens,
 		ExpectedTokens: x.head.OutputTokens(), PromptTokens: x.head.PromptTokens, Deadline: x.deadline,
 		FirstTokenDeadline: due, FirstTokenTarget: target,
@@ -187,7 +187,7 @@
 	sent := time.Now()
 	defer func() { x.observeAttempt(ctx, s, time.Since(sent), res) }() // before the context is cancelled
 	resp, head, failed := x.forward(ctx, ServerRequest{
-		Server: s, IsEngine: true, Priority: x.route.Priority, LastEventID: x.lastEventID,
+		Server: s, IsEngine: true, Priority: x.priority(), LastEventID: x.lastEventID,
 		AdapterVersion: x.handler.RequiredVersion(x.head.Model, x.head.Adapter),
 	})
 	if failed != nil {
--- a/relay/error.go
+++ b/relay/error.go
@@ -16,6 +16,8 @@
 	BodyTooLarge       ErrorKind = "body-too-large"      // the body exceeds the configured limit
 	BodyTimedOut       ErrorKind = "body-timeout"        // the body did not end before the deadline; not run
 	NoRoute            ErrorKind = "no-such-route"       // no route of the host matches the path
+	Unauthorized       ErrorKind = "unauthorized"        // the key authenticates no client account
+	OverQuota          ErrorKind = "over-quota"          // the client account has used up its quota; not run
 	NotReady           ErrorKind = "not-ready"           // the node has no configuration yet, or is shutting down
 	Busy               ErrorKind = "busy"                // no server can take the request in time; not run
 	NoServer           ErrorKind = "no-server"           // the pool has no server; not run
@@ -61,6 +63,10 @@
 		return http.StatusRequestEntityTooLarge
 	case NoRoute:
 		return http.StatusNotFound
+	case Unauthorized:
+		return http.StatusUnauthorized
+	case OverQuota:
+		return http.StatusTooManyRequests
 	case NotReady, Busy, NoServer, ExpiredUnsent, PromptQuarantined, RequestQuarantined, CannotResume:
 		return http.StatusServiceUnavailable
 	case TimedOut:
@@ -71,7 +77,11 @@
 
 // NotRun reports whether the response guarantees that the request has not run.
 func (e *Error) NotRun() bool {
-	return e.Status() == http.StatusServiceUnavailable || e.Status() == http.StatusRequestTimeout
+	switch e.Status() {
+	case http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusTooManyRequests:
+		return true
+	}
+	return false
 }
 
 // retryAfter formats RetryAfter in seconds, with three decimals.
--- a/relay/event.go
+++ b/relay/event.go
@@ -10,6 +10,7 @@
 	Route       string
 	Pool        string
 	Adapter     string
+	Account     string   // client account; empty if there is none
 	Server      string   // the server of the last attempt
 	Build       string   // of that server
 	Resumes     string   // of the request; see [RequestHead]
--- a/relay/fingerprint.go
+++ b/relay/fingerprint.go
@@ -16,6 +16,9 @@
 		return *x.fp
 	}
 	from := x.head.Caller
+	if x.account != nil {
+		from = x.account.Name
+	}
 	if from == "" {
 		from, _, _ = net.SplitHostPort(x.r.RemoteAddr) // empty for a connection without addresses
 	}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -119,6 +119,10 @@
 	// IsOverloaded, which is optional, reports whether the node has too little processor time for
 	// a new request of a priority, where 0 is the highest.
 	IsOverloaded func(now time.Time, priority int) bool
+	// TakeQuota, which is optional, takes the cost of a request from the quota of its client account.
+	// giveBack returns it if the request has not run. If the quota is used up, ok is false, and
+	// retryAfter is the time until enough is available.
+	TakeQuota func(ctx context.Context, a *route.Account, cost float64) (giveBack func(), retryAfter time.Duration, ok bool)
 	// Observe, which is optional, is called for each finished request and each
 	// failed attempt that is followed by another.
 	Observe func(Event)
@@ -163,6 +167,7 @@
 	fp       *backend.Fingerprint // see fingerprint; nil until it is asked for
 	table    *route.Table
 	route    *route.Route
+	account  *route.Account // nil if the request needs none
 	pool     route.Pool
 	body     []byte
 	deadline time.Time
@@ -199,9 +204,21 @@
 		}
 		return &Error{Op: op, Kind: NoRoute, Reason: "no route begins this path"}
 	}
-	if x.handler.IsOverloaded != nil && x.handler.IsOverloaded(x.start, x.route.Priority) {
+	if err := x.authenticate(); err != nil {
+		return err
+	}
+	if x.handler.IsOverloaded != nil && x.handler.IsOverloaded(x.start, x.priority()) {
 		return &Error{Op: op, Kind: Busy, Reason: "the node has too little processor time", RetryAfter: otherNodeRetryAfter}
 	}
+	giveBack, err := x.takeQuota(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if !x.mayHaveRun {
+			giveBack()
+		}
+	}()
 	attempt := x.head.ID
 	if x.isTakeUp() && x.head.Resumes != "" {
 		attempt = x.head.Resumes // its pool began the stream
@@ -267,6 +284,7 @@
 func (x *exchange) roundTrip(ctx context.Context, s ServerRequest) (*http.Response, ResponseHead, error) {
 	s.Incoming, s.Body, s.ContentLength = x.r, bytes.NewReader(x.body), len(x.body)
 	s.TimeLeft = time.Until(x.deadline)
+	s.HasAccounts, s.Account = x.table.HasAccounts(), x.accountName()
 	s.OwnConnection = x.sentTo[s.Server.Address]
 	if x.sentTo == nil {
 		x.sentTo = make(map[string]bool)
@@ -313,6 +331,9 @@
 	if ctx.Err() != nil {
 		return nil, ResponseHead{}, &result{notRun: true, unsent: true, reason: "it ended before it was sent"}
 	}
+	if err := x.checkAccount(); err != nil {
+		return nil, ResponseHead{}, &result{done: true, notRun: true, err: err}
+	}
 	resp, head, err := x.roundTrip(ctx, s)
 	switch {
 	case err != nil && x.callerLeft(): // which may be why it was not sent
@@ -504,6 +525,7 @@
 	if x.route != nil {
 		ev.Route = x.route.Name
 	}
+	ev.Account = x.accountName()
 	if x.table != nil {
 		ev.ConfigVersion = x.table.Version()
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -21,6 +21,8 @@
 	LastEventID    string   // ID of the last event that the caller has; set to resume a stream
 	Resumes        string   // ID of the attempt that brought the first event of the stream that is resumed
 	PromptParts    []string // IDs of the parts of the prompt that other prompts may have too
+	HasTokenCounts bool     // the request states PromptTokens and MaxTokens
+	Key            string   // of the client account; empty if the request has none that is valid
 	Caller         string   // credential of the caller; empty if it sent none
 }
 
@@ -37,15 +39,19 @@
 
 // ServerRequest is one attempt to forward a request to a server.
 type ServerRequest struct {
-	Incoming       *http.Request
-	Server         *backend.Server
-	Body           io.Reader
-	ContentLength  int           // of Body
-	TimeLeft       time.Duration // until the request's deadline
-	IsEngine       bool          // the server runs a model engine
-	Priority       int           // 0 is the highest
-	AdapterVersion int64         // adapter version that the server must have; 0 means any
-	LastEventID    string        // ID of the event after which the stream is resumed
+	Incoming      *http.Request
+	Server        *backend.Server
+	Body          io.Reader
+	ContentLength int           // of Body
+	TimeLeft      time.Duration // until the request's deadline
+	IsEngine      bool          // the server runs a model engine
+	Priority      int           // 0 is the highest
+	// HasAccounts is set if the configuration has client accounts. The server then gets the name of
+	// the request's account, which may be empty, and never the key.
+	HasAccounts    bool
+	Account        string
+	AdapterVersion int64  // adapter version that the server must have; 0 means any
+	LastEventID    string // ID of the event after which the stream is resumed
 	// OwnConnection is set if the request must get a connection that carries no other: an earlier
 	// attempt was sent to the same address. All attempts have one ID, so on a connection that
 	// carried the earlier one, a second copy of its response could not be told from the
--- a/route/route.go
+++ b/route/route.go
@@ -31,6 +31,7 @@
 	TrafficSplit    []WeightedPool
 	MaxAttempts     int  // maximum number of backend servers to which one request is sent
 	Resumable       bool // a stream may be resumed at another server after its last complete event
+	Public          bool // its callers need no account
 	SessionAffinity bool // requests of a session share prompt prefixes, which servers cache
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -23,6 +23,10 @@
 	limits  Limits
 	byHost  map[string][]Route // ordered by prefix length, longest first
 	pools   map[string]Pool
+
+	hasAccounts bool
+	byKey       map[string]*Account // nil for a key that several accounts have
+	conflicts   []string            // names of the accounts with such keys, sorted
 }
 
 // NewTable returns the table of the given routes and pools.
@@ -40,6 +44,44 @@
 	return t
 }
 
+// WithAccounts returns a copy of the table with client accounts. A key that several accounts have
+// authenticates none of them, and an empty one none at all.
+func (t *Table) WithAccounts(accounts []AccountKeys) *Table {
+	out := *t
+	out.hasAccounts, out.byKey = true, make(map[string]*Account)
+	conflicting := make(map[string]bool)
+	owners := make(map[string]string)
+	for i := range accounts {
+		a := accounts[i].Account
+		for _, key := range accounts[i].Keys {
+			owner, isTaken := owners[key]
+			switch {
+			case key == "":
+			case !isTaken:
+				owners[key], out.byKey[key] = a.Name, &a
+			case owner != a.Name:
+				out.byKey[key] = nil
+				conflicting[owner], conflicting[a.Name] = true, true
+			}
+		}
+	}
+	out.conflicts = slices.Sorted(maps.Keys(conflicting))
+	return &out
+}
+
+// HasAccounts reports whether callers of routes that are not public must authenticate.
+func (t *Table) HasAccounts() bool { return t.hasAccounts }
+
+// Account returns the account that a key authenticates.
+func (t *Table) Account(key string) (*Account, bool) {
+	a := t.byKey[key]
+	return a, a != nil
+}
+
+// ConflictingAccounts returns the names of the accounts that have a key in common with another,
+// sorted.
+func (t *Table) ConflictingAccounts() []string { return t.conflicts }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() int64 { return t.version }
 
