Keep engines in service while the outcome of a command is unknown, and send the command again

Cause: after a command without a reply the sequencer knew no current state until a report 0.4 s later, and counted the base model as not loaded for as long: the owner refused all requests for the engine as recovering, also those for adapters that it had.

Change: the base model stays known to be loaded while only the outcome of a command for an adapter is unknown; a report that fails still ends that. A command without a reply is sent again, up to three times, with the same expected sequence number, so that the engine executes one copy at most.

--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -23,6 +23,8 @@
 	// maxCommandAttempts is the maximum number of attempts at a command that ends
 	// in a conflict.
 	maxCommandAttempts = 4
+	// maxSendAttempts bounds how often a command without a reply is sent.
+	maxSendAttempts = 3
 	// loadPollInterval is the interval between two polls for the end of a load.
 	loadPollInterval = 15 * time.Millisecond
 	// maxCommandDelay is how long after a command was sent the engine may still
@@ -67,7 +69,8 @@
 	minFetchTime time.Time  // a state fetched before this time may predate the last command
 	boot         string
 	sequence     int64
-	modelLoaded  bool
+	modelLoaded  bool             // by the last known state; commands for adapters do not change it
+	unreachable  bool             // the last fetch of the state failed
 	adapters     map[string]int64 // versions of adapters in slots, including those being loaded
 	loadedBefore map[string]bool  // adapters loaded before; loading them again is faster
 	// unconfirmed lists the adapters that no report has shown as loaded yet, with the sequence
@@ -98,7 +101,8 @@
 	fetchStart := time.Now()
 	st, err := s.FetchState(ctx)
 	if err != nil {
-		s.invalidate() // the engine may be restarting
+		s.invalidate()
+		s.setUnreachable() // it may be restarting
 		return LoadReport{}, err
 	}
 	s.merge(fetchStart, st)
@@ -120,11 +124,18 @@
 	return s.boot
 }
 
-// ModelReady reports whether the base model is known to be loaded.
+// ModelReady reports whether the base model is known to be loaded. It stays so while the outcome of
+// a command for an adapter is not known: only further commands have to wait for that.
 func (s *Sequencer) ModelReady() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.current && s.modelLoaded
+	return s.modelLoaded && !s.unreachable
+}
+
+func (s *Sequencer) setUnreachable() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreachable = true
 }
 
 // merge updates the sequencer with a state fetched at fetchStart, unless the
@@ -132,10 +143,11 @@
 func (s *Sequencer) merge(fetchStart time.Time, st State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.unreachable = false
 	if s.boot != "" && st.Boot != s.boot {
 		clear(s.adapters) // a restarted engine has no adapters
 		clear(s.unconfirmed)
-		s.current, s.minFetchTime = false, time.Time{}
+		s.current, s.modelLoaded, s.minFetchTime = false, false, time.Time{}
 	}
 	for name, sequence := range s.unconfirmed {
 		if _, loaded := st.Loaded[name]; loaded && st.Sequence >= sequence {
@@ -152,7 +164,7 @@
 	if st.Boot == s.boot && st.Sequence < s.sequence && fetchStart.Before(s.minFetchTime.Add(staleReportLimit)) {
 		return // the state lacks accepted commands
 	}
-	s.boot, s.sequence, s.modelLoaded, s.current = st.Boot, st.Sequence, slices.Contains(st.Models, s.Model), !st.ChangingModel
+	s.boot, s.sequence, s.modelLoaded, s.current = st.Boot, st.Sequence, slices.Contains(st.Models, s.Model) && !st.ChangingModel, !st.ChangingModel
 	clear(s.adapters)
 	maps.Copy(s.adapters, st.Loaded)
 	maps.Copy(s.adapters, st.Loading)
@@ -263,18 +275,25 @@
 	_, present := s.adapters[JoinAdapterName(c.Model, c.Adapter)]
 	s.mu.Unlock()
 	reply, err := s.send(ctx, c)
+	sentBefore := isUnanswered(err)
+	if sentBefore {
+		s.recordUnanswered(c)
+	}
+	for attempt := 1; attempt < maxSendAttempts && isUnanswered(err) && !(c.Load && present) && s.checkEnding() == nil; attempt++ {
+		// The engine executes one of the copies at most, since each expects the same sequence
+		// number. Waiting for a report instead would block all commands to the engine.
+		reply, err = s.send(ctx, c)
+	}
 	switch {
-	case IsKind(err, NotSent):
+	case IsKind(err, NotSent) && !sentBefore:
 		return "", err // nothing can still take effect, and the known state stays current
 	case err != nil && c.Load && present:
 		// At this sequence number the adapter is loaded or being loaded already, so a
 		// delayed command has no effect. If it does load a new version, the next
 		// command gets a conflict.
-		s.recordUnanswered(c)
 		return "", &Error{Op: "ask", Kind: Failed, Err: err}
 	case err != nil:
 		s.invalidate()
-		s.recordUnanswered(c)
 		return "", err
 	case reply == StaleToken:
 		return reply, &Error{Op: "order", Kind: Fenced}
@@ -300,12 +319,15 @@
 		defer cancel()
 	}
 	reply, err := s.Send(ctx, c)
-	if err != nil && !IsKind(err, NotSent, Refused) && s.OnUnanswered != nil {
+	if isUnanswered(err) && s.OnUnanswered != nil {
 		s.OnUnanswered()
 	}
 	return reply, err
 }
 
+// isUnanswered reports whether a command that ended with an error may still be executed.
+func isUnanswered(err error) bool { return err != nil && !IsKind(err, NotSent, Refused) }
+
 // advanceSequence increments the sequence number for an accepted command and
 // calls f with the lock held.
 func (s *Sequencer) advanceSequence(f func()) {
--- a/engine/sequencer_test.go
+++ b/engine/sequencer_test.go
@@ -234,6 +234,52 @@
 	})
 }
 
+// Guards against engines that get no commands while the outcome of one is unknown: with a third of the
+// commands unanswered, they loaded a ninth of what they load otherwise.
+func TestUnansweredCommandIsSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newSequencedEngine(2)
+		s := e.sequencer()
+		e.delayCommand = func() bool { return len(e.delayed) == 0 }
+		start := time.Now()
+		_, err := s.Load(t.Context(), "m/a", 1)
+		is.NoErr(err)
+		is.True(time.Since(start) < e.loadTime+maxReportAge)
+		is.True(s.ModelReady())
+		e.deliverDelayed()
+		is.Equal(e.sequence, int64(1)) // the late copy had no effect
+		_, err = s.Load(t.Context(), "m/b", 1)
+		is.NoErr(err)
+		is.Equal(e.crashes, 0)
+	})
+}
+
+// Guards against work that is refused at an engine although its base model is loaded, while the outcome of
+// a command for an adapter is unknown.
+func TestModelStaysReadyWhileACommandIsUnanswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newSequencedEngine(2)
+		s := e.sequencer()
+		_, err := s.Report(t.Context())
+		is.NoErr(err)
+		is.True(s.ModelReady())
+		e.delayCommand = func() bool { return true }
+		_, err = s.Load(t.Context(), "m/a", 1)
+		is.True(err != nil)
+		is.True(s.ModelReady())
+		e.down = true
+		_, err = s.Report(t.Context())
+		is.True(err != nil)
+		is.True(!s.ModelReady()) // it may be restarting without the base model
+		e.down = false
+		_, err = s.Report(t.Context())
+		is.NoErr(err)
+		is.True(s.ModelReady())
+	})
+}
+
 // After a restart the sequence number reaches the expected numbers of lost load
 // commands again, so that a late one takes effect. Its slot must be free then.
 func TestSequencerReservesSlotsForLostLoads(t *testing.T) {
@@ -246,7 +292,7 @@
 		is.NoErr(err)
 		_, err = s.Unload(ctx, "m/a", 1)
 		is.NoErr(err)
-		e.delayCommand = func() bool { return len(e.delayed) == 0 }
+		e.delayCommand = func() bool { return len(e.delayed) < maxSendAttempts }
 		_, err = s.Load(ctx, "m/lost", 1)
 		is.True(err != nil)
 		e.delayCommand = nil
