--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -38,6 +38,7 @@
 	Release func(g Grant)
 
 	demand map[string]*demand // by adapter; guarded by Mu
+	copies []recentCopy       // oldest first; guarded by Mu
 }
 
 // GrantRequest describes the work that needs a grant.
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -34,6 +34,8 @@
 	Reason     engine.RefusalReason
 	RetryAfter time.Duration
 	QueueWait  time.Duration // expected queue wait at the engine
+	// AdapterRequests is the number of requests for the adapter that run or wait at the engine.
+	AdapterRequests int
 }
 
 // Error implements the error interface.
--- a/caller/preferred.go
+++ b/caller/preferred.go
@@ -43,29 +43,37 @@
 	lastCopy time.Time // when a copy was last requested
 }
 
-// recordDemand counts a request. The returned function reports whether another
-// copy may be loaded, and if so records the copy.
-func (a *Acquirer) recordDemand(now time.Time, adapter string) (mayCopy func() bool) {
+// recordDemand counts a request, and reports whether this node has many for the adapter.
+func (a *Acquirer) recordDemand(now time.Time, adapter string) (isFrequent bool) {
 	a.Mu.Lock()
 	defer a.Mu.Unlock()
-	if a.demand == nil || len(a.demand) > maxDemandEntries {
-		a.demand = make(map[string]*demand)
+	return a.demandFor(adapter).requests.Add(now, demandHalfLife) >= minCopyDemand
+}
+
+// tryBeginCopy reports whether copies of the adapter may be loaded now, and if so records that.
+func (a *Acquirer) tryBeginCopy(now time.Time, adapter string) bool {
+	a.Mu.Lock()
+	defer a.Mu.Unlock()
+	d := a.demandFor(adapter)
+	if now.Sub(d.lastCopy) < minCopyInterval {
+		return false
 	}
+	d.lastCopy = now
+	return true
+}
+
+// demandFor returns the demand for an adapter. a.Mu must be held.
+func (a *Acquirer) demandFor(adapter string) *demand {
 	d := a.demand[adapter]
-	if d == nil {
-		d = &demand{}
-		a.demand[adapter] = d
+	if d != nil {
+		return d
 	}
-	frequent := d.requests.Add(now, demandHalfLife) >= minCopyDemand
-	return func() bool {
-		a.Mu.Lock()
-		defer a.Mu.Unlock()
-		if !frequent || now.Sub(d.lastCopy) < minCopyInterval {
-			return false
-		}
-		d.lastCopy = now
-		return true
+	if a.demand == nil || len(a.demand) > maxDemandEntries {
+		a.demand = make(map[string]*demand)
 	}
+	d = &demand{}
+	a.demand[adapter] = d
+	return d
 }
 
 // acquirePreferred acquires a grant from the adapter's preferred engines,
@@ -77,31 +85,33 @@
 // Limiting each adapter to a few engines saves loads when there are many
 // rarely used adapters. An engine loads an adapter that it had recently ten
 // times as fast, and each further engine that loads it evicts an adapter that
-// is needed there.
+// is needed there. In a large pool an adapter in demand gets further copies, in an
+// order that is the same on all nodes, while all engines that have it loaded are busy.
 func (a *Acquirer) acquirePreferred(ctx context.Context, req GrantRequest) (Grant, error) {
 	w := req.Work
-	names := engine.Rendezvous(cmp.Or(req.PlacementKey, w.Adapter), req.Engines, nil, preferredEngines)
-	if len(names) == 0 {
+	ranked := engine.Rendezvous(cmp.Or(req.PlacementKey, w.Adapter), req.Engines, nil, maxEngines(len(req.Engines)))
+	if len(ranked) == 0 {
 		return Grant{}, &Refusal{Reason: engine.NotLoaded, RetryAfter: noEngineRetryAfter}
 	}
-	mayCopy := a.recordDemand(time.Now(), w.Adapter)
-	loadedEngines, otherEngines := a.splitByAdapter(names, w.Adapter)
-	a.sortByQueueWait(time.Now(), loadedEngines)
+	now := time.Now()
+	isFrequent := a.recordDemand(now, w.Adapter)
+	p := a.placementOf(now, ranked, w.Adapter)
+	a.sortByQueueWait(now, p.holders)
 	search := &grantSearch{acquirer: a, work: w, maxQueueWait: a.maxQueueWait(req)}
-	if g, err := search.tryInOrder(ctx, loadedEngines); search.isDone(err) {
+	if g, err := search.tryInOrder(ctx, p.holders[:min(maxHolders, len(p.holders))]); search.isDone(err) {
 		return g, err
 	}
+	if r := search.bestRefusal; r != nil && (r.Reason == engine.Overflow || p.mayExceed && r.Reason == engine.DeadlineUnmet) {
+		a.loadCopies(p.targets, p.copiesFor(r, isFrequent), w)
+	}
 	if search.bestRefusal != nil && search.bestRefusal.Reason == engine.Overflow {
-		if search.bestRefusal.QueueWait > minCopyWait && len(otherEngines) > 0 && mayCopy() {
-			a.loadCopy(otherEngines[0], w)
-		}
 		return search.waitInQueue(ctx)
 	}
 	if search.bestRefusal != nil && hasNoOwner(search.bestRefusal.Reason) {
 		return Grant{Engine: search.bestEngine}, nil
 	}
 	search.maxQueueWait = maxLoadWait
-	if g, err := search.tryInOrder(ctx, names); search.isDone(err) {
+	if g, err := search.tryInOrder(ctx, p.preferred); search.isDone(err) {
 		return g, err
 	}
 	if rank(search.bestRefusal.Reason) < rank(engine.Overflow) {
@@ -110,18 +120,6 @@
 	return search.waitInQueue(ctx)
 }
 
-// splitByAdapter separates the engines that have loaded the adapter from the others.
-func (a *Acquirer) splitByAdapter(names []string, adapter string) (loadedEngines, otherEngines []string) {
-	for _, name := range names {
-		if a.HasLoaded(name, adapter) {
-			loadedEngines = append(loadedEngines, name)
-		} else {
-			otherEngines = append(otherEngines, name)
-		}
-	}
-	return loadedEngines, otherEngines
-}
-
 // sortByQueueWait sorts engines by the queue wait that their owners last
 // reported. Engines without a recent report are shuffled, so that they share
 // the requests evenly.
@@ -138,6 +136,16 @@
 // at present.
 func hasNoOwner(r engine.RefusalReason) bool { return r == engine.NoOwner || r == engine.Recovering }
 
+// loadCopies makes further engines load an adapter, unless this node has done so just now.
+func (a *Acquirer) loadCopies(targets []string, n int, w engine.Work) {
+	if n = min(n, len(targets)); n == 0 || !a.tryBeginCopy(time.Now(), w.Adapter) {
+		return
+	}
+	for _, name := range targets[:n] {
+		a.loadCopy(name, w)
+	}
+}
+
 // loadCopy makes another engine load an adapter when all engines that have it loaded are
 // busy. The request itself waits at one of those, where it starts sooner.
 func (a *Acquirer) loadCopy(name string, w engine.Work) {
@@ -148,6 +156,7 @@
 		defer cancel()
 		g, err := a.RequestGrant(ctx, name, w)
 		if err == nil {
+			a.recordCopy(time.Now(), name, w.Adapter)
 			a.Release(g)
 		}
 	}()
--- a/caller/preferred_test.go
+++ b/caller/preferred_test.go
@@ -33,10 +33,10 @@
 	unreachable  bool // refuses all requests, as if the engine had no owner
 }
 
-func newStubOwner(slots int) *stubOwner {
+func newStubOwner(slots, batch int) *stubOwner {
 	return &stubOwner{
 		sched: engine.NewScheduler(engine.SchedulerConfig{
-			Slots: slots, BatchSize: 64, MaxLoads: 4, ServesBase: true, SerialPrefill: true, PrefillSpeed: 200, TokenTime: 5 * time.Millisecond,
+			Slots: slots, BatchSize: batch, MaxLoads: 4, ServesBase: true, SerialPrefill: true, PrefillSpeed: 200, TokenTime: 5 * time.Millisecond,
 		}),
 		waiters: map[string]chan engine.Action{}, loaded: map[string]bool{}, loadedBefore: map[string]bool{},
 	}
@@ -57,7 +57,7 @@
 		if act.Kind == engine.Grant {
 			return Grant{ID: w.ID}, nil
 		}
-		return Grant{}, &Refusal{Reason: act.Reason, RetryAfter: act.RetryAfter, QueueWait: act.Wait}
+		return Grant{}, &Refusal{Reason: act.Reason, RetryAfter: act.RetryAfter, QueueWait: act.Wait, AdapterRequests: act.AdapterRequests}
 	case <-ctx.Done():
 		o.mu.Lock()
 		defer o.mu.Unlock()
@@ -112,12 +112,14 @@
 	acquirer *Acquirer
 }
 
-func newFleet(engines, slots int) *fleet {
+func newFleet(engines, slots int) *fleet { return newFleetOfBatch(engines, slots, 64) }
+
+func newFleetOfBatch(engines, slots, batch int) *fleet {
 	f := &fleet{owners: map[string]*stubOwner{}}
 	for i := range engines {
 		name := fmt.Sprint("e", i)
 		f.names = append(f.names, name)
-		f.owners[name] = newStubOwner(slots)
+		f.owners[name] = newStubOwner(slots, batch)
 	}
 	f.acquirer = &Acquirer{
 		Router: engine.NewRouter(engine.RouterConfig{}), Mu: new(sync.Mutex), SpendRetry: func() bool { return false },
--- a/engine/action.go
+++ b/engine/action.go
@@ -51,4 +51,7 @@
 	Reason     RefusalReason // Refuse
 	RetryAfter time.Duration // Refuse: minimum delay before a retry
 	Wait       time.Duration // Refuse: expected queue wait at this engine
+	// AdapterRequests is the number of requests for the work's adapter that run or wait at this
+	// engine (Refuse).
+	AdapterRequests int
 }
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -295,7 +295,11 @@
 }
 
 func (s *Scheduler) refuse(w *Work, reason RefusalReason, wait time.Duration) Action {
-	return Action{Kind: Refuse, Work: w, Reason: reason, Wait: wait, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
+	act := Action{Kind: Refuse, Work: w, Reason: reason, Wait: wait, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
+	if a := s.adapters[w.Adapter]; a != nil {
+		act.AdapterRequests = a.pins + len(a.waiting)
+	}
+	return act
 }
 
 func (s *Scheduler) recordGrant(now time.Time, w *Work) {
--- a/node/admission.go
+++ b/node/admission.go
@@ -76,6 +76,8 @@
 				Reason:     engine.RefusalReason(resp.GetReason()),
 				RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond,
 				QueueWait:  time.Duration(resp.GetWaitMs()) * time.Millisecond,
+
+				AdapterRequests: int(resp.GetAdapterRequests()),
 			}
 			n.held.hold(time.Now(), engineName, owner, &w, r, hold, n.LiveNodes())
 			return caller.Grant{}, &r
@@ -187,6 +189,7 @@
 	return &peerpb.AdmitResponse{
 		Verdict: peerpb.AdmitResponse_VERDICT_REFUSED, Reason: string(act.Reason),
 		RetryAfterMs: act.RetryAfter.Milliseconds(), WaitMs: act.Wait.Milliseconds(),
+		AdapterRequests: int32(act.AdapterRequests),
 	}
 }
 
