Send a command without a reply again after 100 ms

Cause: the first copy was awaited for 300 ms while no other command could be sent to the engine. Change: copies but the last are awaited for 100 ms; engines reply within milliseconds.

--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -25,6 +25,9 @@
 	maxCommandAttempts = 4
 	// maxSendAttempts bounds how often a command without a reply is sent.
 	maxSendAttempts = 3
+	// resendAfter is the time after which a command without a reply is sent again. Engines
+	// reply within milliseconds, and each copy that is not needed costs a connection.
+	resendAfter = 100 * time.Millisecond
 	// loadPollInterval is the interval between two polls for the end of a load.
 	loadPollInterval = 15 * time.Millisecond
 	// maxCommandDelay is how long after a command was sent the engine may still
@@ -274,16 +277,7 @@
 	c.ExpectedSequence = s.sequence
 	_, present := s.adapters[JoinAdapterName(c.Model, c.Adapter)]
 	s.mu.Unlock()
-	reply, err := s.send(ctx, c)
-	sentBefore := isUnanswered(err)
-	if sentBefore {
-		s.recordUnanswered(c)
-	}
-	for attempt := 1; attempt < maxSendAttempts && isUnanswered(err) && !(c.Load && present) && s.checkEnding() == nil; attempt++ {
-		// The engine executes one of the copies at most, since each expects the same sequence
-		// number. Waiting for a report instead would block all commands to the engine.
-		reply, err = s.send(ctx, c)
-	}
+	reply, sentBefore, err := s.sendCopies(ctx, c, present)
 	switch {
 	case IsKind(err, NotSent) && !sentBefore:
 		return "", err // nothing can still take effect, and the known state stays current
@@ -305,6 +299,36 @@
 	return reply, nil
 }
 
+// sendCopies sends a command, and again if it gets no reply. The engine executes one of the copies
+// at most, since each expects the same sequence number. Waiting for a report instead would block
+// all commands to the engine. A poll for the end of a load is sent once. unanswered is set if a copy
+// may still be executed.
+func (s *Sequencer) sendCopies(ctx context.Context, c Command, isPoll bool) (reply Reply, unanswered bool, err error) {
+	copies := maxSendAttempts
+	if c.Load && isPoll {
+		copies = 1
+	}
+	for left := copies; left > 0; left-- {
+		sendCtx, cancel := ctx, context.CancelFunc(func() {})
+		if left > 1 {
+			sendCtx, cancel = context.WithTimeout(ctx, resendAfter)
+		}
+		reply, err = s.send(sendCtx, c)
+		cancel()
+		if !isUnanswered(err) {
+			return reply, unanswered, err
+		}
+		if !unanswered {
+			s.recordUnanswered(c)
+		}
+		unanswered = true
+		if endErr := cmp.Or(s.checkEnding(), ctx.Err()); endErr != nil {
+			return reply, unanswered, err
+		}
+	}
+	return reply, unanswered, err
+}
+
 // send sends a command while CanSend permits it, and ends it with TimeLeft.
 func (s *Sequencer) send(ctx context.Context, c Command) (Reply, error) {
 	if s.CanSend != nil {
