Learn from owners which engines have an adapter, and ask further engines for one in demand

Cause: rows of engines show a copy up to three seconds late, so that nodes asked for the same copies again, and requests that all known holders refused as too late were rejected although other engines had room. Change: a grant or a refusal as overflow tells that the engine has the adapter loaded. A request for an adapter in demand that the holders refuse asks the next engines of the order to load it.

--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -38,7 +38,8 @@
 	Release func(g Grant)
 
 	demand map[string]*demand // by adapter; guarded by Mu
-	copies []recentCopy       // oldest first; guarded by Mu
+	// holders are engines that have an adapter loaded by what their owners said; guarded by Mu.
+	holders map[holderKey]time.Time
 }
 
 // GrantRequest describes the work that needs a grant.
--- a/caller/grant_search.go
+++ b/caller/grant_search.go
@@ -32,7 +32,9 @@
 	bestRefusal  *Refusal            // the best refusal of tryInOrder
 	bestEngine   string              // the engine of bestRefusal
 	refusals     map[string]*Refusal // the last refusal of each engine
-	sawCold      bool                // an engine refused because it must load the adapter first
+	// learnsHolders is set if the search records which engines have the adapter loaded.
+	learnsHolders bool
+	sawCold       bool // an engine refused because it must load the adapter first
 }
 
 var errNoGrant = errors.New("no engine granted the request")
@@ -68,7 +70,12 @@
 }
 
 func (s *grantSearch) requestGrant(ctx context.Context, name string, maxQueueWait time.Duration) (Grant, error) {
-	return s.acquirer.requestGrant(ctx, name, s.nextRequest(maxQueueWait))
+	g, err := s.acquirer.requestGrant(ctx, name, s.nextRequest(maxQueueWait))
+	var r *Refusal
+	if s.learnsHolders && (err == nil || errors.As(err, &r) && r.Reason == engine.Overflow) {
+		s.acquirer.recordHolder(time.Now(), name, s.work.Adapter)
+	}
+	return g, err
 }
 
 // nextRequest returns the work of the next request to an owner.
--- a/caller/preferred.go
+++ b/caller/preferred.go
@@ -97,7 +97,7 @@
 	isFrequent := a.recordDemand(now, w.Adapter)
 	p := a.placementOf(now, ranked, w.Adapter)
 	a.sortByQueueWait(now, p.holders)
-	search := &grantSearch{acquirer: a, work: w, maxQueueWait: a.maxQueueWait(req)}
+	search := &grantSearch{acquirer: a, work: w, maxQueueWait: a.maxQueueWait(req), learnsHolders: p.mayExceed}
 	if g, err := search.tryInOrder(ctx, p.holders[:min(maxHolders, len(p.holders))]); search.isDone(err) {
 		return g, err
 	}
@@ -111,7 +111,7 @@
 		return Grant{Engine: search.bestEngine}, nil
 	}
 	search.maxQueueWait = maxLoadWait
-	if g, err := search.tryInOrder(ctx, p.preferred); search.isDone(err) {
+	if g, err := search.tryInOrder(ctx, p.further(search.bestRefusal)); search.isDone(err) {
 		return g, err
 	}
 	if rank(search.bestRefusal.Reason) < rank(engine.Overflow) {
@@ -156,7 +156,7 @@
 		defer cancel()
 		g, err := a.RequestGrant(ctx, name, w)
 		if err == nil {
-			a.recordCopy(time.Now(), name, w.Adapter)
+			a.recordHolder(time.Now(), name, w.Adapter)
 			a.Release(g)
 		}
 	}()
--- a/caller/spread.go
+++ b/caller/spread.go
@@ -20,11 +20,13 @@
 	spreadWaitStep = 150 * time.Millisecond
 	// maxCopiesAtOnce bounds the copies that one request makes engines load.
 	maxCopiesAtOnce = 3
-	// copyKnownAfter is the time after which the rows of the engines show a copy that was loaded.
-	copyKnownAfter = 3 * time.Second
+	// holderKnownFor is the time after which the rows of the engines show what was loaded.
+	holderKnownFor = 3 * time.Second
 	// maxHolders bounds the engines with the adapter that a request asks before it waits in a
 	// queue. Each costs a message to an owner, and with more choices the queues are hardly shorter.
 	maxHolders = preferredEngines
+	// maxFurtherEngines bounds the engines without the adapter that a request asks to load it.
+	maxFurtherEngines = 2
 )
 
 // placement is where an adapter is and may be loaded, among the engines of a pool.
@@ -48,7 +50,7 @@
 func (a *Acquirer) placementOf(now time.Time, ranked []string, adapter string) placement {
 	p := placement{preferred: ranked[:min(preferredEngines, len(ranked))], mayExceed: len(ranked) > preferredEngines}
 	for _, name := range ranked {
-		if a.HasLoaded(name, adapter) || p.mayExceed && a.isRecentCopy(now, name, adapter) {
+		if a.HasLoaded(name, adapter) || p.mayExceed && a.isKnownHolder(now, name, adapter) {
 			p.holders = append(p.holders, name)
 		} else {
 			p.targets = append(p.targets, name)
@@ -57,6 +59,16 @@
 	return p
 }
 
+// further returns the engines to try after a refusal by those that have the adapter loaded: the next
+// ones that may load a copy if the adapter is in demand, which may serve the request sooner, else
+// the preferred ones.
+func (p placement) further(r *Refusal) []string {
+	if p.mayExceed && r != nil && r.AdapterRequests >= minSpreadRequests && len(p.targets) > 0 {
+		return p.targets[:min(len(p.targets), maxFurtherEngines)]
+	}
+	return p.preferred
+}
+
 // copiesFor returns the number of copies to load after a refusal by the engines that have the adapter
 // loaded. isFrequent is set if this node has many requests for it.
 func (p placement) copiesFor(r *Refusal, isFrequent bool) int {
@@ -71,34 +83,29 @@
 	return 0
 }
 
-// recentCopy is a copy that this node made an engine load.
-type recentCopy struct {
-	engine, adapter string
-	at              time.Time
-}
+// holderKey is an adapter at an engine.
+type holderKey struct{ engine, adapter string }
+
+// maxKnownHolders bounds the engines and adapters that a node remembers beside the engines' rows.
+const maxKnownHolders = 8192
 
-// recordCopy records a copy that has been loaded.
-func (a *Acquirer) recordCopy(now time.Time, name, adapter string) {
+// recordHolder records that an engine has an adapter loaded, by what its owner said.
+func (a *Acquirer) recordHolder(now time.Time, name, adapter string) {
+	if a.HasLoaded == nil || a.HasLoaded(name, adapter) {
+		return
+	}
 	a.Mu.Lock()
 	defer a.Mu.Unlock()
-	kept := a.copies[:0]
-	for _, c := range a.copies {
-		if now.Sub(c.at) < copyKnownAfter {
-			kept = append(kept, c)
-		}
+	if a.holders == nil || len(a.holders) >= maxKnownHolders {
+		a.holders = make(map[holderKey]time.Time)
 	}
-	a.copies = append(kept, recentCopy{name, adapter, now})
+	a.holders[holderKey{name, adapter}] = now
 }
 
-// isRecentCopy reports whether this node made an engine load an adapter, and the engine's row may not
-// show it yet.
-func (a *Acquirer) isRecentCopy(now time.Time, name, adapter string) bool {
+// isKnownHolder reports whether an engine's owner said lately that the adapter is loaded there.
+func (a *Acquirer) isKnownHolder(now time.Time, name, adapter string) bool {
 	a.Mu.Lock()
 	defer a.Mu.Unlock()
-	for _, c := range a.copies {
-		if c.engine == name && c.adapter == adapter && now.Sub(c.at) < copyKnownAfter {
-			return true
-		}
-	}
-	return false
+	at, ok := a.holders[holderKey{name, adapter}]
+	return ok && now.Sub(at) < holderKnownFor
 }
