Keep the priority of a request by an account between 0 and 9

Cause: PriorityOf multiplied the priority of the account without a bound, so the priorities of requests of accounts went beyond 9, and one above a third of the integers became negative, which is the highest priority at an engine.

Change: the account's priority is bounded before it is multiplied, and the sum at 9.

Result: TestPriorityOf, which fails without the change (priority 10 of account priority 3 and route priority 1).

--- a/route/account.go
+++ b/route/account.go
@@ -15,11 +15,13 @@
 	Keys    []string
 }
 
-// maxRoutePriority bounds what the priority of a route adds to that of an account, and
-// accountPriorityStep is the distance between two priorities of accounts.
+// maxRoutePriority bounds what the priority of a route adds to that of an account,
+// accountPriorityStep is the distance between two priorities of accounts, and lowestPriority is the
+// last of the priorities that model engines accept.
 const (
 	maxRoutePriority    = 2
 	accountPriorityStep = maxRoutePriority + 1
+	lowestPriority      = 9
 )
 
 // PriorityOf returns the priority of a request to a route by an account, where 0 is the highest.
@@ -29,5 +31,6 @@
 	if a == nil || !a.HasPriority {
 		return r.Priority
 	}
-	return max(0, a.Priority)*accountPriorityStep + min(max(0, r.Priority), maxRoutePriority)
+	ofAccount := min(max(0, a.Priority), lowestPriority) // a larger one would overflow
+	return min(ofAccount*accountPriorityStep+min(max(0, r.Priority), maxRoutePriority), lowestPriority)
 }
--- a/route/account_test.go
+++ b/route/account_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 func account(name string, keys ...string) AccountKeys {
@@ -45,6 +46,28 @@
 	is.True(!without.HasAccounts())
 }
 
+// Guards against an order of requests in which a route's priority outweighs an account's, or a
+// large priority becomes the highest one.
+func TestPriorityOf(t *testing.T) {
+	is := is.New(t)
+	is.Equal(PriorityOf(&Route{Priority: 7}, nil), 7)
+	is.Equal(PriorityOf(&Route{Priority: 7}, &Account{Priority: 4}), 7)
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) (int, int, int) {
+			a, r := rapid.Int().Draw(t, name+" account"), rapid.Int().Draw(t, name+" route")
+			return a, r, PriorityOf(&Route{Priority: r}, &Account{Priority: a, HasPriority: true})
+		}
+		a1, r1, p1 := draw("first")
+		a2, r2, p2 := draw("second")
+		if p1 < 0 || p1 > 9 {
+			t.Fatalf("priority %d of account priority %d and route priority %d", p1, a1, r1)
+		}
+		if a1 <= a2 && r1 <= r2 && p1 > p2 || max(0, a1) < a2 && a2 <= 3 && p1 >= p2 {
+			t.Fatalf("account %d, route %d: %d; account %d, route %d: %d", a1, r1, p1, a2, r2, p2)
+		}
+	})
+}
+
 // BenchmarkAccount measures the check of a key. The bound is 1 microsecond without an allocation.
 func BenchmarkAccount(b *testing.B) {
 	accounts, keys := make([]AccountKeys, 10_000), make([]string, 0, 20_000)
