Charge a request with huge token counts in full

Cause: the two token counts that a caller states were added as integers. With a prompt of 2^63-1 tokens the sum was negative, so the request would have returned an allowance to its account instead of using one.

Change: the sum stops at the largest integer, and a cost is never below 0.

--- a/relay/account.go
+++ b/relay/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 
 	"github.com/vanilladrift/vanilladrift/route"
 )
@@ -61,7 +62,8 @@
 	if x.account == nil || x.handler.TakeQuota == nil || !x.account.Quota.IsLimited() {
 		return func() {}, nil
 	}
-	cost := x.account.Quota.Cost(x.head.PromptTokens+x.head.MaxTokens, x.head.HasTokenCounts)
+	tokens := x.head.PromptTokens + min(x.head.MaxTokens, math.MaxInt-x.head.PromptTokens) // the caller's counts may be of any size
+	cost := x.account.Quota.Cost(tokens, x.head.HasTokenCounts)
 	giveBack, retryAfter, ok := x.handler.TakeQuota(ctx, x.account, cost)
 	if !ok {
 		return nil, &Error{Op: "limit", Kind: OverQuota, Reason: "the account has used up its quota", RetryAfter: retryAfter}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -120,7 +120,7 @@
 			if h.Get("Id") == "" {
 				return RequestHead{}, errors.New("the id is missing")
 			}
-			return RequestHead{ID: h.Get("Id"), Model: "m", Adapter: "a", LastEventID: h.Get("After")}, nil
+			return RequestHead{ID: h.Get("Id"), Model: "m", Adapter: "a", LastEventID: h.Get("After"), Key: h.Get("Key")}, nil
 		},
 		NewServerRequest: f.servers.newRequest, RequestIDHeader: "Id",
 		RecordAsks: func(s *backend.Server, _ time.Time, a backend.Asks) {
--- a/route/account_test.go
+++ b/route/account_test.go
@@ -68,6 +68,16 @@
 	})
 }
 
+// Guards against a request that gives quota back instead of using some.
+func TestCost(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Quota{}.Cost(700, true), 1.0)
+	is.Equal(Quota{Unit: TokenUnits, PlainTokens: 40}.Cost(700, true), 700.0)
+	is.Equal(Quota{Unit: TokenUnits, PlainTokens: 40}.Cost(0, false), 40.0)
+	is.Equal(Quota{Unit: TokenUnits}.Cost(-700, true), 0.0)
+	is.True(!Quota{Burst: 5}.IsLimited())
+}
+
 // BenchmarkAccount measures the check of a key. The bound is 1 microsecond without an allocation.
 func BenchmarkAccount(b *testing.B) {
 	accounts, keys := make([]AccountKeys, 10_000), make([]string, 0, 20_000)
--- a/route/quota.go
+++ b/route/quota.go
@@ -20,14 +20,14 @@
 // IsLimited reports whether the quota limits anything.
 func (q Quota) IsLimited() bool { return q.PerSecond > 0 }
 
-// Cost returns what a request counts. hasTokens is set if it states its token counts, whose sum is
-// tokens.
+// Cost returns what a request counts, which is not below 0. hasTokens is set if it states its token
+// counts, whose sum is tokens.
 func (q Quota) Cost(tokens int, hasTokens bool) float64 {
 	switch {
 	case q.Unit != TokenUnits:
 		return 1
 	case hasTokens:
-		return float64(tokens)
+		return float64(max(0, tokens))
 	}
 	return float64(q.PlainTokens)
 }
