Refuse a key for good only by the configuration that is in force

Cause: a request looks its key up in the configuration that was in force when it arrived, and then asks whether that is current. If a change that adds the key is read in between, the answer is yes, and the caller got the final status 401 for a valid key.

Change: the status is 503 with a Retry-After if the configuration has been replaced since the look-up.

Result: TestKeyAddedDuringTheLookUp, which fails without the change.

--- a/relay/account.go
+++ b/relay/account.go
@@ -14,17 +14,19 @@
 	}
 	a, ok := x.table.Account(x.head.Key)
 	if !ok {
-		return x.unauthorized()
+		return x.unauthorized(x.table)
 	}
 	x.account = a
 	return nil
 }
 
-// unauthorized returns the error for a request whose key authenticates no account. The key may have
-// been added by a change that the node has not read; the caller is then told to come back.
-func (x *exchange) unauthorized() error {
+// unauthorized returns the error for a request whose key authenticates no account in t. The key may
+// have been added by a change that the node has not read, or has read since; the caller is then told
+// to come back.
+func (x *exchange) unauthorized(t *route.Table) error {
 	const op = "authenticate"
-	if x.handler.IsTableCurrent != nil && !x.handler.IsTableCurrent() {
+	isCurrent := x.handler.IsTableCurrent == nil || x.handler.IsTableCurrent()
+	if !isCurrent || x.handler.Table() != t {
 		return x.rejection(op, NotReady, "the node knows no account with this key, and its configuration may be out of date", otherNodeRetryAfter)
 	}
 	return x.rejection(op, Unauthorized, "no account has this key", 0)
@@ -41,7 +43,7 @@
 		return nil
 	}
 	if a, ok := t.Account(x.head.Key); !ok || a.Name != x.account.Name {
-		return x.unauthorized()
+		return x.unauthorized(t)
 	}
 	return nil
 }
--- a/relay/account_test.go
+++ b/relay/account_test.go
@@ -93,6 +93,21 @@
 	}
 }
 
+// Guards against a final refusal of a key that was added while the node looked it up.
+func TestKeyAddedDuringTheLookUp(t *testing.T) {
+	is := is.New(t)
+	f := newAccountFixture(accountTable(1, false, testAccount("a", "ka")), okReply())
+	f.key = "kb"
+	f.handler.IsTableCurrent = func() bool {
+		f.table = accountTable(2, false, testAccount("a", "ka", "kb"))
+		return true
+	}
+	w, _ := f.serve("/p/x", "r1", "body")
+	is.Equal(w.Code, 503)
+	w, _ = f.serve("/p/x", "r1", "body")
+	is.Equal(w.Code, 200)
+}
+
 // Guards against work that waits at an engine's owner without the account's name and priority, and
 // engines that get the route's priority.
 func TestEngineWorkOfAnAccount(t *testing.T) {
