Look at a waiting request's account as if it had just arrived

Cause: while a request waits, a key that is moved to another account made it end with status 401, which is final although the key is valid. The account was not looked at if the request had none on arrival: the first configuration with accounts, or one in which the route is public no longer, let waiting requests through, and in the first case with the key.

Change: if the configuration has been replaced, the account is found again by the new one and its route, before each send. Another outcome than on arrival gives 401 for a key that is not valid, and otherwise 503 with a Retry-After. The outcome is not taken over, since quota and queues have counted the request for the former account. The key is removed by the configuration that was looked at last.

--- a/relay/account.go
+++ b/relay/account.go
@@ -9,17 +9,23 @@
 
 // authenticate finds the client account of the request, if its route needs one.
 func (x *exchange) authenticate() error {
-	if !x.table.HasAccounts() || x.route.Public {
-		return nil
-	}
-	a, ok := x.table.Account(x.head.Key)
+	a, ok := x.accountIn(x.table, x.route)
 	if !ok {
 		return x.unauthorized(x.table)
 	}
-	x.account = a
+	x.account, x.accounts = a, x.table
 	return nil
 }
 
+// accountIn returns the account of the request by a configuration, in which r is its route. The
+// account is nil if none is needed.
+func (x *exchange) accountIn(t *route.Table, r *route.Route) (a *route.Account, ok bool) {
+	if !t.HasAccounts() || r.Public {
+		return nil, true
+	}
+	return t.Account(x.head.Key)
+}
+
 // unauthorized returns the error for a request whose key authenticates no account in t. The key may
 // have been added by a change that the node has not read, or has read since; the caller is then told
 // to come back.
@@ -32,30 +38,45 @@
 	return x.rejection(op, Unauthorized, "no account has this key", 0)
 }
 
-// checkAccount reports an error if the key of the request has been taken away since it was
-// received. It is called before each send, since the request may have waited.
+// checkAccount reports an error if the configuration in force gives the request another account
+// than it had when it was received, or none. It is called before each send, since the request may
+// have waited. Its quota and its place in queues were those of its account, so a request whose account
+// is another one must come again.
 func (x *exchange) checkAccount() error {
-	if x.account == nil {
-		return nil
-	}
 	t := x.handler.Table()
-	if t == x.table || !t.HasAccounts() {
+	if t == x.accounts {
 		return nil
 	}
-	if a, ok := t.Account(x.head.Key); !ok || a.Name != x.account.Name {
+	a, ok := x.accountIn(t, x.routeIn(t))
+	switch {
+	case !ok:
 		return x.unauthorized(t)
+	case nameOf(a) != x.accountName():
+		return x.rejection("authenticate", NotReady, "its account has changed while it waited", otherNodeRetryAfter)
 	}
+	x.accounts = t
 	return nil
 }
 
-// accountName returns the name of the request's account, or an empty text.
-func (x *exchange) accountName() string {
-	if x.account == nil {
+// routeIn returns the route of the request in a configuration, or the one that it had when it was
+// received if there is none.
+func (x *exchange) routeIn(t *route.Table) *route.Route {
+	if r, ok := t.Match(x.r.Host, x.r.URL.Path); ok {
+		return r
+	}
+	return x.route
+}
+
+func nameOf(a *route.Account) string {
+	if a == nil {
 		return ""
 	}
-	return x.account.Name
+	return a.Name
 }
 
+// accountName returns the name of the request's account, or an empty text.
+func (x *exchange) accountName() string { return nameOf(x.account) }
+
 // priority returns the priority of the request, where 0 is the highest.
 func (x *exchange) priority() int { return route.PriorityOf(x.route, x.account) }
 
--- a/relay/account_test.go
+++ b/relay/account_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 
 	"github.com/vanilladrift/vanilladrift/backend"
@@ -108,6 +109,71 @@
 	is.Equal(w.Code, 200)
 }
 
+// Guards against requests that wait while the accounts change, and then reach a server with a key
+// that was taken away, under a former account, or with the key itself.
+func TestAccountsChangeWhileARequestWaits(t *testing.T) {
+	a := testAccount("a", "ka")
+	for _, tt := range []struct {
+		name, key     string
+		before, after *route.Table
+		isOld         bool
+		status        int
+	}{
+		{"key taken away", "ka", accountTable(1, false, a), accountTable(2, false, testAccount("a")), false, 401},
+		{"key taken away, the configuration may be old", "ka", accountTable(1, false, a), accountTable(2, false, testAccount("a")), true, 503},
+		{"key becomes ambiguous", "ka", accountTable(1, false, a), accountTable(2, false, a, testAccount("b", "ka")), false, 401},
+		{"key moved to another account", "ka", accountTable(1, false, a), accountTable(2, false, testAccount("b", "ka")), false, 503},
+		{"other change", "ka", accountTable(1, false, a), accountTable(2, false, testAccount("a", "ka", "kb")), false, 200},
+		{"first accounts, no key", "", accountTable(1, false), accountTable(2, false, a), false, 401},
+		{"first accounts, key", "ka", accountTable(1, false), accountTable(2, false, a), false, 503},
+		{"first accounts, public route", "ka", accountTable(1, true), accountTable(2, true, a), false, 200},
+		{"route is public no longer", "x", accountTable(1, true, a), accountTable(2, false, a), false, 401},
+		{"route becomes public", "ka", accountTable(1, false, a), accountTable(2, true, a), false, 503},
+		{"accounts end", "ka", accountTable(1, false, a), accountTable(2, false), false, 503},
+		{"route is gone", "ka", accountTable(1, false, a), route.NewTable(2, nil, nil, route.Limits{}).WithAccounts([]route.AccountKeys{a}), false, 200},
+	} {
+		for _, pool := range []string{"plain", "engines"} {
+			t.Run(tt.name+"/"+pool, func(t *testing.T) {
+				is := is.New(t)
+				f := newAccountFixture(tt.before, okReply())
+				change := func() { f.table, f.isCurrent = tt.after, !tt.isOld }
+				f.handler.TakeTurn = func(context.Context, *backend.Server) bool { change(); return true }
+				f.handler.Acquire = func(_ context.Context, names []string, w engine.Work) (caller.Grant, error) {
+					change()
+					return caller.Grant{Engine: names[0], ID: w.ID}, nil
+				}
+				f.registry.Replace(time.Time{}, []backend.Server{{ID: "i-1", Pool: pool}})
+				r, _ := tt.before.Match("a.example", "/p/x")
+				r.TrafficSplit[0].Pool = pool
+				f.key = tt.key
+				w, _ := f.serve("/p/x", "r1", "body")
+				is.Equal(w.Code, tt.status)
+				is.Equal(w.Header().Get("Retry-After") != "", tt.status == 503)
+				is.Equal(len(f.servers.requests) > 0, tt.status == 200)
+				if tt.status == 200 {
+					is.Equal(f.servers.requests[0].HasAccounts, tt.after.HasAccounts())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a second attempt with a key that was taken away, and against the status 401 for a
+// request that may have run.
+func TestKeyTakenAwayBetweenAttempts(t *testing.T) {
+	is := is.New(t)
+	f := newAccountFixture(accountTable(1, false, testAccount("a", "ka")), reply{err: errors.New("connection reset")}, okReply())
+	f.key = "ka"
+	next := f.handler.Transport
+	f.handler.Transport = func(p route.Pool) http.RoundTripper {
+		f.table = accountTable(2, false, testAccount("a"))
+		return next(p)
+	}
+	w, _ := f.serve("/p/x", "r1", "body")
+	is.Equal(w.Code, 502)
+	is.Equal(len(f.servers.requests), 1)
+}
+
 // Guards against work that waits at an engine's owner without the account's name and priority, and
 // engines that get the route's priority.
 func TestEngineWorkOfAnAccount(t *testing.T) {
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -168,6 +168,7 @@
 	table    *route.Table
 	route    *route.Route
 	account  *route.Account // nil if the request needs none
+	accounts *route.Table   // by which the account was last looked at
 	pool     route.Pool
 	body     []byte
 	deadline time.Time
@@ -284,7 +285,7 @@
 func (x *exchange) roundTrip(ctx context.Context, s ServerRequest) (*http.Response, ResponseHead, error) {
 	s.Incoming, s.Body, s.ContentLength = x.r, bytes.NewReader(x.body), len(x.body)
 	s.TimeLeft = time.Until(x.deadline)
-	s.HasAccounts, s.Account = x.table.HasAccounts(), x.accountName()
+	s.HasAccounts, s.Account = x.accounts.HasAccounts(), x.accountName()
 	s.OwnConnection = x.sentTo[s.Server.Address]
 	if x.sentTo == nil {
 		x.sentTo = make(map[string]bool)
