Look at a request's account again when it has waited for a connection

Cause: the account of a request is looked at before each send, but after that the request may wait for seconds until a connection to the server is opened or becomes free. A key that was taken away in that time did not stop it, and one that was moved let it run under the former account.

Change: the connection looks again just before the first bytes, as it does for callers and servers that have left, if the last look is over 100 ms old. Stand-in replicas record the account of a request and whether it came with a key.

--- a/entry/pause_test.go
+++ b/entry/pause_test.go
@@ -35,13 +35,15 @@
 	closers []io.Closer
 	late    atomic.Pointer[func(response []byte) bool] // set for servers that send responses again
 	catchUp time.Duration                              // of the settings
-	// path, if set, replaces dial.
-	path func(ctx context.Context, network, address string) (net.Conn, error)
+	// path, if set, replaces dial, and listen replaces the network's Listen.
+	path   func(ctx context.Context, network, address string) (net.Conn, error)
+	listen func(address string) (net.Listener, error)
 
 	mu        sync.Mutex
 	log       strings.Builder
 	dialDelay time.Duration        // of new connections to servers
 	arrivals  map[string]time.Time // of callers' requests at servers, by request ID
+	heads     map[string]http.Header
 }
 
 // dial connects to servers after the delay, whatever becomes of the context meanwhile.
@@ -91,6 +93,7 @@
 	f.serve(is, r.Self.Address, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		f.mu.Lock()
 		f.arrivals[req.Header.Get(platform.RequestIDHeader)] = time.Now()
+		f.heads[req.Header.Get(platform.RequestIDHeader)] = req.Header
 		f.mu.Unlock()
 		r.ServeHTTP(w, req)
 	}))
@@ -105,7 +108,7 @@
 
 // start starts the stand-ins and the daemon.
 func (f *daemonFixture) start(is *is.I) {
-	f.arrivals = make(map[string]time.Time)
+	f.arrivals, f.heads = make(map[string]time.Time), make(map[string]http.Header)
 	f.serve(is, "store:1", &f.store)
 	f.store.Put(platform.ConfigRowKey, platform.ExampleConfig)
 	f.engine = &standin.Replica{
@@ -119,6 +122,9 @@
 	if f.path != nil {
 		n.Dial = f.path
 	}
+	if f.listen != nil {
+		n.Listen = f.listen
+	}
 	var err error
 	f.daemon, err = New(platform.Settings{
 		Node: "n", IP: netip.MustParseAddr("10.0.0.1"), CallerAddress: "10.0.0.1:1", ReadinessAddress: "10.0.0.1:2", PeerAddress: "10.0.0.1:3", OperatorAddress: "10.0.0.1:4",
--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -147,7 +147,7 @@
 	resp, err := t.transportFor(r).RoundTrip(r)
 	if err != nil {
 		h.release()
-		if used.serverLeft.Load() {
+		if used.unsent.Load() {
 			err = &net.OpError{Op: "dial", Net: "tcp", Err: err}
 		}
 		return nil, err
--- a/entry/server_conn.go
+++ b/entry/server_conn.go
@@ -21,8 +21,9 @@
 const lookValidFor = 100 * time.Millisecond
 
 var (
-	errCallerLeft = errors.New("the caller left before the request was sent")
-	errServerLeft = errors.New("the server is draining or gone")
+	errCallerLeft     = errors.New("the caller left before the request was sent")
+	errServerLeft     = errors.New("the server is draining or gone")
+	errAccountChanged = errors.New("the client account of the request is another one by now, or has lost its key")
 )
 
 // serverConn is a connection to a server. It does not send a request whose caller has left, nor a
@@ -138,13 +139,14 @@
 // use is the use of a connection by a request.
 type use struct {
 	conn *serverConn // nil until the request has got one
-	// serverLeft is set if the request was not sent, since its server had left meanwhile.
-	serverLeft atomic.Bool
+	// unsent is set if the request was not sent, since its server had left meanwhile, or its client
+	// account is not the same any more.
+	unsent atomic.Bool
 }
 
 // withLook returns the request such that its connection looks once more, just before its
-// first bytes, whether the caller or the server has left, or, for a command, whether its time is
-// over. looked is the time of the last look.
+// first bytes, whether the caller or the server has left or the client account has changed, or,
+// for a command, whether its time is over. looked is the time of the last look.
 func (c *poolTransports) withLook(r *http.Request, looked time.Time) (*http.Request, *use) {
 	ctx, u := r.Context(), &use{}
 	return r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
@@ -169,9 +171,13 @@
 				return errCallerLeft
 			}
 			if c.usable != nil && !c.usable(r.URL.Host) {
-				u.serverLeft.Store(true)
+				u.unsent.Store(true)
 				return errServerLeft
 			}
+			if !relay.KeepsAccount(ctx) {
+				u.unsent.Store(true)
+				return errAccountChanged
+			}
 			return lingerErr
 		}
 	}})), u
--- a/relay/account.go
+++ b/relay/account.go
@@ -67,6 +67,31 @@
 	return x.route
 }
 
+type accountCheckKey struct{}
+
+// withAccountCheck returns the context of an attempt to send the request, in which
+// [KeepsAccount] looks at its account. The look may come when the attempt has ended, so it uses only
+// what does not change after the request was received.
+func (x *exchange) withAccountCheck(ctx context.Context) context.Context {
+	last := x.accounts
+	return context.WithValue(ctx, accountCheckKey{}, func() bool {
+		t := x.handler.Table()
+		if t == last {
+			return true
+		}
+		a, ok := x.accountIn(t, x.routeIn(t))
+		return ok && nameOf(a) == x.accountName() && t.HasAccounts() == last.HasAccounts()
+	})
+}
+
+// KeepsAccount reports whether a request may still be sent under its client account, given the
+// context of the request to the server. A request that had to wait for a connection must not be sent
+// otherwise; the error of its round trip is then a dial error.
+func KeepsAccount(ctx context.Context) bool {
+	check, ok := ctx.Value(accountCheckKey{}).(func() bool)
+	return !ok || check()
+}
+
 func nameOf(a *route.Account) string {
 	if a == nil {
 		return ""
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -295,7 +295,8 @@
 	x.event.Attempts++
 	x.event.ServerStatus, x.event.ServerNotRun, x.event.Connection = 0, false, Connection{}
 	sent := time.Now()
-	resp, err := x.handler.Transport(x.pool).RoundTrip(x.handler.NewServerRequest(withConnection(ctx, &x.event.Connection), s))
+	ctx = x.withAccountCheck(withConnection(ctx, &x.event.Connection))
+	resp, err := x.handler.Transport(x.pool).RoundTrip(x.handler.NewServerRequest(ctx, s))
 	if err != nil {
 		return nil, ResponseHead{}, err
 	}
@@ -340,6 +341,9 @@
 	case err != nil && x.callerLeft(): // which may be why it was not sent
 		return nil, ResponseHead{}, &result{done: true, notRun: true, err: callerLeftError(err)}
 	case err != nil && transport.IsDialError(err):
+		if err := x.checkAccount(); err != nil { // which may be why it was not sent
+			return nil, ResponseHead{}, &result{done: true, notRun: true, err: err}
+		}
 		x.handler.Balancer.ObserveRefusal(time.Now(), s.Server)
 		return nil, head, &result{failed: true, notRun: true, unsent: true, reason: err.Error()}
 	case err != nil:
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -151,6 +151,7 @@
 	defer r.mu.Unlock()
 	rec := r.record
 	rec.Executions, rec.Commands = maps.Clone(r.record.Executions), slices.Clone(r.record.Commands)
+	rec.Accounts = maps.Clone(r.record.Accounts)
 	rec.LimitedArrivals = slices.Clone(r.record.LimitedArrivals)
 	return rec
 }
@@ -161,6 +162,7 @@
 		return // the connection ended within the command
 	}
 	r.serveDown()
+	r.recordKey(req)
 	w = &replicaResponse{ResponseWriter: w, replica: r}
 	if pause := r.observeArrival(time.Now()); pause > 0 {
 		r.turnAwayCommand(req)
@@ -170,6 +172,16 @@
 	(&platform.ReplicaServer{State: r.reportedState, HandleCommand: r.handleCommand, ServeRequest: r.serveRequest}).ServeHTTP(w, req)
 }
 
+// recordKey counts a request that came with the key of a client account.
+func (r *Replica) recordKey(req *http.Request) {
+	if !platform.HasKey(req) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.WithKey++
+}
+
 // currentServer describes the current incarnation. r.mu must be held.
 func (r *Replica) currentServer() backend.Server {
 	s := r.Self
@@ -289,6 +301,12 @@
 		r.record.Executions = make(map[string]int)
 	}
 	r.record.Executions[head.ID]++
+	if head.Account != "" {
+		if r.record.Accounts == nil {
+			r.record.Accounts = make(map[string]string)
+		}
+		r.record.Accounts[head.ID] = head.Account
+	}
 	r.activeRequests[name]++
 	r.state.Running++
 	return r.startMS, version, http.StatusOK
--- a/standin/replica_record.go
+++ b/standin/replica_record.go
@@ -5,8 +5,12 @@
 // ReplicaRecord is what a replica received and did.
 type ReplicaRecord struct {
 	Executions map[string]int // number of executions by request ID
-	Crashes    int            // caused by loads beyond the adapter slots
-	Commands   []Arrival      // all that arrived, also those that were refused
+	// Accounts is the client account under which a request was run last, by its ID. Requests without
+	// one are not in it.
+	Accounts map[string]string
+	WithKey  int       // requests of any kind that came with the key of a client account
+	Crashes  int       // caused by loads beyond the adapter slots
+	Commands []Arrival // all that arrived, also those that were refused
 	// RequestCrashes and CrashingArrivals are the times of crashes by requests, and of the
 	// arrivals of such requests.
 	RequestCrashes   []time.Time
