Give the callers of the platform demo client accounts

The demo on the platform's stand-ins had no client accounts, so nothing checked with failures in play that a key reaches no replica, and that replicas run requests under the right account.

Change: the demo adds two accounts, replaces a key halfway, and checks the replicas' records, and that a request without a valid key is refused for good.

--- a/demo/platform.go
+++ b/demo/platform.go
@@ -36,6 +36,8 @@
 	}
 	t := newPlatformTraffic(sys, o.Seed)
 	portion := o.Requests / 5
+	logf("adding client accounts")
+	t.addAccounts()
 	logf("sending requests while replicas refuse some and send some responses a second time, late")
 	t.sendWhileReplicasCopy(portion)
 	logf("publishing versions while replicas lose commands and apply them late")
@@ -52,6 +54,8 @@
 	t.run(portion)
 	logf("sending a request again and again that crashes each server that runs it")
 	t.crashServers()
+	logf("replacing the key of a client account")
+	t.replaceKey()
 	logf("draining a replica while the store loses responses and its history")
 	t.drainReplica(portion)
 	logf("stopping the daemon at %s", sys.callerAddrs[0])
@@ -117,7 +121,7 @@
 	}
 	for end := time.Now().Add(crashLearningTime + 8*crashInterval); time.Now().Before(end); time.Sleep(crashInterval) {
 		t.crashes++
-		c := call{route: "status", body: body, head: relay.RequestHead{ID: fmt.Sprintf("crash-%d", t.crashes), Timeout: time.Second}}
+		c := call{route: publicRoute, body: body, head: relay.RequestHead{ID: fmt.Sprintf("crash-%d", t.crashes), Timeout: time.Second}}
 		_, _ = t.sendAttempt(&c) // it is not to be served
 	}
 	t.result.LateArrivals = lateArrivals(t.sys.ledgers, crashesToLearn)
@@ -191,6 +195,9 @@
 		counter{r.OwnerAlternations, "times that an engine went back to a former owner too soon"},
 		counter{r.MixedBuilds, "streams with events of two software versions"},
 		counter{max(0, r.LateArrivals-maxLateArrivals), "requests too many that had crashed three servers"},
+		counter{r.WithKey, "requests that replicas got with the key of a client account"},
+		counter{r.WrongAccount, "requests run under another client account"},
+		counter{r.Admitted, "requests without a valid key that were not refused for good"},
 		counter{r.StartedAfterDrain, "requests started on a replica after its drain period"},
 	)
 	violations = append(violations, r.OwnerViolations...)
@@ -216,6 +223,10 @@
 		{r.TakenUp, "taken up"},
 		{r.WentOn, "went on"},
 		{r.MixedBuilds, "mixed versions"},
+		{r.WithKey, "with key"},
+		{r.WrongAccount, "wrong account"},
+		{r.Unauthorized, "unauthorized"},
+		{r.Admitted, "admitted"},
 		{r.Commands, "commands"},
 		{len(r.OwnerViolations), "two owners"},
 	} {
--- a/demo/platform_traffic.go
+++ b/demo/platform_traffic.go
@@ -17,6 +17,7 @@
 
 	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/relay"
+	"github.com/vanilladrift/vanilladrift/route"
 	"github.com/vanilladrift/vanilladrift/standin"
 )
 
@@ -46,6 +47,10 @@
 	WentOn            int            `json:"went-on"`           // of these, those that brought another event
 	MixedBuilds       int            `json:"mixed-builds"`      // streams with events of two software versions
 	Commands          int            `json:"commands"`          // that arrived at engines
+	WithKey           int            `json:"with-key"`          // requests of any kind that replicas got with the key of a client account
+	WrongAccount      int            `json:"wrong-account"`     // requests that a replica ran under another client account than its caller's
+	Unauthorized      int            `json:"unauthorized"`      // requests with a key that authenticates nobody, refused for good
+	Admitted          int            `json:"admitted"`          // of such requests, those that were not
 	OwnerViolations   []string       `json:"owner-violations"`  // commands of two owners of an engine
 	FirstEventP50MS   int64          `json:"first-event-p50-ms"`
 	FirstEventP99MS   int64          `json:"first-event-p99-ms"`
@@ -64,15 +69,17 @@
 	atMostOnce        map[string]bool  // attempts of requests that may run at most once
 	notRun            map[string]bool  // attempts that were reported as not run
 	lastRequestNumber int
-	maxAttempts       int // of a request
-	crashes           int // requests sent that crash servers
+	accounts          []route.AccountKeys // of the callers; without any, their requests have no key
+	accountOf         map[string]string   // client account by attempt
+	maxAttempts       int                 // of a request
+	crashes           int                 // requests sent that crash servers
 }
 
 func newPlatformTraffic(sys *platformSystem, seed uint64) *platformTraffic {
 	t := &platformTraffic{
 		sys: sys, rng: rand.New(rand.NewPCG(seed, 3)),
 		firstEventLatency: hdrhistogram.New(1, maxLatencyMS, 3), callerAddrs: slices.Clone(sys.callerAddrs),
-		requiredVersions: map[string]int64{}, atMostOnce: map[string]bool{}, notRun: map[string]bool{}, maxAttempts: maxAttempts,
+		requiredVersions: map[string]int64{}, atMostOnce: map[string]bool{}, notRun: map[string]bool{}, accountOf: map[string]string{}, maxAttempts: maxAttempts,
 	}
 	t.result.Refused = map[string]int{}
 	return t
@@ -98,11 +105,23 @@
 
 // call is a request of a caller.
 type call struct {
-	route  string
-	head   relay.RequestHead
-	query  string
-	body   string // empty means one that names the request's ID
-	stream streamSoFar
+	route   string
+	account string // client account; empty if it has none
+	head    relay.RequestHead
+	query   string
+	body    string // empty means one that names the request's ID
+	stream  streamSoFar
+}
+
+// newRequest returns the request to the daemon at an address.
+func (c *call) newRequest(address string) *http.Request {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/"+c.route+"/?"+c.query, strings.NewReader(cmp.Or(c.body, "body of "+c.head.ID)))
+	if err != nil {
+		panic(err) // the URL consists of constants and an address
+	}
+	req.Host = "assist.example"
+	platform.EncodeRequestHead(req.Header, c.head)
+	return req
 }
 
 // streamSoFar is what a caller has of a stream, over all its attempts.
@@ -130,6 +149,13 @@
 	case u < platformStreamFraction+platformOrderFraction:
 		c.route = "orders"
 	}
+	if len(t.accounts) > 0 {
+		a := t.accounts[t.rng.IntN(len(t.accounts))]
+		c.head.Key = a.Keys[0]
+		if c.route != publicRoute {
+			c.account = a.Account.Name
+		}
+	}
 	return c
 }
 
@@ -158,19 +184,14 @@
 	}
 	t.mu.Lock()
 	addr := t.callerAddrs[t.rng.IntN(len(t.callerAddrs))]
+	t.accountOf[c.head.ID] = c.account
 	minVersion := t.requiredVersions[c.head.Adapter]
 	if c.route == "orders" {
 		t.atMostOnce[c.head.ID] = true
 	}
 	t.mu.Unlock()
-	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/"+c.route+"/?"+c.query, strings.NewReader(cmp.Or(c.body, "body of "+c.head.ID)))
-	if err != nil {
-		panic(err) // the URL consists of constants and an address
-	}
-	req.Host = "assist.example"
-	platform.EncodeRequestHead(req.Header, c.head)
 	start := time.Now()
-	resp, err := t.sys.client.Do(req)
+	resp, err := t.sys.client.Do(c.newRequest(addr))
 	if err != nil {
 		return c.route != "orders", connectionRetryDelay
 	}
@@ -292,8 +313,12 @@
 		r.EngineCrashes += rec.Crashes
 		r.OwnerAlternations += rec.OwnerAlternations(ownerAlternationGap)
 		r.Commands += len(rec.Commands)
+		r.WithKey += rec.WithKey
 		for id, n := range rec.Executions {
 			executions[id] += n
+			if rec.Accounts[id] != t.accountOf[id] {
+				r.WrongAccount++
+			}
 		}
 	}
 	r.OwnerViolations = t.sys.ownerViolations()
--- a/entry/account_test.go
+++ b/entry/account_test.go
@@ -76,11 +76,10 @@
 	return recordedConn{c, l.to}, nil
 }
 
-// putAccounts writes a version of the configuration with client accounts, in which the route for
-// /status/ is public and the servers behind the others take few connections.
+// putAccounts writes a version of the configuration with client accounts, in which plain servers take
+// few connections.
 func (f *daemonFixture) putAccounts(version int, tenants string) {
 	config := strings.Replace(string(platform.ExampleConfig), `"version": 1,`, fmt.Sprintf(`"version": %d, "tenants": %s,`, version, tenants), 1)
-	config = strings.Replace(config, `"prefix": "/status/",`, `"prefix": "/status/", "public": true,`, 1)
 	f.store.Put(platform.ConfigRowKey, []byte(strings.Replace(config, `"max_connections": 100`, `"max_connections": 2`, 1)))
 }
 
