Leave what net/http quotes out of the log

Cause: if bytes arrive on a connection that awaits no response, net/http writes up to a buffer of them to the standard library's log, which went to standard error. A store that sends a response twice would so have written the configuration there, with the keys of client accounts.

Change: the daemon of the platform passes the standard library's log to its own, without what stands in quotation marks.

--- a/cmd/vanilladriftd/platform.go
+++ b/cmd/vanilladriftd/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -40,6 +41,8 @@
 	logger := log.NewWithOptions(logWriter, log.Options{
 		Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.JSONFormatter,
 	}).With("node", cfg.Node)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(logs.NewStandardWriter(func(msg string) { logger.Warn("message of a library", "text", msg) }))
 	d, err := entry.New(cfg, entry.Network{}, logger)
 	if err == nil {
 		err = d.Start()
--- a/logs/writer.go
+++ b/logs/writer.go
@@ -6,6 +6,7 @@
 //	w := logs.NewAsyncWriter(os.Stdout, 4096)
 //	defer w.Close()
 //	l := log.NewWithOptions(w, log.Options{})
+//	stdlog.SetOutput(logs.NewStandardWriter(func(msg string) { l.Warn(msg) }))
 //
 // # Not covered
 //
