--- a/relay/handler.go
+++ b/relay/handler.go
@@ -168,6 +168,7 @@
 	table    *route.Table
 	route    *route.Route
 	account  *route.Account // nil if the request needs none
+	accounts *route.Table   // by which the account was last looked at
 	pool     route.Pool
 	body     []byte
 	deadline time.Time
@@ -284,7 +285,7 @@
 func (x *exchange) roundTrip(ctx context.Context, s ServerRequest) (*http.Response, ResponseHead, error) {
 	s.Incoming, s.Body, s.ContentLength = x.r, bytes.NewReader(x.body), len(x.body)
 	s.TimeLeft = time.Until(x.deadline)
-	s.HasAccounts, s.Account = x.table.HasAccounts(), x.accountName()
+	s.HasAccounts, s.Account = x.accounts.HasAccounts(), x.accountName()
 	s.OwnConnection = x.sentTo[s.Server.Address]
 	if x.sentTo == nil {
 		x.sentTo = make(map[string]bool)
@@ -294,7 +295,8 @@
 	x.event.Attempts++
 	x.event.ServerStatus, x.event.ServerNotRun, x.event.Connection = 0, false, Connection{}
 	sent := time.Now()
-	resp, err := x.handler.Transport(x.pool).RoundTrip(x.handler.NewServerRequest(withConnection(ctx, &x.event.Connection), s))
+	ctx = x.withAccountCheck(withConnection(ctx, &x.event.Connection))
+	resp, err := x.handler.Transport(x.pool).RoundTrip(x.handler.NewServerRequest(ctx, s))
 	if err != nil {
 		return nil, ResponseHead{}, err
 	}
@@ -339,6 +341,9 @@
 	case err != nil && x.callerLeft(): // which may be why it was not sent
 		return nil, ResponseHead{}, &result{done: true, notRun: true, err: callerLeftError(err)}
 	case err != nil && transport.IsDialError(err):
+		if err := x.checkAccount(); err != nil { // which may be why it was not sent
+			return nil, ResponseHead{}, &result{done: true, notRun: true, err: err}
+		}
 		x.handler.Balancer.ObserveRefusal(time.Now(), s.Server)
 		return nil, head, &result{failed: true, notRun: true, unsent: true, reason: err.Error()}
 	case err != nil:
