Decide on quotas of accounts over all nodes, with a keeper that grants leases

An account may use its rate and burst over all nodes together.

HoldQuota asks a node to leave its own share unused.

--- a/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/peer/peerpb/peerpbconnect/peer.connect.go
@@ -61,6 +61,8 @@
 	PeerTakeQuotaProcedure = "/vanilladrift.peer.v1.Peer/TakeQuota"
 	// PeerYieldQuotaProcedure is the fully-qualified name of the Peer's YieldQuota RPC.
 	PeerYieldQuotaProcedure = "/vanilladrift.peer.v1.Peer/YieldQuota"
+	// PeerHoldQuotaProcedure is the fully-qualified name of the Peer's HoldQuota RPC.
+	PeerHoldQuotaProcedure = "/vanilladrift.peer.v1.Peer/HoldQuota"
 	// PeerChangesProcedure is the fully-qualified name of the Peer's Changes RPC.
 	PeerChangesProcedure = "/vanilladrift.peer.v1.Peer/Changes"
 )
@@ -103,6 +105,8 @@
 	TakeQuota(context.Context, *connect.Request[peerpb.TakeQuotaRequest]) (*connect.Response[peerpb.TakeQuotaResponse], error)
 	// YieldQuota asks the former keeper of a client account to grant no more leases.
 	YieldQuota(context.Context, *connect.Request[peerpb.YieldQuotaRequest]) (*connect.Response[peerpb.YieldQuotaResponse], error)
+	// HoldQuota asks a node to leave its own shares of quotas unused for some time.
+	HoldQuota(context.Context, *connect.Request[peerpb.HoldQuotaRequest]) (*connect.Response[peerpb.HoldQuotaResponse], error)
 	// Changes returns the settings changes after a revision, or a snapshot of all
 	// documents if the responder no longer has those changes.
 	Changes(context.Context, *connect.Request[peerpb.ChangesRequest]) (*connect.Response[peerpb.ChangesResponse], error)
@@ -203,6 +207,12 @@
 			connect.WithSchema(peerMethods.ByName("YieldQuota")),
 			connect.WithClientOptions(opts...),
 		),
+		holdQuota: connect.NewClient[peerpb.HoldQuotaRequest, peerpb.HoldQuotaResponse](
+			httpClient,
+			baseURL+PeerHoldQuotaProcedure,
+			connect.WithSchema(peerMethods.ByName("HoldQuota")),
+			connect.WithClientOptions(opts...),
+		),
 		changes: connect.NewClient[peerpb.ChangesRequest, peerpb.ChangesResponse](
 			httpClient,
 			baseURL+PeerChangesProcedure,
@@ -228,6 +238,7 @@
 	findStream  *connect.Client[peerpb.FindStreamRequest, peerpb.FindStreamResponse]
 	takeQuota   *connect.Client[peerpb.TakeQuotaRequest, peerpb.TakeQuotaResponse]
 	yieldQuota  *connect.Client[peerpb.YieldQuotaRequest, peerpb.YieldQuotaResponse]
+	holdQuota   *connect.Client[peerpb.HoldQuotaRequest, peerpb.HoldQuotaResponse]
 	changes     *connect.Client[peerpb.ChangesRequest, peerpb.ChangesResponse]
 }
 
@@ -301,6 +312,11 @@
 	return c.yieldQuota.CallUnary(ctx, req)
 }
 
+// HoldQuota calls vanilladrift.peer.v1.Peer.HoldQuota.
+func (c *peerClient) HoldQuota(ctx context.Context, req *connect.Request[peerpb.HoldQuotaRequest]) (*connect.Response[peerpb.HoldQuotaResponse], error) {
+	return c.holdQuota.CallUnary(ctx, req)
+}
+
 // Changes calls vanilladrift.peer.v1.Peer.Changes.
 func (c *peerClient) Changes(ctx context.Context, req *connect.Request[peerpb.ChangesRequest]) (*connect.Response[peerpb.ChangesResponse], error) {
 	return c.changes.CallUnary(ctx, req)
@@ -344,6 +360,8 @@
 	TakeQuota(context.Context, *connect.Request[peerpb.TakeQuotaRequest]) (*connect.Response[peerpb.TakeQuotaResponse], error)
 	// YieldQuota asks the former keeper of a client account to grant no more leases.
 	YieldQuota(context.Context, *connect.Request[peerpb.YieldQuotaRequest]) (*connect.Response[peerpb.YieldQuotaResponse], error)
+	// HoldQuota asks a node to leave its own shares of quotas unused for some time.
+	HoldQuota(context.Context, *connect.Request[peerpb.HoldQuotaRequest]) (*connect.Response[peerpb.HoldQuotaResponse], error)
 	// Changes returns the settings changes after a revision, or a snapshot of all
 	// documents if the responder no longer has those changes.
 	Changes(context.Context, *connect.Request[peerpb.ChangesRequest]) (*connect.Response[peerpb.ChangesResponse], error)
@@ -440,6 +458,12 @@
 		connect.WithSchema(peerMethods.ByName("YieldQuota")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerHoldQuotaHandler := connect.NewUnaryHandler(
+		PeerHoldQuotaProcedure,
+		svc.HoldQuota,
+		connect.WithSchema(peerMethods.ByName("HoldQuota")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerChangesHandler := connect.NewUnaryHandler(
 		PeerChangesProcedure,
 		svc.Changes,
@@ -476,6 +500,8 @@
 			peerTakeQuotaHandler.ServeHTTP(w, r)
 		case PeerYieldQuotaProcedure:
 			peerYieldQuotaHandler.ServeHTTP(w, r)
+		case PeerHoldQuotaProcedure:
+			peerHoldQuotaHandler.ServeHTTP(w, r)
 		case PeerChangesProcedure:
 			peerChangesHandler.ServeHTTP(w, r)
 		default:
@@ -543,6 +569,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.YieldQuota is not implemented"))
 }
 
+func (UnimplementedPeerHandler) HoldQuota(context.Context, *connect.Request[peerpb.HoldQuotaRequest]) (*connect.Response[peerpb.HoldQuotaResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.HoldQuota is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Changes(context.Context, *connect.Request[peerpb.ChangesRequest]) (*connect.Response[peerpb.ChangesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.Changes is not implemented"))
 }
--- a/route/quota.go
+++ b/route/quota.go
@@ -1,5 +1,7 @@
 package route
 
+import "github.com/vanilladrift/vanilladrift/quota"
+
 // QuotaUnit is what a quota counts.
 type QuotaUnit string
 
@@ -20,6 +22,9 @@
 // IsLimited reports whether the quota limits anything.
 func (q Quota) IsLimited() bool { return q.PerSecond > 0 }
 
+// Limit returns the limit on all nodes together.
+func (q Quota) Limit() quota.Limit { return quota.Limit{PerSecond: q.PerSecond, Burst: q.Burst} }
+
 // Cost returns what a request counts. hasTokens is set if it states its token counts, whose sum is
 // tokens.
 func (q Quota) Cost(tokens int, hasTokens bool) float64 {
--- a/route/table.go
+++ b/route/table.go
@@ -26,6 +26,7 @@
 
 	hasAccounts bool
 	byKey       map[string]*Account // nil for a key that several accounts have
+	quotas      map[string]Quota    // by account
 	conflicts   []string            // names of the accounts with such keys, sorted
 }
 
@@ -48,11 +49,12 @@
 // authenticates none of them, and an empty one none at all.
 func (t *Table) WithAccounts(accounts []AccountKeys) *Table {
 	out := *t
-	out.hasAccounts, out.byKey = true, make(map[string]*Account)
+	out.hasAccounts, out.byKey, out.quotas = true, make(map[string]*Account), make(map[string]Quota)
 	conflicting := make(map[string]bool)
 	owners := make(map[string]string)
 	for i := range accounts {
 		a := accounts[i].Account
+		out.quotas[a.Name] = a.Quota
 		for _, key := range accounts[i].Keys {
 			owner, isTaken := owners[key]
 			switch {
@@ -78,6 +80,12 @@
 	return a, a != nil
 }
 
+// Quota returns the quota of the account with the given name, and whether there is such an account.
+func (t *Table) Quota(account string) (Quota, bool) {
+	q, ok := t.quotas[account]
+	return q, ok
+}
+
 // ConflictingAccounts returns the names of the accounts that have a key in common with another,
 // sorted.
 func (t *Table) ConflictingAccounts() []string { return t.conflicts }
