Enforce quotas of accounts over all nodes

Change: the daemon takes the cost of each request from a lease that the keeper of its account granted. The keeper is the preferred owner of quota/NAME. A new one asks the former to yield, and waits for the lease time if that was not the keeper, or four seconds more if it does not answer. Nothing is sent before the first request of an account with a quota.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/vanilladrift/vanilladrift/node"
 	"github.com/vanilladrift/vanilladrift/peer"
 	"github.com/vanilladrift/vanilladrift/platform"
+	"github.com/vanilladrift/vanilladrift/quota"
 	"github.com/vanilladrift/vanilladrift/relay"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/table"
@@ -189,6 +190,7 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
+	cfg.QuotaRule, cfg.Quota = quota.Rule{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack}, d.state.quota
 	d.node = node.New(cfg)
 	d.store.OnGeneration = func(generation int64) {
 		d.node.ObserveGeneration(generation)
@@ -215,7 +217,7 @@
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine, Requests: requests, OnRequestQuarantine: d.node.LogRequestQuarantine,
 		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordAsks: d.recordAsks, IsLimited: d.limits.IsLimited, TakeTurn: d.takeTurn, Observe: d.observe,
-		IsOverloaded: d.overload.Rejects, CallerLeft: d.callerLeft, FindOrigin: d.findOrigin, RecordOrigin: d.streams.Begin, MayBegin: d.mayBegin,
+		IsOverloaded: d.overload.Rejects, CallerLeft: d.callerLeft, TakeQuota: d.node.TakeQuota, FindOrigin: d.findOrigin, RecordOrigin: d.streams.Begin, MayBegin: d.mayBegin,
 	}
 	return d, nil
 }
--- a/entry/state.go
+++ b/entry/state.go
@@ -15,6 +15,7 @@
 	"github.com/vanilladrift/vanilladrift/backend"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/platform"
+	"github.com/vanilladrift/vanilladrift/quota"
 	"github.com/vanilladrift/vanilladrift/route"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/table"
@@ -287,3 +288,13 @@
 	model, name := engine.SplitAdapterName(adapter)
 	return adapter == "" || srv.HasLoaded(model, name)
 }
+
+// quota returns the limit of an account by the configuration in force, if it has one.
+func (s *platformState) quota(account string) (quota.Limit, bool) {
+	t := s.routes.Load()
+	if t == nil {
+		return quota.Limit{}, false
+	}
+	q, _ := t.Quota(account)
+	return q.Limit(), q.IsLimited()
+}
--- a/node/config.go
+++ b/node/config.go
@@ -11,6 +11,7 @@
 	"github.com/vanilladrift/vanilladrift/clock"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/operator"
+	"github.com/vanilladrift/vanilladrift/quota"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/table"
 )
@@ -50,6 +51,11 @@
 	// nil means that none does. The owner of an engine keeps to its limit, and so does
 	// [Node.TakeTurn].
 	Limits *backend.Limits
+	// QuotaRule bounds what client accounts may use in every window. Quota returns the limit of an
+	// account, and whether the configuration in force has such an account with a quota; nil means that it has
+	// none.
+	QuotaRule quota.Rule
+	Quota     func(account string) (quota.Limit, bool)
 	// IsOverloaded, which is optional, reports whether the node has too little processor time for all
 	// that callers and other nodes ask of it.
 	IsOverloaded func(now time.Time) bool
--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -37,6 +38,7 @@
 	lossy map[int]*lossyTable // by node, on the store
 
 	clocks map[int]*standin.VMClock // by node
+	names  map[int]string           // of nodes that are not named by their number
 
 	// sequencer, if set, returns what sends the commands to an engine.
 	sequencer func(b settings.BackendServer) *engine.Sequencer
@@ -55,6 +57,12 @@
 	return startLeaseCluster(&leaseCluster{table: &standin.Table{}, store: &standin.Store{}}, nodes, engines)
 }
 
+// startPlainCluster starts nodes without engines.
+func startPlainCluster(c *leaseCluster, nodes int) *leaseCluster {
+	c.table = &standin.Table{}
+	return startLeaseCluster(c, nodes, 0)
+}
+
 func startLeaseCluster(c *leaseCluster, nodes, engines int) *leaseCluster {
 	c.net, c.lossy, c.clocks = standin.NewNetwork(), make(map[int]*lossyTable), make(map[int]*standin.VMClock)
 	c.net.Listen(platformProcess, tableAddress, c.table)
@@ -80,7 +88,7 @@
 
 // start starts a node of the cluster, or a new process of it after a kill.
 func (c *leaseCluster) start(i int) *Node {
-	name := fmt.Sprintf("n%d", i)
+	name := cmp.Or(c.names[i], fmt.Sprintf("n%d", i))
 	c.clocks[i] = &standin.VMClock{}
 	cfg := Config{
 		Name: name, Address: fmt.Sprintf("10.0.0.%d:1", i+1), TableURL: tableURL, HTTP: c.net.Client(name), SettingsPushed: true,
--- a/node/members.go
+++ b/node/members.go
@@ -189,6 +189,16 @@
 	return live
 }
 
+// liveNames returns the names of the members that may own engines.
+func (m *members) liveNames() (names []string) {
+	for _, mem := range m.all() {
+		if mem.live() {
+			names = append(names, mem.Node)
+		}
+	}
+	return names
+}
+
 // get returns the member with the given node name.
 func (m *members) get(name string) (member, bool) {
 	for _, mem := range m.all() {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -30,6 +30,9 @@
 	evictions    metric.Int64Counter
 	suspensions  metric.Int64Counter
 
+	quotaRefusals      metric.Int64Counter
+	quotaLeaseRequests metric.Int64Counter
+
 	firstToken metric.Float64Histogram
 	perToken   metric.Float64Histogram
 }
@@ -54,6 +57,8 @@
 	m.loadFailures = m.counter("adapter-load-failures", "adapter loads that failed")
 	m.evictions = m.counter("evictions", "adapters unloaded to make room")
 	m.suspensions = m.counter("vm-suspensions", "times that the VM was suspended, as its clocks show")
+	m.quotaRefusals = m.counter("quota-refusals", "requests refused since their account had used up its quota")
+	m.quotaLeaseRequests = m.counter("quota-lease-requests", "leases on quotas asked of other nodes")
 	m.firstToken = m.seconds("first-token", "time to the first token")
 	m.perToken = m.seconds("between-tokens", "mean time between tokens of an answer")
 	return m
--- a/node/node.go
+++ b/node/node.go
@@ -47,6 +47,7 @@
 	turns         backend.Turns // at servers for which this node decides
 	suspensions   clock.Watch   // used by watchSuspension only
 	held          heldRefusals  // of owners
+	quotas        *quotas
 	log           *log.Logger
 
 	mu            sync.Mutex
@@ -107,6 +108,7 @@
 	n.session = newSession(n)
 	n.members = newMembers(n)
 	n.loadBudget = newLoadBudget(n)
+	n.quotas = newQuotas(n)
 	n.generations = &membership.Generations{LeaseTime: n.leaseTime(), MaxExtension: maxExtension}
 	n.promises = &membership.Promises{LeaseTime: n.leaseTime(), Retention: maxExtension + n.leaseTime()}
 	n.callerHandler = &caller.Handler{
