Begin as the keeper of an account with what has accumulated since the nodes started

Cause: nodes looked at who is the keeper of an account from the first request on only, and a new keeper waited for a lease time although the former one had ended.

Change: nodes follow the keepers as soon as a configuration with client accounts is in force. A keeper whose predecessor has answered or ended grants at once, from an empty bucket: what is left of the predecessor's leases came out of its own bucket.

--- a/entry/state.go
+++ b/entry/state.go
@@ -43,6 +43,7 @@
 	servers         backend.Registry
 	adapterVersions sync.Map      // "model/adapter" to int64
 	enginesChanged  func()        // called after the engines have changed
+	accountsInForce func()        // called after a configuration with client accounts has come in force
 	changed         chan struct{} // receives after the routes or the servers may have changed
 
 	mu              sync.Mutex
@@ -117,6 +118,9 @@
 	s.routes.Store(routes)
 	l.Info("configuration in force", "replaced", inForce, "pools", len(routes.Pools()))
 	s.installEngines()
+	if routes.HasAccounts() && s.accountsInForce != nil {
+		s.accountsInForce()
+	}
 }
 
 // isWrittenAfter reports whether a row was written after another version of it.
--- a/node/kept_accounts.go
+++ b/node/kept_accounts.go
@@ -232,7 +232,9 @@
 	case answered && kept.wasKeeper:
 		kept.keeper.GrantFrom(now, now, 0)
 	case answered && !kept.keeper.IsGranting(now):
-		kept.keeper.GrantFrom(now, since.Add(k.n.cfg.QuotaRule.LeaseTime(kept.limit)), 0)
+		// The former keeper has ended, or was not followed by another one. What is left of its leases
+		// came out of its bucket, so an empty one keeps every window within the rule.
+		kept.keeper.GrantFrom(now, now, 0)
 	}
 	k.n.log.Info("keeper of an account", "account", account, "from", former.node, "ended", hasEnded, "yielded", was, "level", level)
 }
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -55,6 +55,11 @@
 	return func() { l.giveBack(d.Source, cost) }, 0, true
 }
 
+// FollowQuotas lets the node notice from now on which nodes are the keepers of accounts. A node that has
+// been the keeper of an account since long before its first request need not begin with an empty
+// bucket.
+func (n *Node) FollowQuotas() { n.quotas.begin() }
+
 // begin starts what runs in the background.
 func (q *quotas) begin() {
 	q.start.Do(func() {
