--- a/cmd/vanilladriftd/stop_test.go
+++ b/cmd/vanilladriftd/stop_test.go
@@ -61,6 +61,8 @@
 	store    *standin.Store
 	replicas map[string]*standin.Replica // by pool
 	addr     string                      // of the store
+	limits   string                      // of the daemons, as the settings file states them
+	warm     []string                    // paths that a daemon must serve before a test begins
 	daemons  []*stopDaemon
 }
 
@@ -72,6 +74,7 @@
 	ready   string
 	// operators is the address of the metrics.
 	operators string
+	peers     string
 	log       string        // path of what it writes
 	exited    chan struct{} // closed after the process has ended and err is set
 	err       error
@@ -80,22 +83,28 @@
 
 func startStopPlatform(t *testing.T, daemons int) *stopPlatform {
 	t.Helper()
-	p := &stopPlatform{
-		t: t, bin: filepath.Join(t.TempDir(), "vanilladriftd"), store: &standin.Store{}, replicas: map[string]*standin.Replica{},
-	}
-	if out, err := exec.Command("go", "build", "-o", p.bin, ".").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	p.addr = p.serve(p.store)
-	p.store.Put(platform.ConfigRowKey, []byte(stopConfig))
-	for _, r := range []*standin.Replica{
+	p := &stopPlatform{t: t, limits: "memory_mb: 160", warm: []string{"chat", "taken", "freed", "fast"}}
+	p.start(daemons, stopConfig, []*standin.Replica{
 		{Self: backend.Server{Pool: "engines", MaxRequests: 16}, Model: "base", EventTime: 100 * time.Millisecond},
 		{Self: backend.Server{Pool: "taken", MaxRequests: 1}, Model: "base", EventTime: 100 * time.Millisecond},
 		{Self: backend.Server{Pool: "freed", MaxRequests: 1}, Model: "base", EventTime: 100 * time.Millisecond},
 		{Self: backend.Server{Pool: "fast", MaxRequests: 400}, EventTime: 5 * time.Millisecond},
 		{Self: backend.Server{Pool: "slow", MaxRequests: 100}, EventTime: 3 * time.Second},
 		{Self: backend.Server{Pool: "silent", MaxRequests: 100}, EventTime: 3 * stopGrace},
-	} {
+	})
+	return p
+}
+
+// start starts the platform's store, replicas and daemons.
+func (p *stopPlatform) start(daemons int, config string, replicas []*standin.Replica) {
+	p.t.Helper()
+	p.bin, p.store, p.replicas = filepath.Join(p.t.TempDir(), "vanilladriftd"), &standin.Store{}, map[string]*standin.Replica{}
+	if out, err := exec.Command("go", "build", "-o", p.bin, ".").CombinedOutput(); err != nil {
+		p.t.Fatalf("build: %v\n%s", err, out)
+	}
+	p.addr = p.serve(p.store)
+	p.store.Put(platform.ConfigRowKey, []byte(config))
+	for _, r := range replicas {
 		r.AdapterSlots, r.QueueSize, r.Self.ID = 4, 400, r.Self.Pool+"-1"
 		key := platform.ServersTable + "/" + r.Self.ID
 		r.WriteRow = func(row []byte) { p.store.Put(key, row) }
@@ -103,14 +112,13 @@
 		r.Start()
 		p.replicas[r.Self.Pool] = r
 	}
-	t.Cleanup(p.close)
+	p.t.Cleanup(p.close)
 	for range daemons {
 		p.startDaemon()
 	}
 	for _, d := range p.daemons {
 		p.waitServes(d)
 	}
-	return p
 }
 
 // serve serves h on loopback until the test ends, and returns its address.
@@ -139,11 +147,11 @@
 	d.callers, _ = freeAddress(p.t)
 	d.ready, _ = freeAddress(p.t)
 	peers := p.freePair()
-	d.operators = fmt.Sprintf("127.0.0.1:%d", peers+1)
+	d.peers, d.operators = fmt.Sprintf("127.0.0.1:%d", peers), fmt.Sprintf("127.0.0.1:%d", peers+1)
 	file := filepath.Join(dir, "settings.yaml")
 	text := fmt.Sprintf(`{node_name: %s, ip: 127.0.0.1, zone: z1, region: r1, listen_addrs: {front: "%s", ready: "%s"}, internal_ports: [%d, %d],
- limits: {memory_mb: 160}, bounds: {lease_ms: %d, drain_ms: 2000, grace_s: %v, retry_budget_ratio: 0.2, retry_window_s: 10, retry_budget_slack: 54},
- heartbeat_ms: 1000, platform: {address: "%s"}}`, name, d.callers, d.ready, peers, peers+1, stopAlternationGap.Milliseconds(), stopGrace.Seconds(), p.addr)
+ limits: {%s}, bounds: {lease_ms: %d, drain_ms: 2000, grace_s: %v, retry_budget_ratio: 0.2, retry_window_s: 10, retry_budget_slack: 54},
+ heartbeat_ms: 1000, platform: {address: "%s"}}`, name, d.callers, d.ready, peers, peers+1, p.limits, stopAlternationGap.Milliseconds(), stopGrace.Seconds(), p.addr)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
@@ -167,7 +175,7 @@
 // waitServes waits until a daemon serves every pool.
 func (p *stopPlatform) waitServes(d *stopDaemon) {
 	p.t.Helper()
-	for _, path := range []string{"chat", "taken", "freed", "fast"} {
+	for _, path := range p.warm {
 		for i, start := 0, time.Now(); ; i++ {
 			a := p.request(d, path, fmt.Sprint("warm-", d.name, "-", path, i), 1)
 			if a.status == http.StatusOK {
