Count bodies and responses in the memory budget, and end bodies without progress

Cause: relay read a body with io.ReadAll up to the limit, until the request's deadline, whatever other requests held. A length announced over the limit was read up to the limit before it was refused.

Change: bodies, buffered responses and long events count in Handler.Memory. What does not fit is refused with 503 out-of-memory-budget and Retry-After before the request has run; a response that does not fit gives 502 response-out-of-memory-budget, without blame on the server. A length announced over the limit gets 413 before any of the body is read. Handler.BodyProgress ends a body of which nothing arrives for a time with 408. Both fields are optional; without them only the 413 is sooner.

--- a/relay/engine.go
+++ b/relay/engine.go
@@ -204,7 +204,7 @@
 	if err == nil {
 		return result{done: true}
 	}
-	return result{failed: true, brokenOff: !isCallerError(err), reason: err.Error()}
+	return streamFailure(err)
 }
 
 // finishFailedStream ends the request after its last failed attempt.
@@ -220,6 +220,7 @@
 // connection shows was broken off, as each stream has an event.
 func (x *exchange) relayStream(head ResponseHead, body io.Reader, watch *stallWatch) (perEvent time.Duration, err error) {
 	events := newEventReader(body)
+	events.holding = x.holding
 	var first, last time.Time
 	n := 0
 	for {
--- a/relay/error.go
+++ b/relay/error.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // ErrorKind classifies an [Error]. It is the "type" of the JSON error sent to
@@ -12,23 +14,25 @@
 
 // The kinds of error sent to callers.
 const (
-	BadRequest         ErrorKind = "bad-request"         // the request header or body cannot be read
-	BodyTooLarge       ErrorKind = "body-too-large"      // the body exceeds the configured limit
-	BodyTimedOut       ErrorKind = "body-timeout"        // the body did not end before the deadline; not run
-	NoRoute            ErrorKind = "no-such-route"       // no route of the host matches the path
-	Unauthorized       ErrorKind = "unauthorized"        // the key authenticates no client account
-	OverQuota          ErrorKind = "over-quota"          // the client account has used up its quota; not run
-	NotReady           ErrorKind = "not-ready"           // the node has no configuration yet, or is shutting down
-	Busy               ErrorKind = "busy"                // no server can take the request in time; not run
-	NoServer           ErrorKind = "no-server"           // the pool has no server; not run
-	PromptQuarantined  ErrorKind = "prompt-quarantined"  // prompts with some of its parts crash engines; not run
-	RequestQuarantined ErrorKind = "request-quarantined" // it crashes the servers that run it; not run
-	CannotResume       ErrorKind = "cannot-resume"       // no server can go on with the stream; not run
-	ExpiredUnsent      ErrorKind = "deadline"            // the deadline passed before the request was sent; not run
-	TimedOut           ErrorKind = "timeout"             // the deadline passed after the request was sent
-	ServerFailed       ErrorKind = "server-failed"       // the server failed the request, which may have run
-	StreamInterrupted  ErrorKind = "stream-cut"          // the stream was interrupted after its first event
-	CallerDisconnected ErrorKind = "caller-went-away"    // the caller closed its connection
+	BadRequest         ErrorKind = "bad-request"                   // the request header or body cannot be read
+	BodyTooLarge       ErrorKind = "body-too-large"                // the body exceeds the configured limit
+	BodyTimedOut       ErrorKind = "body-timeout"                  // the body did not end before the deadline; not run
+	NoRoute            ErrorKind = "no-such-route"                 // no route of the host matches the path
+	Unauthorized       ErrorKind = "unauthorized"                  // the key authenticates no client account
+	OverQuota          ErrorKind = "over-quota"                    // the client account has used up its quota; not run
+	OutOfMemoryBudget  ErrorKind = "out-of-memory-budget"          // clients make the node hold as much as they may; not run
+	NotReady           ErrorKind = "not-ready"                     // the node has no configuration yet, or is shutting down
+	Busy               ErrorKind = "busy"                          // no server can take the request in time; not run
+	NoServer           ErrorKind = "no-server"                     // the pool has no server; not run
+	PromptQuarantined  ErrorKind = "prompt-quarantined"            // prompts with some of its parts crash engines; not run
+	RequestQuarantined ErrorKind = "request-quarantined"           // it crashes the servers that run it; not run
+	CannotResume       ErrorKind = "cannot-resume"                 // no server can go on with the stream; not run
+	ExpiredUnsent      ErrorKind = "deadline"                      // the deadline passed before the request was sent; not run
+	TimedOut           ErrorKind = "timeout"                       // the deadline passed after the request was sent
+	ServerFailed       ErrorKind = "server-failed"                 // the server failed the request, which may have run
+	StreamInterrupted  ErrorKind = "stream-cut"                    // the stream was interrupted after its first event
+	ResponseOverBudget ErrorKind = "response-out-of-memory-budget" // the node cannot hold the response; the request has run
+	CallerDisconnected ErrorKind = "caller-went-away"              // the caller closed its connection
 )
 
 // Error is the error type of this package.
@@ -52,6 +56,12 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// isKind reports whether err is an [Error] of the given kind.
+func isKind(err error, kind ErrorKind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
+
 // Status returns the HTTP status of the response.
 func (e *Error) Status() int {
 	switch e.Kind {
@@ -67,7 +77,7 @@
 		return http.StatusUnauthorized
 	case OverQuota:
 		return http.StatusTooManyRequests
-	case NotReady, Busy, NoServer, ExpiredUnsent, PromptQuarantined, RequestQuarantined, CannotResume:
+	case NotReady, OutOfMemoryBudget, Busy, NoServer, ExpiredUnsent, PromptQuarantined, RequestQuarantined, CannotResume:
 		return http.StatusServiceUnavailable
 	case TimedOut:
 		return http.StatusGatewayTimeout
--- a/relay/fingerprint.go
+++ b/relay/fingerprint.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"hash"
 	"net"
 
 	"github.com/vanilladrift/vanilladrift/backend"
@@ -23,7 +24,12 @@
 		from, _, _ = net.SplitHostPort(x.r.RemoteAddr) // empty for a connection without addresses
 	}
 	x.fp = new(backend.Fingerprint)
-	copy(x.fp.Target[:], hashParts([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.URL.EscapedPath()), x.body))
+	target := sha256.New()
+	for _, text := range []string{x.r.Method, x.r.Host, x.r.URL.EscapedPath()} {
+		hashPart(target, []byte(text))
+	}
+	hashPart(target, x.body.Segments()...)
+	copy(x.fp.Target[:], target.Sum(nil))
 	copy(x.fp.Caller[:], hashParts([]byte(from)))
 	return *x.fp
 }
@@ -32,8 +38,19 @@
 func hashParts(parts ...[]byte) []byte {
 	h := sha256.New()
 	for _, part := range parts {
-		_ = binary.Write(h, binary.BigEndian, int64(len(part))) // a hash returns no error
-		h.Write(part)
+		hashPart(h, part)
 	}
 	return h.Sum(nil)
 }
+
+// hashPart hashes a part with its length, so that its borders count, but not those of its segments.
+func hashPart(h hash.Hash, segments ...[]byte) {
+	length := int64(0)
+	for _, s := range segments {
+		length += int64(len(s))
+	}
+	_ = binary.Write(h, binary.BigEndian, length) // a hash returns no error
+	for _, s := range segments {
+		h.Write(s)
+	}
+}
--- a/relay/fingerprint_test.go
+++ b/relay/fingerprint_test.go
@@ -33,7 +33,8 @@
 			fingerprint := func(r request) string {
 				in := httptest.NewRequest(r.method, r.url, strings.NewReader(r.body))
 				in.RemoteAddr = r.remote
-				x := &exchange{r: in, head: RequestHead{ID: r.id, Caller: r.caller}, body: []byte(r.body)}
+				x := &exchange{r: in, head: RequestHead{ID: r.id, Caller: r.caller}}
+				is.New(t).NoErr(x.body.Fill(strings.NewReader(r.body), -1, len(r.body)))
 				return x.fingerprint().String()
 			}
 			other := base
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -16,6 +15,7 @@
 	"github.com/vanilladrift/vanilladrift/backend"
 	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/engine"
+	"github.com/vanilladrift/vanilladrift/memory"
 	"github.com/vanilladrift/vanilladrift/route"
 	"github.com/vanilladrift/vanilladrift/transport"
 )
@@ -123,6 +123,10 @@
 	// giveBack returns it if the request has not run. If the quota is used up, ok is false, and
 	// retryAfter is the time until enough is available.
 	TakeQuota func(ctx context.Context, a *route.Account, cost float64) (giveBack func(), retryAfter time.Duration, ok bool)
+	// Memory, which is optional, is the budget of what requests and their responses hold.
+	Memory *memory.Budget
+	// BodyProgress, which is optional, returns the time within which some of a body must arrive.
+	BodyProgress func() time.Duration
 	// Observe, which is optional, is called for each finished request and each
 	// failed attempt that is followed by another.
 	Observe func(Event)
@@ -140,7 +144,9 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{handler: h, w: w, r: r, start: time.Now()}
+	x := &exchange{handler: h, w: w, r: r, start: time.Now(), holding: h.Memory.Hold(memory.OfCaller)}
+	x.body.Holding = x.holding
+	defer x.holding.Release()
 	w.Header().Set(h.RequestIDHeader, r.Header.Get(h.RequestIDHeader))
 	var err error
 	if h.active.TryAdd() {
@@ -169,10 +175,11 @@
 	route    *route.Route
 	account  *route.Account // nil if the request needs none
 	pool     route.Pool
-	body     []byte
+	body     memory.Buffer
+	holding  *memory.Holding // of the body and what is read of the response
 	deadline time.Time
 
-	bodyRead       bool            // the body was read, or its end was waited for
+	bodyRead       bool            // the body was read to its end
 	headerWritten  bool            // the response header has been sent to the caller
 	mayHaveRun     bool            // a server may have started the request
 	lastEventID    string          // ID of the last event with content sent to the caller
@@ -249,21 +256,40 @@
 	return x.serveEngine(ctx)
 }
 
+// requestBytes is what a request holds beside its head and body: the connection to the server, and the
+// buffers and the state of the exchange.
+const requestBytes = 32 << 10
+
 func (x *exchange) readBody() error {
 	const op = "read"
-	x.bodyRead = true
 	limit := x.table.Limits().BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	if x.r.ContentLength > int64(limit) {
+		return &Error{Op: op, Kind: BodyTooLarge, Reason: "the body is announced to be over the limit"}
+	}
+	if !x.holding.Grow(requestBytes) || !x.holding.Fits(max(0, x.r.ContentLength)) {
+		return x.memoryError(op)
+	}
 	c := http.NewResponseController(x.w)
 	canTimeOut := c.SetReadDeadline(x.deadline) == nil // not in tests without a connection
 	keepReading := x.handler.active.EndReads(x.w)
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, int64(limit)+1))
-	if !keepReading() {
-		return &Error{Op: op, Kind: NotReady, Reason: shuttingDown, RetryAfter: notReadyRetryAfter, Err: err}
+	body := &bodyReader{r: x.r.Body, end: x.deadline, ending: x.handler.active.Ending()}
+	if x.handler.BodyProgress != nil && canTimeOut {
+		body.progress, body.setDeadline = x.handler.BodyProgress(), c.SetReadDeadline
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	err := x.body.Fill(body, x.r.ContentLength, limit)
+	switch {
+	case !keepReading():
+		return &Error{Op: op, Kind: NotReady, Reason: shuttingDown, RetryAfter: notReadyRetryAfter, Err: err}
+	case memory.IsKind(err, memory.TooLarge):
+		return &Error{Op: op, Kind: BodyTooLarge, Reason: "the body is over the limit"}
+	case memory.IsKind(err, memory.OverBudget):
+		return x.memoryError(op)
+	case errors.Is(err, os.ErrDeadlineExceeded) && time.Until(x.deadline) > 0:
+		return &Error{Op: op, Kind: BodyTimedOut, Reason: "nothing of the body came within " + body.progress.String(), Err: err}
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &Error{Op: op, Kind: BodyTimedOut, Reason: "the body did not end before the deadline", Err: err}
 	}
 	if err == nil && canTimeOut {
@@ -272,17 +298,19 @@
 	if err != nil {
 		return &Error{Op: op, Kind: BadRequest, Reason: "the body was cut short", Err: err}
 	}
-	if len(body) > limit {
-		return &Error{Op: op, Kind: BodyTooLarge, Reason: "the body is over the limit"}
-	}
-	x.body = body
+	x.bodyRead = true
 	return nil
 }
 
+// memoryError returns the error of a request that has not run, and does not fit into the budget.
+func (x *exchange) memoryError(op string) error {
+	return &Error{Op: op, Kind: OutOfMemoryBudget, Reason: "clients make the node hold as much as they may", RetryAfter: otherNodeRetryAfter}
+}
+
 // roundTrip sends one request to a server. The caller must close the response
 // body.
 func (x *exchange) roundTrip(ctx context.Context, s ServerRequest) (*http.Response, ResponseHead, error) {
-	s.Incoming, s.Body, s.ContentLength = x.r, bytes.NewReader(x.body), len(x.body)
+	s.Incoming, s.Body, s.ContentLength = x.r, x.body.Reader(), x.body.Len()
 	s.TimeLeft = time.Until(x.deadline)
 	s.HasAccounts, s.Account = x.table.HasAccounts(), x.accountName()
 	s.OwnConnection = x.sentTo[s.Server.Address]
@@ -359,13 +387,15 @@
 // relayResponse forwards a response. If the server failed the request, or the response
 // breaks off before it was longer than the buffer, nothing has been sent yet.
 func (x *exchange) relayResponse(head ResponseHead, body io.Reader) result {
-	content, err := io.ReadAll(io.LimitReader(body, maxBufferedResponse+1))
+	content, err := x.readResponse(body)
 	complete := len(content) <= maxBufferedResponse
 	isSuccess := head.Status < http.StatusMultipleChoices
 	if err == nil && isSuccess && (len(content) > 0 || !head.EndsWithConnection) {
 		x.observeResponse()
 	}
 	switch {
+	case isKind(err, ResponseOverBudget):
+		return result{done: true, err: err}
 	case err != nil:
 		return result{failed: true, brokenOff: true, reason: err.Error()}
 	case head.promisesNotRun():
@@ -384,6 +414,19 @@
 	return x.relayRest(body)
 }
 
+// readResponse reads the part of a response that is buffered, and one byte more if there is a rest.
+func (x *exchange) readResponse(body io.Reader) ([]byte, error) {
+	buf := memory.Buffer{Holding: x.holding}
+	err := buf.Fill(body, -1, maxBufferedResponse)
+	if memory.IsKind(err, memory.TooLarge) {
+		err = nil
+	}
+	if memory.IsKind(err, memory.OverBudget) || !x.holding.Grow(int64(buf.Len())) { // for the copy in one piece
+		return nil, responseMemoryError()
+	}
+	return buf.Bytes(), err
+}
+
 // relayRest forwards the part of a response that was not buffered. An error then ends the
 // caller's connection.
 func (x *exchange) relayRest(body io.Reader) result {
@@ -478,10 +521,17 @@
 	return &Error{Op: "serve", Kind: CallerDisconnected, Reason: "the caller closed its connection", Err: err}
 }
 
-// isCallerError reports whether an attempt ended since its caller has left.
-func isCallerError(err error) bool {
-	var e *Error
-	return errors.As(err, &e) && e.Kind == CallerDisconnected
+// responseMemoryError returns the error of a response that does not fit into the budget.
+func responseMemoryError() error {
+	return &Error{Op: "serve", Kind: ResponseOverBudget, Reason: "clients make the node hold as much as they may"}
+}
+
+// streamFailure returns the result of a stream that ended with an error.
+func streamFailure(err error) result {
+	if isKind(err, ResponseOverBudget) {
+		return result{done: true, err: err}
+	}
+	return result{failed: true, brokenOff: !isKind(err, CallerDisconnected), reason: err.Error()}
 }
 
 // finish writes the error response if err is not nil, and reports the request.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -103,7 +103,7 @@
 		return x.relayResponse(head, resp.Body)
 	}
 	if _, err := x.relayStream(head, resp.Body, w); err != nil {
-		return result{failed: true, brokenOff: !isCallerError(err), reason: err.Error()}
+		return streamFailure(err)
 	}
 	return result{done: true}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -409,7 +409,7 @@
 
 func TestEventReaderLimits(t *testing.T) {
 	is := is.New(t)
-	r := &eventReader{bufio.NewReader(strings.NewReader(strings.Repeat("data: x\n", maxEventBytes/4)))}
+	r := &eventReader{r: bufio.NewReader(strings.NewReader(strings.Repeat("data: x\n", maxEventBytes/4)))}
 	_, err := r.next()
 	is.True(err != nil && err != io.ErrUnexpectedEOF)
 }
--- a/relay/request_crash_test.go
+++ b/relay/request_crash_test.go
@@ -102,7 +102,8 @@
 		is := is.New(t)
 		f, q := newRequestFixture(reply{err: errors.New("EOF")}, reply{err: errors.New("EOF")})
 		in := httptest.NewRequest(http.MethodPost, "http://a.example/p/x", nil)
-		x := &exchange{r: in, body: []byte("body")}
+		x := &exchange{r: in}
+		is.NoErr(x.body.Fill(strings.NewReader("body"), -1, 4))
 		q.Learn(time.Now(), []backend.HeldRequest{{Fingerprint: x.fingerprint(), Left: time.Second, Length: time.Minute}})
 		time.Sleep(2 * time.Second)
 		w, _ := f.serve("/p/x", "r1", "body")
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/juju/errors"
+
+	"github.com/vanilladrift/vanilladrift/memory"
 )
 
 // maxEventBytes limits the size of one stream event. Every open stream may hold that
@@ -32,10 +34,29 @@
 
 // eventReader splits a stream into events.
 type eventReader struct {
-	r *bufio.Reader
+	r       *bufio.Reader
+	holding *memory.Holding // optional
+	held    int             // size up to which events count in the holding
 }
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{bufio.NewReaderSize(r, 4<<10)} }
+// eventBytes is the size of a reader's buffer, and of events that count in what a request holds anyway.
+const eventBytes = 4 << 10
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, eventBytes), held: eventBytes}
+}
+
+// grow reports whether an event may have n bytes. They count twice, as an event is copied when it grows.
+func (r *eventReader) grow(n int) bool {
+	if n <= r.held {
+		return true
+	}
+	if !r.holding.Grow(2 * int64(n-r.held)) {
+		return false
+	}
+	r.held = n
+	return true
+}
 
 // next returns the next complete event. It returns io.EOF at the end of the
 // stream, and io.ErrUnexpectedEOF if the stream ends within an event or a line. Comments
@@ -47,11 +68,17 @@
 		lineStart := len(ev.raw)
 		part, err := r.r.ReadSlice('\n')
 		for ; err == bufio.ErrBufferFull; part, err = r.r.ReadSlice('\n') {
+			if !r.grow(len(ev.raw) + len(part)) {
+				return streamEvent{}, responseMemoryError()
+			}
 			ev.raw = append(ev.raw, part...)
 			if len(ev.raw) > maxEventBytes {
 				return streamEvent{}, errEventTooLong
 			}
 		}
+		if !r.grow(len(ev.raw) + len(part)) {
+			return streamEvent{}, responseMemoryError()
+		}
 		ev.raw = append(ev.raw, part...)
 		if err == io.EOF && len(ev.raw) > 0 {
 			if !hasField && len(ev.raw) == lineStart {
