Limit connections, heads and unread responses on every listener of the platform's daemon

Cause: connections had no limit in number, no limit while idle, and 1 MB and 30 s for a head. A write to a caller that does not read waited without end, with the slot of its engine.

Change: package listen bounds connections by number and counts them in the budget. One over the limit takes the place of the one that has sent nothing for longest, if over a second; else it gets 503. A client must take some of what is sent within 3 s, less while many do not; what the kernel holds for it is bounded and counts. caller.Server takes limits on heads: the configuration's max_header_bytes and what net/http reads ahead (431), header_timeout_ms and 0.5 s (408), idle_timeout_ms times 6/5 and 1 s, with a last look for a request that came while the VM was suspended. The daemon derives the budget from memory_mb and connections from max_fds; flags of vanilladriftd platform replace the defaults. Listeners for nodes, operators and readiness get fixed limits.

Result: all TestHostileClients pass. Responses that are not read: an ordinary request is answered, the test takes 5 s. Largest requests in calm are served. With a fixed time of 2 s for unread responses that test failed: 126 streams that were sent while the engine's owner recovered took 62 s of its four slots.

--- a/caller/server.go
+++ b/caller/server.go
@@ -20,6 +20,9 @@
 // Server accepts callers' connections. Unlike http.Server, it stops without closing a
 // connection on which it has read a part of a request that it does not answer.
 type Server struct {
+	// HeadLimits, which is optional, returns the limits on the heads of requests. Set it before Serve.
+	HeadLimits func() HeadLimits
+
 	http     *http.Server
 	asking   atomic.Bool // responses ask callers to close their connections
 	stopping atomic.Bool
@@ -108,6 +111,13 @@
 	}
 }
 
+func (s *Server) headLimits() HeadLimits {
+	if s.HeadLimits == nil {
+		return HeadLimits{}
+	}
+	return s.HeadLimits()
+}
+
 func (s *Server) eachConn(f func(c *serverConn)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,7 +164,11 @@
 		}
 		return nil, err
 	}
-	c := &serverConn{Conn: conn, server: l.server, isWaiting: true}
+	c := &serverConn{Conn: conn, server: l.server}
+	c.mu.Lock()
+	c.await()
+	_ = c.applyDeadline() // the first read fails if this does
+	c.mu.Unlock()
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
 	l.server.conns[c] = struct{}{}
--- a/cmd/vanilladriftd/platform.go
+++ b/cmd/vanilladriftd/platform.go
@@ -23,6 +23,12 @@
 	Settings string `long:"settings" env:"VANILLADRIFT_NODE_FILE" required:"true" description:"path of the platform's settings file"`
 	LogLevel string `long:"log-level" env:"VANILLADRIFT_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
 	Check    bool   `long:"check" description:"validate the settings file without starting"`
+	Clients  struct {
+		MemoryShare   float64       `long:"client-memory-share" env:"VANILLADRIFT_CLIENT_MEMORY_SHARE" default:"0.25" description:"part of the VM's memory that clients may make the process hold"`
+		Conns         int           `long:"caller-connections" env:"VANILLADRIFT_CALLER_CONNECTIONS" description:"most connections of callers; 0 derives it from the VM's descriptors and memory"`
+		BodyProgress  time.Duration `long:"body-progress-timeout" env:"VANILLADRIFT_BODY_PROGRESS_TIMEOUT" description:"time within which some of a body must arrive; 0 takes the configuration's time for a head"`
+		UnreadTimeout time.Duration `long:"unread-timeout" env:"VANILLADRIFT_UNREAD_TIMEOUT" default:"3s" description:"time within which a client must take some of a response"`
+	} `group:"Clients"`
 }
 
 // Execute implements flags.Commander.
@@ -42,6 +48,10 @@
 	}).With("node", cfg.Node)
 	d, err := entry.New(cfg, entry.Network{}, logger)
 	if err == nil {
+		d.ClientLimits = entry.ClientLimits{
+			MemoryShare: c.Clients.MemoryShare, CallerConns: c.Clients.Conns,
+			BodyProgress: c.Clients.BodyProgress, UnreadTimeout: c.Clients.UnreadTimeout,
+		}
 		err = d.Start()
 	}
 	if err != nil {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/feed"
+	"github.com/vanilladrift/vanilladrift/memory"
 	"github.com/vanilladrift/vanilladrift/node"
 	"github.com/vanilladrift/vanilladrift/peer"
 	"github.com/vanilladrift/vanilladrift/platform"
@@ -95,6 +96,9 @@
 
 // Daemon is the process of one entry VM.
 type Daemon struct {
+	// ClientLimits are limits that the settings do not state. Set them before Start.
+	ClientLimits ClientLimits
+
 	settings     platform.Settings
 	network      Network
 	log          *log.Logger
@@ -307,18 +311,22 @@
 
 // Start opens the listeners and starts serving.
 func (d *Daemon) Start() error {
+	limits := newClientLimits(d, d.ClientLimits)
 	for _, l := range []struct {
-		address string
-		srv     *http.Server
+		name, address string
+		files         int // part of the descriptors
+		srv           *http.Server
 	}{
-		{d.settings.ReadinessAddress, &http.Server{Handler: http.HandlerFunc(d.serveReadiness)}},
-		{d.settings.PeerAddress, peer.NewHTTPServer(d.node.Peers(), nil)},
-		{d.settings.OperatorAddress, &http.Server{Handler: d.node.Operators()}},
+		{"readiness", d.settings.ReadinessAddress, operatorFiles, &http.Server{Handler: http.HandlerFunc(d.serveReadiness), ReadTimeout: internalReadTimeout}},
+		{"peers", d.settings.PeerAddress, peerFiles, peer.NewHTTPServer(d.node.Peers(), nil)},
+		{"operators", d.settings.OperatorAddress, operatorFiles, &http.Server{Handler: d.node.Operators(), ReadTimeout: internalReadTimeout}},
 	} {
 		ln, err := d.network.Listen(l.address)
 		if err != nil {
 			return err
 		}
+		limits.internal(l.srv)
+		ln = limits.listener(ln, l.name, memory.OfPeer, limits.maxConns(l.files), "")
 		d.servers = append(d.servers, l.srv)
 		go func() { _ = l.srv.Serve(ln) }() // returns when the server is closed
 	}
@@ -326,7 +334,11 @@
 	if err != nil {
 		return err
 	}
+	d.relayHandler.Memory, d.relayHandler.BodyProgress = limits.memory, limits.bodyProgress
 	d.callerServer = caller.NewServer(&http.Server{Handler: d.relayHandler, ReadHeaderTimeout: headTimeout, ConnContext: withCallerConn})
+	d.callerServer.HeadLimits = limits.heads
+	ln = limits.callerListener(ln)
+	d.tasks.Go(limits.run)
 	go func() { _ = d.callerServer.Serve(ln) }() // returns after Shutdown
 	d.node.Start()
 	d.tasks.Go(func() { d.operatorFeed.Run(d.ctx) })
