Test the limits on heads and the memory of the head and body path, and refuse a head once

Cause: the limits on clients had tests with real processes only. The new test of heads found that a server which gives up a head may write its 408 twice: net/textproto forgets the error of a read at a look ahead, and net/http reads again.

Change: a refused connection is not read again. Tests in virtual time of the limits on heads, and of requests and responses while the budget is nearly used up.

Result: go test -race of caller (5 times) and relay passes. TestHeadLimits/without_end failed before the change of Read with two ends of one connection.

--- a/caller/server_conn.go
+++ b/caller/server_conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,7 +19,8 @@
 // ends its reads sooner than net/http asks if the server is stopping.
 type serverConn struct {
 	net.Conn
-	server *Server
+	server    *Server
+	isRefused atomic.Bool // the head that was read last
 
 	mu        sync.Mutex
 	isWaiting bool      // no head of a request has been read completely
@@ -33,20 +35,26 @@
 	head      *memory.Holding // what the head holds; nil until it has begun
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It fails for good once a head is refused: net/http may read again after an
+// error.
 func (c *serverConn) Read(p []byte) (int, error) {
+	if c.isRefused.Load() {
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(p)
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && c.lookAgain() {
 		n, err = c.Conn.Read(p)
 	}
 	isHead, refusal := c.observeRead(n)
 	if refusal != "" {
+		c.isRefused.Store(true)
 		listen.Refuse(c.Conn, refusal)
 		return 0, io.EOF // net/http closes the connection without a response
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.observeTimeout()
 		if isHead {
+			c.isRefused.Store(true)
 			_ = c.Conn.SetWriteDeadline(time.Now().Add(endMargin))
 			_, _ = io.WriteString(c.Conn, headTimedOut) // as above
 		}
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -32,7 +32,7 @@
 	stopped chan error
 }
 
-func newServerRig() *serverRig {
+func newServerRig(set ...func(s *caller.Server)) *serverRig {
 	rig := &serverRig{stopped: make(chan error, 1)}
 	rig.server = caller.NewServer(&http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/stream" {
@@ -44,6 +44,9 @@
 		}
 		_, _ = io.WriteString(w, "whole")
 	})})
+	for _, f := range set {
+		f(rig.server)
+	}
 	ln, err := rig.network.Listen("server:1")
 	if err != nil {
 		panic(err) // the first listener at an address
