--- a/listen/conn.go
+++ b/listen/conn.go
@@ -164,8 +164,8 @@
 		c.closed = true
 		c.listener.conns--
 		c.leaveSilent()
-		c.holding.Release()
 	}
 	c.listener.mu.Unlock()
+	c.holding.Release() // also what a write has added since
 	return c.Conn.Close()
 }
