Order the queue of an engine by what delays and refusals cost callers

Cause: the queue of an engine's owner knows targets and work, but neither priority nor account, so a shortage hits the most urgent requests with the shortest targets most.

Change: package schedule decides the order (levels by priority, requests that miss their target and accounts far above their usual share further down, a guaranteed share for each priority). With SchedulerConfig.ByCost, a Scheduler follows it for grants, loads and refusals, and counts the tokens of the engine's memory. With it off, the code is the same.

--- a/cmd/vanilladriftd/platform.go
+++ b/cmd/vanilladriftd/platform.go
@@ -22,6 +22,7 @@
 type platformCommand struct {
 	Settings string `long:"settings" env:"VANILLADRIFT_NODE_FILE" required:"true" description:"path of the platform's settings file"`
 	LogLevel string `long:"log-level" env:"VANILLADRIFT_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
+	Schedule string `long:"schedule" env:"VANILLADRIFT_SCHEDULE" default:"auto" choice:"cost" choice:"arrival" choice:"auto" description:"order of requests where capacity is short: by what it costs callers, by arrival, or by cost while the configuration has client accounts"`
 	Check    bool   `long:"check" description:"validate the settings file without starting"`
 }
 
@@ -42,6 +43,7 @@
 	}).With("node", cfg.Node)
 	d, err := entry.New(cfg, entry.Network{}, logger)
 	if err == nil {
+		d.Schedule = entry.Schedule(c.Schedule)
 		err = d.Start()
 	}
 	if err != nil {
--- a/engine/action.go
+++ b/engine/action.go
@@ -24,6 +24,7 @@
 	Cold          RefusalReason = "cold"        // as Overflow, and the adapter is not loaded
 	QueueFull     RefusalReason = "queue-full"  // the queue has reached its maximum length
 	DeadlineUnmet RefusalReason = "too-late"    // a deadline cannot be met
+	Displaced     RefusalReason = "displaced"   // it waited, and more urgent work needs its place
 	Draining      RefusalReason = "draining"    // the engine is draining
 	NotLoaded     RefusalReason = "not-loaded"  // the adapter is not loaded and cannot be loaded now
 	Limited       RefusalReason = "limited"     // the engine's limit on its requests does not allow it in time
--- a/engine/config.go
+++ b/engine/config.go
@@ -45,6 +45,13 @@
 	// TokenTime and LoadTime are the initial estimates; defaults 25 ms and 300 ms.
 	TokenTime time.Duration
 	LoadTime  time.Duration
+	// ByCost makes the queue follow what delays and refusals cost callers: priority, target and account
+	// (package schedule). Otherwise it follows the arrivals and the expected service times, and
+	// priorities and accounts have no effect. See [Scheduler.SetByCost].
+	ByCost bool
+	// KVCapacity is the number of tokens that the engine's memory holds; 0 means unknown. By cost,
+	// work is granted only while the tokens of all granted work fit.
+	KVCapacity int
 }
 
 func (c SchedulerConfig) withDefaults() SchedulerConfig {
--- a/engine/estimate.go
+++ b/engine/estimate.go
@@ -13,16 +13,21 @@
 
 // expectedWait returns the expected queue wait of new work for the adapter.
 func (s *Scheduler) expectedWait(now time.Time, a *adapter, short bool) time.Duration {
+	return s.waitBehind(now, a, short, s.backlog, s.loadsAhead)
+}
+
+// waitBehind returns the expected queue wait of work for the adapter behind a backlog and loads.
+func (s *Scheduler) waitBehind(now time.Time, a *adapter, short bool, backlog time.Duration, loadsAhead func(now time.Time) int) time.Duration {
 	var wait time.Duration
-	if !s.hasRoom(short) || s.backlog > 0 {
-		wait = s.backlog / time.Duration(s.cfg.BatchSize)
+	if !s.hasRoom(short) || backlog > 0 {
+		wait = backlog / time.Duration(s.cfg.BatchSize)
 		if !s.hasRoom(short) {
 			wait += s.tokenTime * 4
 		}
 	}
 	wait = max(wait, s.rate.Wait(now, len(s.waiting))) + max(0, s.prefillEnd.Sub(now))
 	if a.state != loaded {
-		wait = max(wait, s.coldWait(now, a)) // prefill of other work overlaps with the load
+		wait = max(wait, s.coldWait(now, a, loadsAhead)) // prefill of other work overlaps with the load
 	}
 	return wait
 }
@@ -48,11 +53,20 @@
 // engine is overloaded. A wait of up to 1.5 load times is normal; overload ends when
 // the wait is normal again. During overload, work that would miss its target is
 // refused, since queueing it would make later work miss its target too.
-func (s *Scheduler) updateOverload(now time.Time, wait time.Duration) bool {
+func (s *Scheduler) updateOverload(now time.Time, w *Work, wait time.Duration) bool {
+	normalAt := s.normalWait(w)
 	if wait <= s.cfg.LoadTime*3/2 {
-		s.normalWaitAt = now
+		*normalAt = now
+	}
+	return !normalAt.IsZero() && now.Sub(*normalAt) > overloadAfter
+}
+
+// normalWait returns when new work like w last had a normal wait. By cost, that is work of its level.
+func (s *Scheduler) normalWait(w *Work) *time.Time {
+	if s.cost != nil {
+		return &s.cost.normalWaitAt[w.level]
 	}
-	return !s.normalWaitAt.IsZero() && now.Sub(s.normalWaitAt) > overloadAfter
+	return &s.normalWaitAt
 }
 
 func latest(a, b time.Time) time.Time {
@@ -65,12 +79,12 @@
 // coldWait returns the expected time until an adapter that is not loaded can be
 // used, including the loads ahead of it. If the oldest load in progress already
 // takes longer than the estimate, its time so far is used instead.
-func (s *Scheduler) coldWait(now time.Time, a *adapter) time.Duration {
+func (s *Scheduler) coldWait(now time.Time, a *adapter, loadsAhead func(now time.Time) int) time.Duration {
 	each := s.loadTime
 	if len(s.loadRequestTimes) > 0 {
 		each = max(each, now.Sub(s.loadRequestTimes[0]))
 	}
-	loads := s.loadsAhead(now)
+	loads := loadsAhead(now)
 	if a.state == absent && !s.cold[a] {
 		loads++
 	}
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -39,6 +39,9 @@
 
 	rate RateLimit // of the requests that the engine takes
 
+	cost        *costOrder // nil unless the queue is ordered by cost
+	tokensInUse int        // tokens of the running work
+
 	mode Mode
 }
 
@@ -60,6 +63,9 @@
 		running:  make(map[string]*Work),
 		waiting:  make(map[string]*Work),
 	}
+	if cfg.ByCost {
+		s.cost = &costOrder{}
+	}
 	if cfg.ServesBase {
 		s.base = s.adapter("")
 		s.base.state = loaded
@@ -96,29 +102,62 @@
 	}
 	w.arrivedAt = now
 	w.serviceTime, w.prefill = s.serviceTime(&w)
-	w.key = w.serviceTime.Seconds() + s.cfg.Ageing*now.Sub(s.keyOrigin).Seconds()
-	if !w.Short {
-		w.key += s.cfg.LongPenalty
-	}
 	a := s.adapter(w.Adapter)
+	if s.cost != nil {
+		s.cost.queue.Offer(now, s.costRequest(a, &w))
+	}
+	s.setKey(now, a, &w)
 	a.popularity.Add(now, s.cfg.HalfLife)
-	if reason, wait := s.refusal(now, a, &w); reason != "" {
+	displaced := s.displacedBy(&w)
+	if reason, wait := s.refusal(now, a, &w, displaced != nil); reason != "" {
 		return []Action{s.refuse(&w, reason, wait)}
 	}
+	var acts []Action
+	if displaced != nil {
+		s.dequeue(displaced)
+		acts = append(acts, s.refuse(displaced, Displaced, s.workWait(now, s.adapters[displaced.Adapter], displaced)))
+	}
 	heap.Push(&a.waiting, &w)
 	s.updateCold(a)
 	s.waiting[w.ID] = &w
+	s.addBacklog(&w)
+	return s.dispatch(now, acts)
+}
+
+// setKey sets the queue key of work.
+func (s *Scheduler) setKey(now time.Time, a *adapter, w *Work) {
+	if s.cost != nil {
+		s.setCostKey(now, a, w)
+		return
+	}
+	w.key = w.serviceTime.Seconds() + s.cfg.Ageing*w.arrivedAt.Sub(s.keyOrigin).Seconds()
+	if !w.Short {
+		w.key += s.cfg.LongPenalty
+	}
+}
+
+func (s *Scheduler) addBacklog(w *Work) {
 	s.backlog += w.serviceTime
-	return s.dispatch(now, nil)
+	if s.cost != nil {
+		s.cost.backlog[w.level] += w.serviceTime
+	}
+}
+
+func (s *Scheduler) removeBacklog(w *Work) {
+	s.backlog -= w.serviceTime
+	if s.cost != nil {
+		s.cost.backlog[w.level] -= w.serviceTime
+	}
 }
 
-// refusal returns the reason for refusing the work, or "", and the expected wait.
-func (s *Scheduler) refusal(now time.Time, a *adapter, w *Work) (RefusalReason, time.Duration) {
-	wait := s.expectedWait(now, a, w.Short)
+// refusal returns the reason for refusing the work, or "", and the expected wait. hasRoom is set if
+// there is room for it in a full queue.
+func (s *Scheduler) refusal(now time.Time, a *adapter, w *Work, hasRoom bool) (RefusalReason, time.Duration) {
+	wait := s.workWait(now, a, w)
 	if w.FirstTokenTarget.IsZero() {
-		s.normalWaitAt = now
+		*s.normalWait(w) = now
 	}
-	overloaded := s.updateOverload(now, wait)
+	overloaded := s.updateOverload(now, w, wait)
 	switch {
 	case s.mode.Draining:
 		return Draining, wait
@@ -128,13 +167,14 @@
 		return NotLoaded, wait
 	case s.isRateWaitTooLong(now, w):
 		return Limited, wait
-	case len(s.waiting) >= s.cfg.MaxQueue:
+	case len(s.waiting) >= s.cfg.MaxQueue && !hasRoom:
 		return QueueFull, wait
 	case w.MaxWait > 0 && wait > w.MaxWait && a.state != loaded:
 		return Cold, wait
 	case w.MaxWait > 0 && wait > w.MaxWait:
 		return Overflow, wait
-	case w.missesDeadline(now, wait), overloaded && !w.Resumed && !w.meetsTarget(now, wait):
+	case w.missesDeadline(now, wait), overloaded && !w.Resumed && !s.meetsTarget(now, w, wait):
+		s.recordRefusal(now, w)
 		return DeadlineUnmet, wait
 	}
 	return "", wait
@@ -170,7 +210,7 @@
 	heap.Remove(&a.waiting, w.index)
 	s.updateCold(a)
 	delete(s.waiting, w.ID)
-	s.backlog -= w.serviceTime
+	s.removeBacklog(w)
 }
 
 // Release ends a grant. With adapterMissing set, the engine reported that the adapter
@@ -181,6 +221,10 @@
 		return nil
 	}
 	delete(s.running, id)
+	s.tokensInUse -= w.tokens()
+	if s.cost != nil {
+		s.cost.queue.Finish(now, &w.request, w.Age(now))
+	}
 	if !w.Short {
 		s.longRunning--
 	}
@@ -211,6 +255,7 @@
 			s.takeSlot(a) // a restart of the engine was recorded during the load
 		}
 		a.state, a.loadedAt, a.lastUsed = loaded, now, now
+		s.updateKeys(now, a)
 		return s.dispatch(now, nil)
 	}
 	s.freeSlot(a)
@@ -228,7 +273,7 @@
 	var acts []Action
 	for _, w := range s.waiting {
 		s.dequeue(w)
-		acts = append(acts, s.refuse(w, reason, s.expectedWait(now, s.adapters[w.Adapter], w.Short)))
+		acts = append(acts, s.refuse(w, reason, s.workWait(now, s.adapters[w.Adapter], w)))
 	}
 	return acts
 }
@@ -242,9 +287,10 @@
 	for _, w := range s.waiting {
 		if reason := s.refusalAfterQueueing(now, w); reason != "" {
 			s.dequeue(w)
-			acts = append(acts, s.refuse(w, reason, s.expectedWait(now, s.adapters[w.Adapter], w.Short)))
+			acts = append(acts, s.refuse(w, reason, s.workWait(now, s.adapters[w.Adapter], w)))
 		}
 	}
+	acts = s.reorder(now, acts)
 	for name, a := range s.adapters {
 		if a != s.base && a.state == absent && len(a.waiting) == 0 && a.pins == 0 && a.popularity.At(now, s.cfg.HalfLife) < 0.05 {
 			delete(s.adapters, name)
@@ -304,6 +350,7 @@
 	}
 	w.grantedAt = now
 	s.running[w.ID] = w
+	s.tokensInUse += w.tokens()
 	if s.cfg.SerialPrefill {
 		s.prefillEnd = latest(s.prefillEnd, now).Add(w.prefill)
 	}
@@ -325,6 +372,9 @@
 		}
 		s.dequeue(w)
 		s.recordGrant(now, w)
+		if s.cost != nil {
+			s.cost.queue.Grant(now, &w.request)
+		}
 		s.rate.Take(now)
 		acts = append(acts, Action{Kind: Grant, Work: w})
 	}
@@ -343,6 +393,9 @@
 		return nil
 	}
 	long := s.hasRoom(false)
+	if s.cost != nil {
+		return s.nextByCost(long)
+	}
 	var best *Work
 	bestKey := math.Inf(1)
 	for _, a := range s.resident {
--- a/engine/slots.go
+++ b/engine/slots.go
@@ -140,6 +140,9 @@
 // can still meet its target come first: under overload, loading in order of
 // age would make all work late.
 func (s *Scheduler) nextLoad(now time.Time) *adapter {
+	if s.cost != nil {
+		return s.nextLoadByCost()
+	}
 	var best *adapter
 	var bestScore float64
 	for a := range s.cold {
--- a/engine/work.go
+++ b/engine/work.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/schedule"
+)
 
 // Work is a request to a [Scheduler].
 type Work struct {
@@ -24,10 +28,12 @@
 	MaxWait time.Duration
 
 	arrivedAt   time.Time
-	serviceTime time.Duration // expected time in the batch, including the prefill
-	prefill     time.Duration // expected time of the prefill
-	key         float64       // queue key in seconds; lower keys go first
-	index       int           // position in its heap
+	serviceTime time.Duration    // expected time in the batch, including the prefill
+	prefill     time.Duration    // expected time of the prefill
+	key         float64          // queue key, in seconds unless by cost; lower keys go first
+	request     schedule.Request // by cost
+	level       int              // by cost: the whole level of the key
+	index       int              // position in its heap
 	grantedAt   time.Time
 }
 
@@ -83,5 +89,8 @@
 	return !w.FirstTokenTarget.IsZero() && !now.Add(wait+w.prefill).After(w.FirstTokenTarget)
 }
 
+// tokens returns the expected number of tokens that the work takes of the engine's memory.
+func (w *Work) tokens() int { return w.PromptTokens + w.ExpectedTokens }
+
 // Age returns the time since the work was granted.
 func (w Work) Age(now time.Time) time.Duration { return now.Sub(w.grantedAt) }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -95,6 +95,9 @@
 
 // Daemon is the process of one entry VM.
 type Daemon struct {
+	// Schedule is to be set before Start, if at all.
+	Schedule Schedule
+
 	settings     platform.Settings
 	network      Network
 	log          *log.Logger
@@ -184,7 +187,7 @@
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
 		Table: d.table, Sequencer: d.sequencer, Streams: d.streams, Builds: d.builds,
 		Prompts: prompts, Requests: requests, Limits: d.limits, SettingsPushed: true, OwnerAlternationGap: s.OwnerAlternationGap, LeaseTTL: ttl, LeaseMargin: margin,
-		RenewEvery: renewEvery, TableRenewEvery: sessionRenewInterval, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), IsOverloaded: d.overload.RejectsSome, Clock: n.Clock, OnResume: d.closeIdleConnections, Log: l, Seed: uint64(time.Now().UnixNano()),
+		RenewEvery: renewEvery, TableRenewEvery: sessionRenewInterval, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), IsOverloaded: d.overload.RejectsSome, ByCost: d.isByCost, Clock: n.Clock, OnResume: d.closeIdleConnections, Log: l, Seed: uint64(time.Now().UnixNano()),
 	}
 	if err := cfg.Check(); err != nil {
 		return nil, err
--- a/entry/state.go
+++ b/entry/state.go
@@ -114,7 +114,7 @@
 		return
 	}
 	s.routes.Store(routes)
-	l.Info("configuration in force", "replaced", inForce, "pools", len(routes.Pools()))
+	l.Info("configuration in force", "replaced", inForce, "pools", len(routes.Pools()), "accounts", routes.HasAccounts())
 	s.installEngines()
 }
 
@@ -247,7 +247,7 @@
 		for _, srv := range view.Pool(p.Name) {
 			d := engineDocument(p, srv)
 			docs = append(docs, d)
-			summaries[srv.ID] = d.Fields["address"] + d.Fields["drain"] + d.Fields["slots"]
+			summaries[srv.ID] = d.Fields["address"] + d.Fields["drain"] + d.Fields["slots"] + d.Fields["kv-capacity"]
 		}
 	}
 	if maps.Equal(summaries, s.engineSummaries) {
@@ -268,7 +268,7 @@
 		"address": srv.Address, "base-model": p.Engine.Models[0].Name, "data-center": srv.DataCenter,
 		"slots": strconv.Itoa(p.Engine.AdapterSlots), "places": strconv.Itoa(p.Engine.BatchSize),
 		"checks-fencing": "off", "unload-waits": "on", "max-loads": strconv.Itoa(maxLoadsPerEngine), "drain": drain,
-		"prompt-speed": strconv.Itoa(defaultPrefillSpeed), "token-time": defaultTokenTime.String(),
+		"prompt-speed": strconv.Itoa(defaultPrefillSpeed), "token-time": defaultTokenTime.String(), "kv-capacity": strconv.Itoa(p.Engine.KVCapacity),
 	}}
 }
 
--- a/node/config.go
+++ b/node/config.go
@@ -53,6 +53,9 @@
 	// IsOverloaded, which is optional, reports whether the node has too little processor time for all
 	// that callers and other nodes ask of it.
 	IsOverloaded func(now time.Time) bool
+	// ByCost, which is optional, reports whether the queues of engines are ordered by what delays and
+	// refusals cost callers. See [engine.SchedulerConfig]. It may change.
+	ByCost func() bool
 	// PeerScheme is "http" or "https".
 	PeerScheme string
 	// Operators holds the credentials of operators; the zero value rejects every
--- a/node/owned.go
+++ b/node/owned.go
@@ -78,6 +78,7 @@
 	o.sched = engine.NewScheduler(engine.SchedulerConfig{
 		Slots: b.Slots, SwapSlots: b.SwapSlots, BatchSize: b.BatchSize, NeedsIntents: !b.ChecksFencing && !b.UnloadWaitsForRequests,
 		ServesBase: b.UnloadWaitsForRequests, MaxLoads: b.MaxLoads, PrefillSpeed: b.PrefillSpeed, SerialPrefill: b.PrefillSpeed > 0, TokenTime: b.TokenTime,
+		ByCost: n.isByCost(), KVCapacity: b.KVCapacity,
 	})
 	if n.cfg.Sequencer != nil {
 		o.seq = n.cfg.Sequencer(b)
@@ -139,6 +140,7 @@
 		return engine.Action{Kind: engine.Refuse, Reason: engine.NoOwner, RetryAfter: handoverPollInterval}
 	}
 	o.updateRateLimit(time.Now())
+	o.updateOrder(time.Now())
 	o.entryAddresses[w.EntryNode] = address
 	o.waiters[w.ID] = ch
 	o.apply(o.sched.Submit(time.Now(), w))
@@ -214,6 +216,7 @@
 		o.server.Store(b)
 	}
 	o.updateRateLimit(now)
+	o.updateOrder(now)
 	if m := o.mode(now); m != o.sched.Mode() {
 		o.apply(o.sched.SetMode(now, m))
 	} else {
--- a/settings/backend.go
+++ b/settings/backend.go
@@ -20,6 +20,7 @@
 	PrefillSpeed           int           // prompt tokens processed in the time of one output token; 0 means unknown
 	TokenTime              time.Duration // usual time between output tokens; 0 means unknown
 	MaxLoads               int           // concurrent adapter loads of the engine; 0 means 1
+	KVCapacity             int           // tokens that the engine's memory holds; 0 means unknown
 	Region                 string
 	DataCenter             string
 	Drain                  bool // the server is draining and gets no new requests
@@ -39,6 +40,7 @@
 		PrefillSpeed:           parseInt(d.Fields["prompt-speed"]),
 		TokenTime:              parseDuration(d.Fields["token-time"]),
 		MaxLoads:               parseInt(d.Fields["max-loads"]),
+		KVCapacity:             parseInt(d.Fields["kv-capacity"]),
 		Region:                 d.Fields["region"],
 		DataCenter:             d.Fields["data-center"],
 		Drain:                  d.Fields["drain"] == "on",
