Play shortages on the order by cost, and guard its properties

Cause: the order by cost had no test of its own; its first version let loads starve less urgent work at a usual load (renewal-notes waited for 7 s), and its usual shares followed a hot account within seconds.

--- a/engine/by_cost.go
+++ b/engine/by_cost.go
@@ -14,10 +14,10 @@
 	// refusalMemory is how long a refusal of urgent work shows that the engine has no place for less
 	// urgent work beyond the share that its priority is guaranteed.
 	refusalMemory = 500 * time.Millisecond
-	// demandLead is by how much the load of an adapter with much waiting work may overtake loads
-	// of its level, in seconds, and demandLeadEach the same for each request.
-	demandLead     = 0.25
-	demandLeadEach = 0.05
+	// demandLeadSeconds is by how much the load of an adapter may overtake loads of its level for each
+	// request that waits for it: loads and slots are what Lakeshore's engines lack, and one serves all of
+	// these requests.
+	demandLeadSeconds = 0.3
 	// memoryShare is the part of the engine's memory that is used. Some responses are longer than
 	// expected, and an engine without memory preempts others.
 	memoryShare = 0.9
@@ -288,7 +288,7 @@
 	var best *adapter
 	bestKey := math.Inf(1)
 	for a := range s.cold {
-		key := a.waiting[0].key - min(demandLead, demandLeadEach*float64(len(a.waiting)))
+		key := a.waiting[0].key - demandLeadSeconds*float64(len(a.waiting))
 		if key < bestKey || key == bestKey && a.name < best.name {
 			best, bestKey = a, key
 		}
--- a/engine/scheduler_test.go
+++ b/engine/scheduler_test.go
@@ -181,13 +181,20 @@
 // number of slots are never exceeded, and every request gets at most one verdict.
 func TestSchedulerInvariants(t *testing.T) {
 	fixSeed(t)
+	for _, byCost := range []bool{false, true} {
+		t.Run(fmt.Sprintf("by cost %v", byCost), func(t *testing.T) { checkInvariants(t, byCost) })
+	}
+}
+
+func checkInvariants(t *testing.T, byCost bool) {
+	const kvCapacity = 3000
 	rapid.Check(t, func(t *rapid.T) {
-		cfg := SchedulerConfig{Slots: 3, SwapSlots: 1, BatchSize: 4, NeedsIntents: rapid.Bool().Draw(t, "intents")}
+		cfg := SchedulerConfig{Slots: 3, SwapSlots: 1, BatchSize: 4, NeedsIntents: rapid.Bool().Draw(t, "intents"), ByCost: byCost, KVCapacity: kvCapacity, MaxQueue: 6}
 		s := newLoadedScheduler(cfg, "a0", "a1", "a2") // full, so that every load evicts
 		now := t0
 		running := map[string]string{}
 		verdicts := map[string]int{}
-		requested := 0
+		requested, exceeds := 0, false
 		var loads []Action
 		apply := func(acts []Action) {
 			for _, a := range acts {
@@ -209,8 +216,23 @@
 				n++
 				w := shortWork(fmt.Sprint("r", n), pick())
 				w.Short = rapid.Bool().Draw(t, "short")
+				w.Priority = rapid.IntRange(0, 9).Draw(t, "priority")
+				w.PromptTokens = rapid.IntRange(0, 2*kvCapacity/3).Draw(t, "prompt")
+				w.Resumed = rapid.IntRange(0, 9).Draw(t, "resumed") == 0
+				if rapid.Bool().Draw(t, "target") {
+					w.FirstTokenTarget = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "target-ms")) * time.Millisecond)
+				}
 				w.Deadline = now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "ms")) * time.Millisecond)
-				apply(s.Submit(now, w))
+				acts := s.Submit(now, w)
+				apply(acts)
+				checkDisplaced(t, s, acts)
+			},
+			"switch": func(t *rapid.T) { // the configuration may change, and change again
+				if byCost && rapid.IntRange(0, 9).Draw(t, "switch") == 0 {
+					exceeds = true // the other order does not heed the memory
+					apply(s.SetByCost(now, false))
+					apply(s.SetByCost(now, true))
+				}
 			},
 			"release": func(t *rapid.T) {
 				ids := slices.Sorted(maps.Keys(running))
@@ -260,6 +282,20 @@
 				if got > cfg.Slots {
 					t.Fatalf("%d adapters in %d slots", got, cfg.Slots)
 				}
+				tokens := 0
+				for _, w := range s.running {
+					tokens += w.tokens()
+				}
+				if byCost && !exceeds && tokens > memoryShare*kvCapacity && len(s.running) > 1 {
+					t.Fatalf("%d tokens in a memory of %d", tokens, kvCapacity)
+				}
+				var backlog time.Duration
+				for _, w := range s.waiting {
+					backlog += w.serviceTime
+				}
+				if s.backlog != backlog {
+					t.Fatalf("backlog of %v, not %v", s.backlog, backlog)
+				}
 				for id, v := range verdicts {
 					if v > 1 {
 						t.Fatalf("%s got %d verdicts", id, v)
@@ -270,15 +306,37 @@
 	})
 }
 
+// checkDisplaced fails if work lost its place, or got none, for want of room in the queue, while work
+// that costs callers less has one.
+func checkDisplaced(t *rapid.T, s *Scheduler, acts []Action) {
+	for _, a := range acts {
+		if s.cost == nil || a.Kind != Refuse || a.Reason != QueueFull && a.Reason != Displaced {
+			continue
+		}
+		for _, w := range s.waiting {
+			if !w.Resumed && w.key > a.Work.key {
+				t.Fatalf("%s was refused, and %s waits", a.Work.ID, w.ID)
+			}
+		}
+	}
+}
+
 func BenchmarkSubmitWith1000Queued(b *testing.B) {
-	s := newLoadedScheduler(SchedulerConfig{Slots: 16, BatchSize: 32, MaxQueue: 1 << 20}, "a0", "a1", "a2", "a3", "a4", "a5", "a6", "a7")
+	for _, byCost := range []bool{false, true} {
+		b.Run(fmt.Sprintf("by-cost=%v", byCost), func(b *testing.B) { benchmarkSubmit(b, byCost) })
+	}
+}
+
+func benchmarkSubmit(b *testing.B, byCost bool) {
+	s := newLoadedScheduler(SchedulerConfig{Slots: 16, BatchSize: 32, MaxQueue: 1 << 20, ByCost: byCost}, "a0", "a1", "a2", "a3", "a4", "a5", "a6", "a7")
 	for i := range 1000 {
 		w := longWork(fmt.Sprint("q", i), fmt.Sprint("a", i%200))
+		w.Priority, w.Account = i%3, fmt.Sprint("account", i%100)
 		w.Deadline = t0.Add(1e6 * time.Hour)
 		s.Submit(t0, w)
 	}
 	w := shortWork("r", "a3")
-	w.Deadline = t0.Add(1e6 * time.Hour)
+	w.Deadline, w.Account = t0.Add(1e6*time.Hour), "account7"
 	b.ReportAllocs()
 	for b.Loop() {
 		s.Submit(t0, w)
@@ -286,3 +344,33 @@
 		s.Release(t0, "r", false)
 	}
 }
+
+// BenchmarkDecisionByCost measures which work is granted and which adapter is loaded next.
+func BenchmarkDecisionByCost(b *testing.B) {
+	s := newLoadedScheduler(SchedulerConfig{Slots: 8, BatchSize: 16, MaxQueue: 1 << 20, ByCost: true, KVCapacity: 209_682}, "a0", "a1", "a2", "a3", "a4", "a5", "a6", "a7")
+	for i := range 1000 + 16 {
+		w := longWork(fmt.Sprint("q", i), fmt.Sprint("a", i%200))
+		w.Short, w.Priority, w.Account, w.PromptTokens = true, i%3, fmt.Sprint("account", i%100), 646
+		w.Deadline, w.FirstTokenTarget = t0.Add(1e6*time.Hour), t0.Add(1e6*time.Hour)
+		s.Submit(t0, w)
+	}
+	b.Run("grant", func(b *testing.B) {
+		for b.Loop() {
+			if s.nextByCost(true) == nil {
+				b.Fatal("no work")
+			}
+		}
+	})
+	b.Run("load", func(b *testing.B) {
+		for b.Loop() {
+			if s.nextLoadByCost() == nil {
+				b.Fatal("no adapter")
+			}
+		}
+	})
+	b.Run("reorder-all", func(b *testing.B) { // every 100 ms
+		for b.Loop() {
+			s.reorder(t0, nil)
+		}
+	})
+}
--- a/schedule/accounts.go
+++ b/schedule/accounts.go
@@ -13,11 +13,14 @@
 	// shareFactor is how many times its usual part of the work an account may use recently before
 	// it is above its share, and shareSlack how many requests beyond that. Without the slack, the
 	// chance arrivals of small accounts, a few requests per half-life, would exceed it.
-	shareFactor = 2
+	shareFactor = 1.5
 	shareSlack  = 3
 	// newcomerShare is what each account is taken to use usually, as a part of the mean, so that
 	// one that is new or seldom sends has a share.
 	newcomerShare = 0.25
+	// usualGrowth bounds by how much work above the usual part raises it, so that it follows a lasting
+	// change slowly, and a burst hardly, also soon after the place has begun to count.
+	usualGrowth = 1.25
 	// maxAccounts bounds the accounts that are remembered; beyond that, those least in use are
 	// forgotten.
 	maxAccounts = 1024
@@ -30,7 +33,8 @@
 // The zero value is ready to use.
 type accounts struct {
 	byName map[string]*use
-	total  use
+	recent decayingSum // of all accounts
+	usual  decayingSum // of all accounts
 	count  decayingSum // requests in the recent total
 }
 
@@ -41,11 +45,6 @@
 	isOver        bool // at judgedAt
 }
 
-func (u *use) add(now time.Time, seconds float64) {
-	u.recent.add(now, recentHalfLife, seconds)
-	u.usual.add(now, usualHalfLife, seconds)
-}
-
 // charge adds requests with their work to the use of an account. Without a request, the work corrects
 // an estimate, and may be negative.
 func (a *accounts) charge(now time.Time, name string, requests int, work time.Duration) {
@@ -63,14 +62,31 @@
 		u = &use{}
 		a.byName[name] = u
 	}
-	u.add(now, work.Seconds())
-	a.total.add(now, work.Seconds())
+	seconds := work.Seconds()
+	u.recent.add(now, recentHalfLife, seconds)
+	a.recent.add(now, recentHalfLife, seconds)
 	a.count.add(now, recentHalfLife, float64(requests))
+	if share, recent := a.shares(now, u); recent > usualGrowth*share {
+		seconds *= usualGrowth * share / recent
+	}
+	u.usual.add(now, usualHalfLife, seconds)
+	a.usual.add(now, usualHalfLife, seconds)
+}
+
+// shares returns the parts of an account in the usual and in the recent work of all.
+func (a *accounts) shares(now time.Time, u *use) (usual, recent float64) {
+	totalUsual, totalRecent := a.usual.at(now, usualHalfLife), a.recent.at(now, recentHalfLife)
+	if totalUsual <= 0 || totalRecent <= 0 {
+		return 0, 0
+	}
+	usual = u.usual.at(now, usualHalfLife) / totalUsual
+	usual = (usual + newcomerShare/float64(len(a.byName))) / (1 + newcomerShare)
+	return usual, u.recent.at(now, recentHalfLife) / totalRecent
 }
 
 // forget removes the accounts whose usual use is below the mean.
 func (a *accounts) forget(now time.Time) {
-	mean := a.total.usual.at(now, usualHalfLife) / float64(len(a.byName))
+	mean := a.usual.at(now, usualHalfLife) / float64(len(a.byName))
 	maps.DeleteFunc(a.byName, func(_ string, u *use) bool { return u.usual.at(now, usualHalfLife) <= mean })
 }
 
@@ -87,12 +103,10 @@
 }
 
 func (a *accounts) judge(now time.Time, u *use) bool {
-	total, count := a.total.recent.at(now, recentHalfLife), a.count.at(now, recentHalfLife)
-	usual := a.total.usual.at(now, usualHalfLife)
-	if total <= 0 || usual <= 0 || count <= 0 {
+	count := a.count.at(now, recentHalfLife)
+	if count <= 0 {
 		return false
 	}
-	n := float64(len(a.byName))
-	share := (u.usual.at(now, usualHalfLife)/usual + newcomerShare/n) / (1 + newcomerShare)
-	return u.recent.at(now, recentHalfLife) > shareFactor*share*total+shareSlack*total/count
+	usual, recent := a.shares(now, u)
+	return recent > shareFactor*usual+shareSlack/count
 }
