Reject requests by what that costs callers when a node lacks processor time

Cause: the guard of the processor time knows two levels of priority. With client accounts nearly all requests have a priority of 3 or more, so that all of them are in one level.

Change: by cost, caller.Overload asks schedule.Gate, with priority, time left to the target, work and whether the stream has begun. Each class has a credit, so that its part is exact. Off, as before. Metrics ordered-by-cost and admitted-part.

--- a/caller/overload.go
+++ b/caller/overload.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/vanilladrift/vanilladrift/schedule"
 )
 
 const (
@@ -48,6 +50,10 @@
 	// Cores is the processor time that the process may use per time. If it is 0, only lateness
 	// counts.
 	Cores float64
+	// ByCost, which is optional, reports whether requests are rejected by what that costs callers: by
+	// priority, the time left to the target and work. Otherwise the highest priority goes before all
+	// others. The parts that are admitted add up to the same.
+	ByCost func() bool
 
 	mu          sync.Mutex
 	before      time.Duration // how late the sample before the last one was
@@ -57,6 +63,7 @@
 	isHigh      bool          // the window before was one of high use
 	rejected    float64       // how far what is admitted lies below allAdmitted
 	credit      [2]float64    // of requests of the highest and of other priorities that may be admitted
+	gate        schedule.Gate // by cost
 }
 
 // Observe records a sample.
@@ -117,14 +124,16 @@
 	return low < 1
 }
 
-// Rejects reports whether a new request of the given priority, where 0 is the highest, is to be
-// rejected.
-func (o *Overload) Rejects(now time.Time, priority int) bool {
+// Rejects reports whether a new request is to be rejected.
+func (o *Overload) Rejects(now time.Time, r schedule.GateRequest) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	high, low := o.admitted(now)
+	if o.ByCost != nil && o.ByCost() {
+		return !o.gate.Admits(now, r, (high*allHighAdmitted+low*(allAdmitted-allHighAdmitted))/allAdmitted)
+	}
 	share, credit := low, &o.credit[1]
-	if priority == 0 {
+	if r.Priority == 0 {
 		share, credit = high, &o.credit[0]
 	}
 	if share >= 1 {
--- a/caller/overload_test.go
+++ b/caller/overload_test.go
@@ -1,10 +1,13 @@
 package caller
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/schedule"
 )
 
 // Guards against a node whose polls and timers run seconds late, since it accepts more requests than
@@ -26,10 +29,14 @@
 		{"within its processor time", 300, 10 * time.Millisecond, 6000, true},
 		{"twice its processor time", 1000, 400 * time.Millisecond, 4200, false},
 		{"four times its processor time", 2000, 400 * time.Millisecond, 3200, false},
+		{"four times its processor time, by cost", 2000, 400 * time.Millisecond, 3200, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			o, busy := Overload{Cores: 1}, time.Duration(0)
+			if strings.HasSuffix(tt.name, "by cost") {
+				o.ByCost = func() bool { return true }
+			}
 			start := time.Unix(0, 0)
 			arrival, due, free := start, start.Add(tick), start // of the next request and of the timer; and when the processor is free
 			worst, served := time.Duration(0), 0
@@ -47,7 +54,7 @@
 				begin := latest(free, arrival)
 				arrival = arrival.Add(time.Second / time.Duration(tt.perSecond))
 				takes := rejection
-				if priority := n % 2; !o.Rejects(begin, priority) {
+				if priority := n % 2; !o.Rejects(begin, schedule.GateRequest{Priority: priority}) {
 					takes = cost
 					served++
 				}
@@ -89,11 +96,11 @@
 			late, paused = pause, now.Add(tick+pause)
 		}
 		now = now.Add(tick + late)
-		is.True(!o.Rejects(now, 0)) // before the goroutine of the timer runs
+		is.True(!o.Rejects(now, schedule.GateRequest{})) // before the goroutine of the timer runs
 		o.Observe(LoadSample{At: now, Late: late, Next: now.Add(tick)})
-		is.True(!o.Rejects(now, 0))
+		is.True(!o.Rejects(now, schedule.GateRequest{}))
 		if now.Sub(paused) > caught {
-			is.True(!o.Rejects(now, 9))
+			is.True(!o.Rejects(now, schedule.GateRequest{Priority: 9}))
 		}
 	}
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -177,7 +177,7 @@
 	d.balancer = &backend.Balancer{DataCenter: s.DataCenter}
 	d.limits = &backend.Limits{}
 	d.table = &table.Client{Read: d.readStore, Apply: d.applyStore}
-	d.overload.Cores = s.Cores
+	d.overload.Cores, d.overload.ByCost = s.Cores, d.isByCost
 	d.builds = &backend.BuildHistory{}
 	d.streams = &backend.StreamOrigins{IsShared: d.builds.IsMixed}
 	prompts, requests := &backend.PromptQuarantine{}, &backend.RequestQuarantine{}
@@ -209,6 +209,16 @@
 	for f, name := range map[*feed.Follower]string{d.operatorFeed: "configuration-age-seconds", d.serversFeed: "servers-age-seconds"} {
 		d.node.Meter().Gauge(name, "time since when changes of the table may have been missed", func() float64 { return d.age(f).Seconds() })
 	}
+	d.node.Meter().Gauge("ordered-by-cost", "1 while requests are ordered and refused by what that costs callers", func() float64 {
+		if d.isByCost() {
+			return 1
+		}
+		return 0
+	})
+	d.node.Meter().Gauge("admitted-part", "part of the new requests that the node has processor time for", func() float64 {
+		high, low := d.overload.Admitted(time.Now())
+		return (high + low) / 2
+	})
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
 	d.acquirer.CanUse = d.canUseEngine
 	d.acquirer.RequestGrant = d.withTurnDelays(d.acquirer.RequestGrant)
--- a/entry/load.go
+++ b/entry/load.go
@@ -35,7 +35,7 @@
 		d.overload.Observe(s)
 		if high, low := d.overload.Admitted(now); (low < 1) != rejecting {
 			rejecting = low < 1
-			d.log.Info("load", "rejecting", rejecting, "admitted-high", high, "admitted-other", low, "late", s.Late)
+			d.log.Info("load", "rejecting", rejecting, "admitted-high", high, "admitted-other", low, "by-cost", d.isByCost(), "late", s.Late)
 		}
 	}
 }
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -17,6 +17,7 @@
 	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/route"
+	"github.com/vanilladrift/vanilladrift/schedule"
 	"github.com/vanilladrift/vanilladrift/transport"
 )
 
@@ -117,8 +118,8 @@
 	// it begins to do when it starts the handler.
 	CallerLeft func(ctx context.Context) bool
 	// IsOverloaded, which is optional, reports whether the node has too little processor time for
-	// a new request of a priority, where 0 is the highest.
-	IsOverloaded func(now time.Time, priority int) bool
+	// a new request.
+	IsOverloaded func(now time.Time, r schedule.GateRequest) bool
 	// TakeQuota, which is optional, takes the cost of a request from the quota of its client account.
 	// giveBack returns it if the request has not run. If the quota is used up, ok is false, and
 	// retryAfter is the time until enough is available.
@@ -207,7 +208,7 @@
 	if err := x.authenticate(); err != nil {
 		return err
 	}
-	if x.handler.IsOverloaded != nil && x.handler.IsOverloaded(x.start, x.priority()) {
+	if x.handler.IsOverloaded != nil && x.handler.IsOverloaded(x.start, x.gateRequest()) {
 		return &Error{Op: op, Kind: Busy, Reason: "the node has too little processor time", RetryAfter: otherNodeRetryAfter}
 	}
 	giveBack, err := x.takeQuota(ctx)
