Refuse at the entry node what an engine by cost has just refused

Cause: each refused request costs a message to the owner and its processor time, also when the owner has just refused the like; and a held refusal took no account of priority.

Change: by cost, an owner states with a refusal for how long like work is refused as well (until the queue may be short enough, 250 ms at most), and whether only an account above its share is. Entry nodes hold it for work that is not more urgent, has no more time and whose stream has not begun, also when the owner holds it for want of processor time.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -34,6 +34,10 @@
 	Reason     engine.RefusalReason
 	RetryAfter time.Duration
 	QueueWait  time.Duration // expected queue wait at the engine
+	// ByCost is set if more urgent requests may be granted. Account, if it is set, is the only one
+	// whose requests are refused.
+	ByCost  bool
+	Account string
 }
 
 // Error implements the error interface.
--- a/engine/action.go
+++ b/engine/action.go
@@ -52,4 +52,8 @@
 	Reason     RefusalReason // Refuse
 	RetryAfter time.Duration // Refuse: minimum delay before a retry
 	Wait       time.Duration // Refuse: expected queue wait at this engine
+	// Hold is, by cost, how long like work that is not more urgent is refused as well. With IsOverShare,
+	// this holds only for work of its account.
+	Hold        time.Duration
+	IsOverShare bool
 }
--- a/engine/by_cost.go
+++ b/engine/by_cost.go
@@ -174,6 +174,30 @@
 	}
 }
 
+// maxHold bounds how long a refusal holds for like work.
+const maxHold = 250 * time.Millisecond
+
+// setHold sets how long a refusal of new work holds for like work: until the queue may have become
+// shorter by as much as it is too long. A refusal that depends on the adapter, or on the work alone,
+// does not hold.
+func (s *Scheduler) setHold(now time.Time, act *Action) {
+	w := act.Work
+	if s.cost == nil || w.Resumed || w.missesDeadline(now, 0) {
+		return
+	}
+	act.IsOverShare = s.cost.queue.IsOverShare(now, w.Account)
+	switch act.Reason {
+	case QueueFull:
+		act.Hold = min(maxHold, act.RetryAfter)
+	case DeadlineUnmet:
+		wait := s.workWait(now, &adapter{state: loaded}, w)
+		isOverloaded := now.Sub(*s.normalWait(w)) > overloadAfter
+		for act.Hold < maxHold && (w.missesDeadline(now, wait-act.Hold) || isOverloaded && !s.meetsTarget(now, w, wait-act.Hold)) {
+			act.Hold += maxHold / 10
+		}
+	}
+}
+
 // isOutranked reports whether more urgent work was refused just now, so that this work should be
 // admitted only within the guaranteed share of its priority.
 func (s *Scheduler) isOutranked(now time.Time, w *Work) bool {
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -110,7 +110,9 @@
 	a.popularity.Add(now, s.cfg.HalfLife)
 	displaced := s.displacedBy(&w)
 	if reason, wait := s.refusal(now, a, &w, displaced != nil); reason != "" {
-		return []Action{s.refuse(&w, reason, wait)}
+		act := s.refuse(&w, reason, wait)
+		s.setHold(now, &act)
+		return []Action{act}
 	}
 	var acts []Action
 	if displaced != nil {
--- a/engine/work.go
+++ b/engine/work.go
@@ -89,6 +89,9 @@
 	return !w.FirstTokenTarget.IsZero() && !now.Add(wait+w.prefill).After(w.FirstTokenTarget)
 }
 
+// IsPromoted reports whether the work went before more urgent work, in the turn of its priority.
+func (w *Work) IsPromoted() bool { return w.request.Promoted }
+
 // tokens returns the expected number of tokens that the work takes of the engine's memory.
 func (w *Work) tokens() int { return w.PromptTokens + w.ExpectedTokens }
 
--- a/node/admission.go
+++ b/node/admission.go
@@ -57,6 +57,7 @@
 func (n *Node) acquireGrant(ctx context.Context, engineName string, w engine.Work) (caller.Grant, error) {
 	owner := n.ownerHint(engineName)
 	if r, ok := n.held.get(time.Now(), engineName, owner, &w); ok && owner != n.cfg.Name {
+		n.metrics.refusedByHold(r.Reason)
 		return caller.Grant{}, &r
 	}
 	for range 2 {
@@ -77,6 +78,8 @@
 				RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond,
 				QueueWait:  time.Duration(resp.GetWaitMs()) * time.Millisecond,
 			}
+			r.ByCost, r.Account = resp.GetByCost(), resp.GetRefusedAccount()
+			hold = max(hold, time.Duration(resp.GetHoldMs())*time.Millisecond)
 			n.held.hold(time.Now(), engineName, owner, &w, r, hold, n.LiveNodes())
 			return caller.Grant{}, &r
 		}
@@ -177,17 +180,26 @@
 		MaxWait:            time.Duration(req.GetMaxWaitMs()) * time.Millisecond,
 		FirstTokenDeadline: timeAfterMillis(now, req.GetFirstByMs()), FirstTokenTarget: timeAfterMillis(now, req.GetAimByMs()),
 	}, address)
+	byCost := n.isByCost()
+	if byCost {
+		n.metrics.decided(act)
+	}
 	if act.Kind == engine.Grant {
 		return &peerpb.AdmitResponse{Verdict: peerpb.AdmitResponse_VERDICT_GRANTED, Token: o.token, WaitMs: o.expectedWait(now).Milliseconds()}
 	}
 	n.metrics.refused(act.Reason)
 	running, waiting := o.requestCounts()
 	n.log.Info("admission refused", "id", callerRequestID(req.GetRequestId()), "engine", o.name, "adapter", req.GetAdapter(), "reason", act.Reason,
-		"wait-ms", act.Wait.Milliseconds(), "max-wait-ms", req.GetMaxWaitMs(), "left-ms", req.GetTimeLeftMs(), "running", running, "waiting", waiting)
-	return &peerpb.AdmitResponse{
+		"wait-ms", act.Wait.Milliseconds(), "max-wait-ms", req.GetMaxWaitMs(), "left-ms", req.GetTimeLeftMs(), "running", running, "waiting", waiting,
+		"priority", req.GetPriority(), "account", req.GetAccount(), "by-cost", byCost, "hold-ms", act.Hold.Milliseconds())
+	resp := &peerpb.AdmitResponse{
 		Verdict: peerpb.AdmitResponse_VERDICT_REFUSED, Reason: string(act.Reason),
-		RetryAfterMs: act.RetryAfter.Milliseconds(), WaitMs: act.Wait.Milliseconds(),
+		RetryAfterMs: act.RetryAfter.Milliseconds(), WaitMs: act.Wait.Milliseconds(), ByCost: byCost, HoldMs: act.Hold.Milliseconds(),
+	}
+	if act.IsOverShare {
+		resp.RefusedAccount = req.GetAccount()
 	}
+	return resp
 }
 
 // callerRequestID returns the caller's request ID from the ID of an attempt.
--- a/node/held_refusals.go
+++ b/node/held_refusals.go
@@ -31,6 +31,11 @@
 	until   time.Time
 	maxWait time.Duration // see [engine.Work]
 	left    time.Duration // until the deadline of the work that was refused
+
+	// of the work that was refused, by cost
+	priority     int
+	targetLeft   time.Duration // until its target; 0 if it has none
+	promptTokens int
 }
 
 // holdsFor reports whether the owner would refuse the work for the same reason.
@@ -38,6 +43,9 @@
 	if !now.Before(h.until) {
 		return false
 	}
+	if h.refusal.ByCost && h.refusal.Reason != engine.Recovering && !h.holdsByCost(now, w) {
+		return false
+	}
 	switch h.refusal.Reason {
 	case engine.Overflow:
 		return w.MaxWait > 0 && w.MaxWait <= h.maxWait
@@ -47,6 +55,22 @@
 	return true
 }
 
+// holdsByCost reports whether the work costs callers no more than the work that was refused: it is not
+// more urgent, its stream has not begun, it has no more time and its prompt is not much shorter.
+func (h *heldRefusal) holdsByCost(now time.Time, w *engine.Work) bool {
+	targetLeft := time.Duration(0)
+	if !w.FirstTokenTarget.IsZero() {
+		targetLeft = w.FirstTokenTarget.Sub(now)
+	}
+	switch {
+	case w.Resumed, w.Priority < h.priority, w.PromptTokens < h.promptTokens/2:
+		return false
+	case h.refusal.Account != "" && w.Account != h.refusal.Account:
+		return false
+	}
+	return h.targetLeft == 0 || targetLeft != 0 && targetLeft <= h.targetLeft
+}
+
 // heldRefusals holds the last refusals of engines, so that a node with many requests for an engine does
 // not ask its owner for each of them. The zero value holds none.
 type heldRefusals struct {
@@ -74,7 +98,11 @@
 	if r.byEngine == nil {
 		r.byEngine = make(map[string]heldRefusal)
 	}
-	r.byEngine[engineName] = heldRefusal{owner: owner, refusal: refusal, until: now.Add(d), maxWait: w.MaxWait, left: w.Deadline.Sub(now)}
+	h := heldRefusal{owner: owner, refusal: refusal, until: now.Add(d), maxWait: w.MaxWait, left: w.Deadline.Sub(now), priority: w.Priority, promptTokens: w.PromptTokens}
+	if !w.FirstTokenTarget.IsZero() {
+		h.targetLeft = w.FirstTokenTarget.Sub(now)
+	}
+	r.byEngine[engineName] = h
 }
 
 // get returns the refusal of an engine's owner that holds for work.
--- a/node/held_refusals_test.go
+++ b/node/held_refusals_test.go
@@ -132,3 +132,38 @@
 	is.Equal(statedHoldTime(http.Header{headerHoldTime: {"20"}}), 20*time.Millisecond)
 	is.Equal(statedHoldTime(http.Header{headerHoldTime: {"-1"}}), time.Duration(0))
 }
+
+// Guards against a held refusal of work that can wait, by which a node refuses work that an engine
+// would take: more urgent, of another account than the one above its share, or with more time.
+func TestHeldRefusalByCost(t *testing.T) {
+	now := time.Unix(100, 0)
+	refused := engine.Work{Priority: 4, Account: "a", PromptTokens: 1000, Deadline: now.Add(2 * time.Second), FirstTokenTarget: now.Add(time.Second)}
+	for _, tt := range []struct {
+		name    string
+		refusal caller.Refusal
+		change  func(w *engine.Work)
+		held    bool
+	}{
+		{"like work", caller.Refusal{Reason: engine.DeadlineUnmet}, func(*engine.Work) {}, true},
+		{"less urgent", caller.Refusal{Reason: engine.DeadlineUnmet}, func(w *engine.Work) { w.Priority = 5 }, true},
+		{"more urgent", caller.Refusal{Reason: engine.DeadlineUnmet}, func(w *engine.Work) { w.Priority = 3 }, false},
+		{"more urgent, of an owner without processor time", caller.Refusal{Reason: engine.QueueFull}, func(w *engine.Work) { w.Priority = 0 }, false},
+		{"more urgent, while the engine recovers", caller.Refusal{Reason: engine.Recovering}, func(w *engine.Work) { w.Priority = 3 }, true},
+		{"stream has begun", caller.Refusal{Reason: engine.DeadlineUnmet}, func(w *engine.Work) { w.Resumed = true }, false},
+		{"much shorter prompt", caller.Refusal{Reason: engine.DeadlineUnmet}, func(w *engine.Work) { w.PromptTokens = 100 }, false},
+		{"more time until the target", caller.Refusal{Reason: engine.DeadlineUnmet}, func(w *engine.Work) { w.FirstTokenTarget = now.Add(1100 * time.Millisecond) }, false},
+		{"no target", caller.Refusal{Reason: engine.DeadlineUnmet}, func(w *engine.Work) { w.FirstTokenTarget = time.Time{} }, false},
+		{"same account above its share", caller.Refusal{Reason: engine.DeadlineUnmet, Account: "a"}, func(*engine.Work) {}, true},
+		{"other account", caller.Refusal{Reason: engine.DeadlineUnmet, Account: "a"}, func(w *engine.Work) { w.Account = "b" }, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var r heldRefusals
+			tt.refusal.ByCost = true
+			r.hold(now, "e", "owner", &refused, tt.refusal, 200*time.Millisecond, 2)
+			w := refused
+			tt.change(&w)
+			_, held := r.get(now, "e", "owner", &w)
+			is.New(t).Equal(held, tt.held)
+		})
+	}
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -22,6 +22,8 @@
 	requests metric.Int64Counter
 	tokens   metric.Int64Counter
 	refusals metric.Int64Counter
+	holds    metric.Int64Counter
+	byCost   metric.Int64Counter
 	hedges   metric.Int64Counter
 	retries  metric.Int64Counter
 
@@ -48,6 +50,8 @@
 	m.requests = m.counter("requests", "requests by class, outcome and kind of refusal")
 	m.tokens = m.counter("tokens", "tokens passed on to callers")
 	m.refusals = m.counter("admission-refusals", "admissions refused by this node's schedulers, by reason")
+	m.holds = m.counter("held-refusals", "requests refused without asking an engine's owner, by the reason that it gave before")
+	m.byCost = m.counter("admissions-by-cost", "decisions of this node's schedulers while they order by cost, by priority and verdict")
 	m.hedges = m.counter("hedges", "requests with a second attempt beside the first")
 	m.retries = m.counter("retries", "attempts after the first")
 	m.loads = m.counter("adapter-loads", "adapter loads asked for")
@@ -110,3 +114,22 @@
 func (m *metrics) refused(reason engine.RefusalReason) {
 	m.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", string(reason))))
 }
+
+func (m *metrics) refusedByHold(reason engine.RefusalReason) {
+	m.holds.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", string(reason))))
+}
+
+// decided records a decision by cost.
+func (m *metrics) decided(act engine.Action) {
+	if act.Work == nil {
+		return // the request ended before its turn
+	}
+	verdict := string(act.Kind)
+	switch {
+	case act.Reason == engine.Displaced:
+		verdict = "displaced"
+	case act.Kind == engine.Grant && act.Work.IsPromoted():
+		verdict = "turn"
+	}
+	m.byCost.Add(context.Background(), 1, metric.WithAttributes(attribute.Int("priority", act.Work.Priority), attribute.String("verdict", verdict)))
+}
