Gate plain pools by cost while their servers have no room in time

Cause: servers of plain pools take requests in the order of their arrival, so that in a shortage urgent ones are refused as often as others.

Change: by cost, backend.PoolGates counts attempts that a server refused or served after the target, lowers the part of the requests that it admits, and refuses at once those behind the most urgent class that is offered. Where all requests are of one class, it refuses none.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -114,6 +114,7 @@
 	serversFeed  *feed.Follower
 	builds       *backend.BuildHistory
 	overload     caller.Overload
+	poolGates    backend.PoolGates
 	streams      *backend.StreamOrigins
 	metrics      *metrics
 
@@ -228,7 +229,7 @@
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine, Requests: requests, OnRequestQuarantine: d.node.LogRequestQuarantine,
 		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordAsks: d.recordAsks, IsLimited: d.limits.IsLimited, TakeTurn: d.takeTurn, Observe: d.observe,
-		IsOverloaded: d.overload.Rejects, CallerLeft: d.callerLeft, FindOrigin: d.findOrigin, RecordOrigin: d.streams.Begin, MayBegin: d.mayBegin,
+		IsOverloaded: d.overload.Rejects, AdmitPlain: d.admitPlain, ObservePlain: d.poolGates.Observe, CallerLeft: d.callerLeft, FindOrigin: d.findOrigin, RecordOrigin: d.streams.Begin, MayBegin: d.mayBegin,
 	}
 	return d, nil
 }
--- a/entry/schedule.go
+++ b/entry/schedule.go
@@ -1,5 +1,11 @@
 package entry
 
+import (
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/schedule"
+)
+
 // Schedule tells by what requests are ordered and refused where capacity is short.
 type Schedule string
 
@@ -21,3 +27,8 @@
 	routes := d.state.routes.Load()
 	return routes != nil && routes.HasAccounts()
 }
+
+// admitPlain reports whether a request may be sent to a pool of plain servers.
+func (d *Daemon) admitPlain(now time.Time, pool string, r schedule.GateRequest) bool {
+	return !d.isByCost() || d.poolGates.Admits(now, pool, r)
+}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -120,6 +120,11 @@
 	// IsOverloaded, which is optional, reports whether the node has too little processor time for
 	// a new request.
 	IsOverloaded func(now time.Time, r schedule.GateRequest) bool
+	// AdmitPlain, which is optional, reports whether a request may be sent to a pool of plain servers;
+	// ObservePlain, which is set with it, records each attempt there. isShort is set if the server
+	// refused it or served it too late.
+	AdmitPlain   func(now time.Time, pool string, r schedule.GateRequest) bool
+	ObservePlain func(now time.Time, pool string, isShort bool)
 	// TakeQuota, which is optional, takes the cost of a request from the quota of its client account.
 	// giveBack returns it if the request has not run. If the quota is used up, ok is false, and
 	// retryAfter is the time until enough is available.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -19,6 +19,9 @@
 // attempt is retried on another server if the route allows it.
 func (x *exchange) servePlain(ctx context.Context) error {
 	x.lastEventID = x.head.LastEventID
+	if err := x.admitPlain(); err != nil {
+		return err
+	}
 	tried := make(map[string]bool)
 	for {
 		if err := x.checkQuarantine(); err != nil {
@@ -37,7 +40,9 @@
 			continue
 		}
 		tried[s.ID] = true
+		sent := time.Now()
 		res := x.tryPlain(ctx, s, len(tried) < x.route.MaxAttempts, tried)
+		x.observePlain(time.Since(sent), &res)
 		done(time.Now(), res.failed)
 		if res.done {
 			return res.err
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// urgentTime is the time left until the target up to which a request counts as urgent within its
@@ -8,6 +11,8 @@
 	urgentTime = time.Second
 	// gateHalfLife is the time after which work counts half in what a gate was offered.
 	gateHalfLife = time.Second
+	// leastOffered is the work of a class from which it counts as offered.
+	leastOffered = 0.5
 	// gateClasses is the number of classes of a gate: those with little and with much time left of
 	// each priority.
 	gateClasses = 2 * Priorities
@@ -44,6 +49,16 @@
 
 // Admits reports whether a request is admitted, given the part of all work to admit, from 0 to 1.
 func (g *Gate) Admits(now time.Time, r GateRequest, part float64) bool {
+	return g.admits(now, r, part, false)
+}
+
+// AdmitsBehind is like Admits, but admits all requests of the most urgent class that is offered. So it
+// rejects nothing where all requests are of one class.
+func (g *Gate) AdmitsBehind(now time.Time, r GateRequest, part float64) bool {
+	return g.admits(now, r, part, true)
+}
+
+func (g *Gate) admits(now time.Time, r GateRequest, part float64, allUrgent bool) bool {
 	c, work := r.class(), r.Work
 	if work <= 0 {
 		work = 1
@@ -57,6 +72,9 @@
 	for i := range offered {
 		offered[i] = g.offered[i].at(now, gateHalfLife)
 	}
+	if allUrgent && c <= slices.IndexFunc(offered[:], func(o float64) bool { return o >= leastOffered }) {
+		return true
+	}
 	share := Shares(offered[:], part)[c]
 	if share <= 0 || g.credit[c] < 0 {
 		g.credit[c] += share * work
