--- a/caller/acquirer.go
+++ b/caller/acquirer.go
@@ -194,7 +194,7 @@
 // rank returns the rank of a refusal reason for isBetter; higher is better.
 func rank(r engine.RefusalReason) int {
 	switch r {
-	case engine.Overflow, engine.Cold:
+	case engine.Overflow, engine.Cold, engine.Displaced:
 		return 2
 	case engine.NoOwner, engine.Recovering, engine.LoadFailed, engine.Draining:
 		return 1
--- a/engine/by_cost_load_test.go
+++ b/engine/by_cost_load_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -89,6 +90,7 @@
 	owners    []*playedEngine
 	byKind    map[string]*outcome
 	byAccount map[string]*outcome
+	byAdapter map[string]*outcome      // by popularity
 	longest   map[string]time.Duration // wait of granted work, by kind
 	adapters  []float64                // cumulated popularity
 	ids       int
@@ -121,7 +123,7 @@
 
 // play plays a load and returns it.
 func play(l load, byCost bool) *played {
-	p := &played{load: l, now: t0, byKind: map[string]*outcome{}, byAccount: map[string]*outcome{}, longest: map[string]time.Duration{}}
+	p := &played{load: l, now: t0, byKind: map[string]*outcome{}, byAccount: map[string]*outcome{}, byAdapter: map[string]*outcome{}, longest: map[string]time.Duration{}}
 	total := 0.0
 	for i := range 10_000 {
 		total += math.Pow(float64(i+1), -1.2)
@@ -196,7 +198,7 @@
 func (p *played) newRequest(rng *rand.Rand, k *requestKind, account int) *playedRequest {
 	i, _ := slices.BinarySearch(p.adapters, rng.Float64()*p.adapters[len(p.adapters)-1])
 	r := &playedRequest{kind: k, account: fmt.Sprint("account", account), adapter: i, began: p.now, prompt: k.prompt}
-	r.output = max(1, int(float64(k.output)*math.Exp(0.5*rng.NormFloat64())))
+	r.output = max(1, int(float64(k.output)*math.Exp(0.8*rng.NormFloat64())))
 	if r.isLarge = k.largeTo > 0 && rng.Float64() < 0.1; r.isLarge {
 		r.prompt += int(rng.Float64() * float64(k.largeTo-k.prompt))
 	}
@@ -213,7 +215,7 @@
 	if r.began.Sub(t0) < p.start {
 		return
 	}
-	for m, key := range map[*map[string]*outcome]string{&p.byKind: r.kind.name, &p.byAccount: r.account} {
+	for m, key := range map[*map[string]*outcome]string{&p.byKind: r.kind.name, &p.byAccount: r.account, &p.byAdapter: popularity(r.adapter)} {
 		if (*m)[key] == nil {
 			(*m)[key] = &outcome{}
 		}
@@ -221,22 +223,76 @@
 	}
 }
 
-// send sends a request to one of the three engines of its adapter, the next one with each attempt.
+// popularity tells how popular an adapter is, from its rank.
+func popularity(rank int) string {
+	return fmt.Sprint("ranks from 10^", int(math.Log10(float64(rank+1))))
+}
+
+// send sends a request to one of the three engines of its adapter, as package caller does: to the
+// first that can take it soon, and otherwise to the one with the shortest wait.
 func (p *played) send(r *playedRequest) {
 	var live []string
 	for i, e := range p.owners {
 		if !e.isGone {
-			live = append(live, fmt.Sprint(i))
+			live = append(live, strconv.Itoa(i))
 		}
 	}
-	preferred := Rendezvous(fmt.Sprint(r.adapter), live, nil, 3)
-	i, _ := strconv.Atoi(preferred[r.attempts%len(preferred)])
-	e := p.owners[i]
+	var preferred []*playedEngine
+	for _, name := range Rendezvous(strconv.Itoa(r.adapter), live, nil, 3) {
+		i, _ := strconv.Atoi(name)
+		preferred = append(preferred, p.owners[i])
+	}
+	slices.SortStableFunc(preferred, func(a, b *playedEngine) int {
+		return cmp.Compare(a.load(r), b.load(r))
+	})
 	r.attempts++
+	var shortest *playedEngine
+	var wait time.Duration
+	for _, e := range preferred {
+		act, refused := e.submit(r, 60*time.Millisecond+time.Duration(e.load(r))*1140*time.Millisecond)
+		switch {
+		case !refused:
+			return
+		case act.Reason != Overflow && act.Reason != Cold:
+			p.refused(r, act)
+			return
+		case shortest == nil || act.Wait < wait:
+			shortest, wait = e, act.Wait
+		}
+	}
+	if act, refused := shortest.submit(r, 0); refused {
+		p.refused(r, act)
+	}
+}
+
+// refused lets the caller of a refused request come back, at most five times.
+func (p *played) refused(r *playedRequest, act Action) {
+	wait, left := act.RetryAfter, r.began.Add(r.kind.deadline).Sub(p.now)
+	if p.atOnce {
+		wait = 10 * time.Millisecond
+	}
+	if r.attempts < 6 && wait <= left/3 {
+		p.after(wait, func() { p.send(r) })
+	}
+}
+
+// load returns 0 if the engine has the adapter of a request loaded, and otherwise 1.
+func (e *playedEngine) load(r *playedRequest) int {
+	if a := e.sched.adapters[r.adapterName()]; a != nil && a.state == loaded {
+		return 0
+	}
+	return 1
+}
+
+func (r *playedRequest) adapterName() string { return fmt.Sprint("m/a", r.adapter) }
+
+// submit submits a request. If it is refused at once, it returns the refusal.
+func (e *playedEngine) submit(r *playedRequest, maxWait time.Duration) (refusal Action, refused bool) {
+	p := e.p
 	p.ids++
-	k, id, sent := r.kind, fmt.Sprint("r", p.ids), p.now
+	k, id, sent, atOnce := r.kind, fmt.Sprint("r", p.ids), p.now, true
 	w := Work{
-		ID: id, Adapter: fmt.Sprint("m/a", r.adapter), Priority: k.priority, Account: r.account, Short: r.prompt < 2048,
+		ID: id, Adapter: r.adapterName(), Priority: k.priority, Account: r.account, Short: r.prompt < 2048, MaxWait: maxWait,
 		ExpectedTokens: k.output, PromptTokens: r.prompt, Deadline: r.began.Add(k.deadline),
 		FirstTokenDeadline: r.began.Add(k.firstEventTimeout()), FirstTokenTarget: r.began.Add(k.target),
 	}
@@ -264,15 +320,13 @@
 		})
 	}
 	e.refused[id] = func(act Action) {
-		wait, left := act.RetryAfter, w.Deadline.Sub(p.now)
-		if p.atOnce {
-			wait = 10 * time.Millisecond
-		}
-		if r.attempts < 6 && wait <= left/3 {
-			p.after(wait, func() { p.send(r) })
+		if refusal, refused = act, true; !atOnce {
+			p.refused(r, act)
 		}
 	}
 	e.apply(e.sched.Submit(p.now, w))
+	atOnce = false
+	return refusal, refused
 }
 
 func (e *playedEngine) apply(acts []Action) {
@@ -335,6 +389,7 @@
 		name   string
 		change func(l *load)
 	}{
+		{"usual load", func(*load) {}},
 		{"burst of a batch kind", func(l *load) { l.factor = map[string]float64{"renewal-notes": 8} }},
 		{"hot account", func(l *load) { l.hot = 7 }},
 		{"hot account, quarter of the engines gone", func(l *load) { l.hot, l.gone = 7, 2 }},
@@ -367,6 +422,11 @@
 				}
 				is.True(o.largePart() >= o.servedPart()/2 || o.largeOffered == 0)
 			}
+			for _, name := range slices.Sorted(maps.Keys(byCost.byAdapter)) {
+				o, f := byCost.byAdapter[name], former.byAdapter[name]
+				t.Logf("adapters of %s: served %.2f, by cost %.2f", name, f.servedPart(), o.servedPart())
+				is.True(o.servedPart() >= all.servedPart()/4)
+			}
 			others, formerOthers := outcome{}, outcome{}
 			for name, o := range byCost.byAccount {
 				is.True(o.servedPart() >= all.servedPart()/4)
--- a/engine/doc.go
+++ b/engine/doc.go
@@ -13,7 +13,8 @@
 // concurrent use.
 //
 //   - [Scheduler] runs at the owner of an engine and manages its queue, its
-//     batch, its adapter slots and the pins on them.
+//     batch, its adapter slots and the pins on them. With [SchedulerConfig.ByCost],
+//     its queue follows package schedule.
 //   - [LoadBudget] limits the rate of adapter loads from the weight store.
 //   - [Router] runs at the entry node. It chooses the candidate engines of an
 //     adapter and their order, detects slow engines, and limits hedges and
