Guard that less urgent work is not admitted where urgent work was refused

Change: a property test of pairs that differ in priority only; expected waits are bounded by an hour.

--- a/engine/by_cost.go
+++ b/engine/by_cost.go
@@ -18,6 +18,8 @@
 	// request that waits for it: loads and slots are what Lakeshore's engines lack, and one serves all of
 	// these requests.
 	demandLeadSeconds = 0.3
+	// longestWait bounds an expected wait, which a share near 0 would make infinite.
+	longestWait = time.Hour
 	// memoryShare is the part of the engine's memory that is used. Some responses are longer than
 	// expected, and an engine without memory preempts others.
 	memoryShare = 0.9
@@ -136,13 +138,11 @@
 // guaranteedWait returns the wait until the turn of work that gets only the guaranteed share of its
 // priority, behind a backlog of that.
 func (s *Scheduler) guaranteedWait(now time.Time, w *Work, backlog time.Duration) time.Duration {
-	share := s.cost.queue.GuaranteedShare(now, &w.request)
-	if share <= 0 {
-		return math.MaxInt64 / 4
+	turn := longestWait.Seconds()
+	if share := s.cost.queue.GuaranteedShare(now, &w.request); share > 0 {
+		turn = min(turn, (backlog+w.serviceTime).Seconds()/float64(s.cfg.BatchSize)/share)
 	}
-	each := w.serviceTime / time.Duration(s.cfg.BatchSize)
-	own := (backlog/time.Duration(s.cfg.BatchSize) + each).Seconds() / share
-	return max(0, w.request.Patience()-now.Sub(w.arrivedAt)) + time.Duration(own*float64(time.Second))
+	return max(0, w.request.Patience()-now.Sub(w.arrivedAt)) + time.Duration(turn*float64(time.Second))
 }
 
 // workWait returns the expected wait of new or waiting work. By cost, it waits for the work of its
--- a/engine/by_cost_test.go
+++ b/engine/by_cost_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // newBusyScheduler returns a scheduler by cost whose batch is full of work of priority 2.
@@ -97,3 +98,50 @@
 	acts = s.Submit(t0, late)
 	is.Equal(acts[0].Hold, time.Duration(0))
 }
+
+// Guards against work that is refused while less urgent work with the same times is admitted at the same
+// moment, beyond the share that its priority is guaranteed.
+func TestUrgentWorkIsNotRefusedBeforeOther(t *testing.T) {
+	fixSeed(t)
+	refused := 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := newLoadedScheduler(SchedulerConfig{Slots: 2, BatchSize: 4, MaxQueue: 30, ByCost: true, TokenTime: 20 * time.Millisecond}, "a", "b")
+		now, running := t0, []string{}
+		for i := range rapid.IntRange(10, 200).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			apply := func(acts []Action) {
+				for _, a := range acts {
+					if a.Kind == Grant {
+						running = append(running, a.Work.ID)
+					}
+				}
+			}
+			if rapid.IntRange(0, 3).Draw(t, "release") == 0 && len(running) > 0 {
+				id := running[0]
+				running = running[1:]
+				apply(s.Release(now, id, false))
+			}
+			if rapid.IntRange(0, 9).Draw(t, "tick") == 0 {
+				apply(s.Tick(now))
+			}
+			w := shortWork(fmt.Sprint("r", i), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "adapter"))
+			w.Priority = rapid.IntRange(0, 8).Draw(t, "priority")
+			w.FirstTokenTarget = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "target")) * time.Millisecond)
+			w.FirstTokenDeadline = w.FirstTokenTarget.Add(time.Second)
+			acts := s.Submit(now, w)
+			apply(acts)
+			if len(acts) == 0 || acts[0].Kind != Refuse || acts[0].Work.ID != w.ID {
+				continue
+			}
+			refused++
+			other := w
+			other.ID, other.Priority = w.ID+"-other", rapid.IntRange(w.Priority+1, 9).Draw(t, "less urgent")
+			acts = s.Submit(now, other)
+			apply(acts)
+			if queued := s.waiting[other.ID]; queued != nil && queued.missesDeadline(now, s.guaranteedWait(now, queued, 0)) {
+				t.Fatalf("priority %d was refused, and %d is admitted beyond its share", w.Priority, other.Priority)
+			}
+		}
+	})
+	is.New(t).True(refused > 100)
+}
--- a/engine/scheduler_test.go
+++ b/engine/scheduler_test.go
@@ -368,6 +368,16 @@
 			}
 		}
 	})
+	b.Run("displace", func(b *testing.B) {
+		s.cfg.MaxQueue = len(s.waiting)
+		w := shortWork("r", "a3")
+		w.key = -1
+		for b.Loop() {
+			if s.displacedBy(&w) == nil {
+				b.Fatal("no work")
+			}
+		}
+	})
 	b.Run("reorder-all", func(b *testing.B) { // every 100 ms
 		for b.Loop() {
 			s.reorder(t0, nil)
