--- a/caller/handler.go
+++ b/caller/handler.go
@@ -36,6 +36,10 @@
 	QueueWait  time.Duration // expected queue wait at the engine
 	// AdapterRequests is the number of requests for the adapter that run or wait at the engine.
 	AdapterRequests int
+	// ByCost is set if more urgent requests may be granted. Account, if it is set, is the only one
+	// whose requests are refused.
+	ByCost  bool
+	Account string
 }
 
 // Error implements the error interface.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -99,6 +99,8 @@
 type Daemon struct {
 	// ClientLimits are limits that the settings do not state. Set them before Start.
 	ClientLimits ClientLimits
+	// Schedule is to be set before Start, if at all.
+	Schedule Schedule
 
 	settings     platform.Settings
 	network      Network
@@ -116,6 +118,7 @@
 	serversFeed  *feed.Follower
 	builds       *backend.BuildHistory
 	overload     caller.Overload
+	poolGates    backend.PoolGates
 	streams      *backend.StreamOrigins
 	metrics      *metrics
 
@@ -179,7 +182,7 @@
 	d.balancer = &backend.Balancer{DataCenter: s.DataCenter}
 	d.limits = &backend.Limits{}
 	d.table = &table.Client{Read: d.readStore, Apply: d.applyStore}
-	d.overload.Cores = s.Cores
+	d.overload.Cores, d.overload.ByCost = s.Cores, d.isByCost
 	d.builds = &backend.BuildHistory{}
 	d.streams = &backend.StreamOrigins{IsShared: d.builds.IsMixed}
 	prompts, requests := &backend.PromptQuarantine{}, &backend.RequestQuarantine{}
@@ -189,7 +192,7 @@
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
 		Table: d.table, Sequencer: d.sequencer, Streams: d.streams, Builds: d.builds,
 		Prompts: prompts, Requests: requests, Limits: d.limits, SettingsPushed: true, OwnerAlternationGap: s.OwnerAlternationGap, LeaseTTL: ttl, LeaseMargin: margin,
-		RenewEvery: renewEvery, TableRenewEvery: sessionRenewInterval, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), IsOverloaded: d.overload.RejectsSome, Clock: n.Clock, OnResume: d.closeIdleConnections, Log: l, Seed: uint64(time.Now().UnixNano()),
+		RenewEvery: renewEvery, TableRenewEvery: sessionRenewInterval, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), IsOverloaded: d.overload.RejectsSome, ByCost: d.isByCost, Clock: n.Clock, OnResume: d.closeIdleConnections, Log: l, Seed: uint64(time.Now().UnixNano()),
 	}
 	if err := cfg.Check(); err != nil {
 		return nil, err
@@ -213,6 +216,16 @@
 	for f, name := range map[*feed.Follower]string{d.operatorFeed: "configuration-age-seconds", d.serversFeed: "servers-age-seconds"} {
 		d.node.Meter().Gauge(name, "time since when changes of the table may have been missed", func() float64 { return d.age(f).Seconds() })
 	}
+	d.node.Meter().Gauge("ordered-by-cost", "1 while requests are ordered and refused by what that costs callers", func() float64 {
+		if d.isByCost() {
+			return 1
+		}
+		return 0
+	})
+	d.node.Meter().Gauge("admitted-part", "part of the new requests that the node has processor time for", func() float64 {
+		high, low := d.overload.Admitted(time.Now())
+		return (high + low) / 2
+	})
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
 	d.acquirer.CanUse = d.canUseEngine
 	d.acquirer.RequestGrant = d.withTurnDelays(d.acquirer.RequestGrant)
@@ -222,7 +235,8 @@
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine, Requests: requests, OnRequestQuarantine: d.node.LogRequestQuarantine,
 		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordAsks: d.recordAsks, IsLimited: d.limits.IsLimited, TakeTurn: d.takeTurn, Observe: d.observe,
-		IsOverloaded: d.overload.Rejects, CallerLeft: d.callerLeft, TakeQuota: d.node.TakeQuota, FindOrigin: d.findOrigin, RecordOrigin: d.streams.Begin, MayBegin: d.mayBegin,
+		IsOverloaded: d.overload.Rejects, AdmitPlain: d.admitPlain, ObservePlain: d.poolGates.Observe, CallerLeft: d.callerLeft, TakeQuota: d.node.TakeQuota,
+		FindOrigin: d.findOrigin, RecordOrigin: d.streams.Begin, MayBegin: d.mayBegin,
 	}
 	return d, nil
 }
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -17,6 +17,7 @@
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/memory"
 	"github.com/vanilladrift/vanilladrift/route"
+	"github.com/vanilladrift/vanilladrift/schedule"
 	"github.com/vanilladrift/vanilladrift/transport"
 )
 
@@ -117,8 +118,13 @@
 	// it begins to do when it starts the handler.
 	CallerLeft func(ctx context.Context) bool
 	// IsOverloaded, which is optional, reports whether the node has too little processor time for
-	// a new request of a priority, where 0 is the highest.
-	IsOverloaded func(now time.Time, priority int) bool
+	// a new request.
+	IsOverloaded func(now time.Time, r schedule.GateRequest) bool
+	// AdmitPlain, which is optional, reports whether a request may be sent to a pool of plain servers;
+	// ObservePlain, which is set with it, records each attempt there. isShort is set if the server
+	// refused it or served it too late.
+	AdmitPlain   func(now time.Time, pool string, r schedule.GateRequest) bool
+	ObservePlain func(now time.Time, pool string, isShort bool)
 	// TakeQuota, which is optional, takes the cost of a request from the quota of its client account.
 	// giveBack returns it if the request has not run. If the quota is used up, ok is false, and
 	// retryAfter is the time until enough is available.
@@ -215,7 +221,7 @@
 	if err := x.authenticate(); err != nil {
 		return err
 	}
-	if x.handler.IsOverloaded != nil && x.handler.IsOverloaded(x.start, x.priority()) {
+	if x.handler.IsOverloaded != nil && x.handler.IsOverloaded(x.start, x.gateRequest()) {
 		return &Error{Op: op, Kind: Busy, Reason: "the node has too little processor time", RetryAfter: otherNodeRetryAfter}
 	}
 	giveBack, err := x.takeQuota(ctx)
