Match the first of several routes with the same prefix

Cause: the routes of a host were sorted by the length of their prefixes with a sort that does not keep the order of equal ones. With more than a dozen routes of a host, which of two with the same prefix got the requests was not what the configuration's order says.

Change: the sort keeps the order.

Result: TestFirstOfEqualPrefixesMatches, which fails without the change.

--- a/route/table.go
+++ b/route/table.go
@@ -36,7 +36,7 @@
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
 	for _, list := range t.byHost {
-		slices.SortFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for _, p := range pools {
 		t.pools[p.Name] = p
@@ -120,8 +120,8 @@
 	return slices.Sorted(maps.Keys(pools))
 }
 
-// Match returns the route with the longest prefix of the path. It ignores a port
-// in the host.
+// Match returns the route with the longest prefix of the path, and the first one of several with the
+// same prefix. It ignores a port in the host.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	list, ok := t.byHost[host]
 	if !ok {
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,6 +36,21 @@
 	}
 }
 
+// Guards against a route that takes the requests of an earlier one with the same prefix.
+func TestFirstOfEqualPrefixesMatches(t *testing.T) {
+	is := is.New(t)
+	var routes []Route
+	for i := range 100 {
+		routes = append(routes, Route{Name: fmt.Sprint(i), Host: "a.example", Prefix: "/" + strings.Repeat("x/", i%5)})
+	}
+	table := NewTable(1, routes, nil, Limits{})
+	for i := range 5 {
+		r, ok := table.Match("a.example", "/"+strings.Repeat("x/", i))
+		is.True(ok)
+		is.Equal(r.Name, fmt.Sprint(i))
+	}
+}
+
 func TestPoolForFollowsWeights(t *testing.T) {
 	is := is.New(t)
 	r := Route{TrafficSplit: []WeightedPool{{"a", 90}, {"b", 10}, {"c", 0}}}
