Keep a caller's key out of the settings' errors

Cause: an invalid value of a field is quoted in the error, which goes to the client and the log. An operator who writes a key in place of its hash would find it there.

Change: the error for a key's hash leaves the value out. Fields are checked in the order of their names, so the same fault is reported each time.

Result: TestKeyIsNotInAnError, which fails without the change.

--- a/settings/field.go
+++ b/settings/field.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -139,6 +140,9 @@
 	"load-parallel":   {checkIntRange(1, 1024), func(e *Effective, v string) { e.LoadParallel = parseInt(v) }},
 }
 
+// keyHashField is the field of a caller with the hash of its key.
+const keyHashField = "key-hash"
+
 // rootOnlyFields lists the branch fields that apply to the whole system and can be
 // set on the root branch only.
 var rootOnlyFields = []string{"load-rate", "load-parallel"}
@@ -151,8 +155,8 @@
 		"current":    {check: checkPlainName},
 	},
 	Caller: {
-		"branch":   {check: checkBranchName},
-		"key-hash": {check: checkKeyHash},
+		"branch":     {check: checkBranchName},
+		keyHashField: {check: checkKeyHash},
 	},
 	Backend: {
 		"address":           {check: checkAddress},
@@ -189,7 +193,8 @@
 	if !ok {
 		return invalid(op, d.ID(), "", "unknown kind of document %q", string(d.Kind))
 	}
-	for name, v := range d.Fields {
+	for _, name := range slices.Sorted(maps.Keys(d.Fields)) { // so that the same fault comes first each time
+		v := d.Fields[name]
 		f, ok := known[name]
 		if !ok {
 			return invalid(op, d.ID(), name, "unknown field")
@@ -200,7 +205,9 @@
 		if !utf8.ValidString(v) {
 			return invalid(op, d.ID(), name, "the value is not valid UTF-8")
 		}
-		if reason := f.check(v); reason != "" {
+		if reason := f.check(v); reason != "" && name == keyHashField {
+			return invalid(op, d.ID(), name, "the value %s", reason) // it may be the key itself
+		} else if reason != "" {
 			return invalid(op, d.ID(), name, "%q %s", v, reason)
 		}
 		if d.Kind == Branch && d.Name != "/" && slices.Contains(rootOnlyFields, name) {
--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -191,3 +191,11 @@
 		}
 	}
 }
+
+// Guards against a caller's key in an error, if an operator writes it in place of its hash.
+func TestKeyIsNotInAnError(t *testing.T) {
+	is := is.New(t)
+	_, err := New().Edit(Edit{Kind: Caller, Name: "c", BaseRev: AnyRevision, Set: map[string]string{"branch": "/", "key-hash": "secret"}})
+	is.True(err != nil)
+	is.True(!strings.Contains(err.Error(), "secret"))
+}
