Add 'vanilladrift config check', which finds mistakes in a configuration before it is written

Cause: nodes take a configuration with routes that no request matches, accounts without keys or targets after time-outs without a word, and an operator saw what a version changes only as lines of JSON.

Change: package check finds such mistakes, names the line and path in the file, and tells what a version changes in meaning. The command reads the platform's configuration and settings documents, prints text or JSON, and exits with 0, 1 or 2.

--- a/cmd/vanilladrift/main.go
+++ b/cmd/vanilladrift/main.go
@@ -7,6 +7,7 @@
 //	vanilladrift settings get /council/counter
 //	vanilladrift adapter publish tides v2 --why "new season"
 //	vanilladrift node list --output json
+//	vanilladrift config check next.json --against current.json
 //
 // The node's operator address and the operator's token come from --server and --token
 // or from VANILLADRIFT_SERVER and VANILLADRIFT_TOKEN. Exit status: 0 success, 1 rejected
@@ -50,6 +51,10 @@
 }
 
 func exitStatus(err error) int {
+	var se *statusError
+	if errors.As(err, &se) {
+		return se.status
+	}
 	switch connect.CodeOf(err) {
 	case connect.CodeInvalidArgument:
 		return exitUsage
@@ -99,6 +104,8 @@
 	engineCmd := add(root, "engine", "inspect and drain model engines", &struct{}{})
 	add(engineCmd, "list", "list engines and their owners", &engineListCommand{client: &opts})
 	add(engineCmd, "drain", "stop sending new requests to an engine, or resume with --off", &engineDrainCommand{client: &opts})
+	configCmd := add(root, "config", "check configurations in files", &struct{}{})
+	add(configCmd, "check", "list the mistakes in a configuration, and what it changes: FILE [--against FILE]", &configCheckCommand{})
 	add(root, "demo", "run the whole system in one process and check its guarantees", &demoCommand{})
 	add(root, "capacity", "measure resource costs and extrapolate them to larger systems", &capacityCommand{})
 	add(root, "experiment", "compare scheduling policies on simulated engines", &experimentCommand{})
