--- a/demo/platform.go
+++ b/demo/platform.go
@@ -26,7 +26,8 @@
 func runPlatform(o Options, n entry.Network, logOut io.Writer) error {
 	logf := func(format string, args ...any) { fmt.Fprintf(o.Progress, "demo: "+format+"\n", args...) }
 	logf("starting a stand-in of the platform, %d replicas and %d daemons", replicaCount+ledgerCount, daemonCount)
-	sys, err := newPlatformSystem(n, logOut)
+	search := &keySearch{out: logOut}
+	sys, err := newPlatformSystem(n, search)
 	if err != nil {
 		return err
 	}
@@ -61,6 +62,7 @@
 	logf("stopping the daemon at %s", sys.callerAddrs[0])
 	t.stopDaemon(o.Requests - 4*portion)
 	t.collect()
+	t.result.LoggedKeys = int(search.found.Load())
 	return summarize(o, t.result, t.result.print, t.result.violations())
 }
 
@@ -197,6 +199,7 @@
 		counter{max(0, r.LateArrivals-maxLateArrivals), "requests too many that had crashed three servers"},
 		counter{r.WithKey, "requests that replicas got with the key of a client account"},
 		counter{r.WrongAccount, "requests run under another client account"},
+		counter{r.LoggedKeys, "lines of the daemons' log with a key"},
 		counter{r.Admitted, "requests without a valid key that were not refused for good"},
 		counter{r.StartedAfterDrain, "requests started on a replica after its drain period"},
 	)
@@ -225,6 +228,7 @@
 		{r.MixedBuilds, "mixed versions"},
 		{r.WithKey, "with key"},
 		{r.WrongAccount, "wrong account"},
+		{r.LoggedKeys, "logged keys"},
 		{r.Unauthorized, "unauthorized"},
 		{r.Admitted, "admitted"},
 		{r.Commands, "commands"},
--- a/demo/platform_accounts.go
+++ b/demo/platform_accounts.go
@@ -1,8 +1,11 @@
 package demo
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/platform"
@@ -17,22 +20,39 @@
 // defines it.
 const accountsDeadline = 3 * time.Second
 
+// keyPrefix is the beginning of all keys, and of nothing else.
+const keyPrefix = "key-of-"
+
 // formerKey is the key that the first account has until [platformTraffic.replaceKey].
-const formerKey = "key-desk-1"
+const formerKey = keyPrefix + "desk-1"
+
+// keySearch counts the lines that contain a key.
+type keySearch struct {
+	out   io.Writer
+	found atomic.Int64
+}
+
+// Write implements io.Writer. Each call writes one line.
+func (s *keySearch) Write(p []byte) (int, error) {
+	if bytes.Contains(p, []byte(keyPrefix)) {
+		s.found.Add(1)
+	}
+	return s.out.Write(p)
+}
 
 // addAccounts writes the first configuration with client accounts, whose keys all later requests have.
 func (t *platformTraffic) addAccounts() {
 	t.putAccounts(2, []route.AccountKeys{
 		{Account: route.Account{Name: "desk", Priority: 0, HasPriority: true}, Keys: []string{formerKey}},
-		{Account: route.Account{Name: "guest", Priority: 1, HasPriority: true}, Keys: []string{"key-guest-1"}},
+		{Account: route.Account{Name: "guest", Priority: 1, HasPriority: true}, Keys: []string{keyPrefix + "guest-1"}},
 	})
-	t.sendUnauthorized("key-nobody")
+	t.sendUnauthorized(keyPrefix + "nobody")
 }
 
 // replaceKey replaces the key of an account. The former one must authenticate nobody then.
 func (t *platformTraffic) replaceKey() {
 	desk, guest := t.accounts[0], t.accounts[1]
-	desk.Keys = []string{"key-desk-2"}
+	desk.Keys = []string{keyPrefix + "desk-2"}
 	t.putAccounts(3, []route.AccountKeys{desk, guest})
 	t.sendUnauthorized(formerKey)
 }
@@ -50,7 +70,7 @@
 func (t *platformTraffic) sendUnauthorized(key string) {
 	for i, address := range t.callerAddrs {
 		for _, key := range []string{key, ""} {
-			c := call{route: "orders", head: relay.RequestHead{ID: fmt.Sprintf("no-%d-%d.%s", len(t.notRun), i, key), Timeout: time.Second, Key: key}}
+			c := call{route: "orders", head: relay.RequestHead{ID: fmt.Sprintf("unauthorized-%d.%d", len(t.notRun), i), Timeout: time.Second, Key: key}}
 			status := 0
 			if resp, err := t.sys.client.Do(c.newRequest(address)); err == nil {
 				status = resp.StatusCode
--- a/demo/platform_traffic.go
+++ b/demo/platform_traffic.go
@@ -49,6 +49,7 @@
 	Commands          int            `json:"commands"`          // that arrived at engines
 	WithKey           int            `json:"with-key"`          // requests of any kind that replicas got with the key of a client account
 	WrongAccount      int            `json:"wrong-account"`     // requests that a replica ran under another client account than its caller's
+	LoggedKeys        int            `json:"logged-keys"`       // lines of the daemons' log with a key
 	Unauthorized      int            `json:"unauthorized"`      // requests with a key that authenticates nobody, refused for good
 	Admitted          int            `json:"admitted"`          // of such requests, those that were not
 	OwnerViolations   []string       `json:"owner-violations"`  // commands of two owners of an engine
