Refuse a caller on a branch without a name instead of ending the call

Cause: the check of a branch's name looked at its first byte before it asked whether there is one, so an edit that set a caller's field branch to an empty text panicked. Found by FuzzConfigCheck.

Change: the empty text is looked for first.

Result: TestCallerOfNoBranchIsInvalid, which panics without the change.

--- a/settings/field.go
+++ b/settings/field.go
@@ -103,7 +103,7 @@
 }
 
 func checkBranchName(v string) string {
-	if err := checkPath("check", v); v == "" || err != nil {
+	if v == "" || checkPath("check", v) != nil {
 		return "must be the name of a branch, such as /council/counter"
 	}
 	return ""
--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -199,3 +199,12 @@
 	is.True(err != nil)
 	is.True(!strings.Contains(err.Error(), "secret"))
 }
+
+// Guards against an edit that ends the operator's call without an answer: a caller on a branch without
+// a name.
+func TestCallerOfNoBranchIsInvalid(t *testing.T) {
+	is := is.New(t)
+	_, err := New().Edit(Edit{Kind: Caller, Name: "c", BaseRev: AnyRevision, Set: map[string]string{"branch": "", "key-hash": strings.Repeat("0", 64)}})
+	var e *Error
+	is.True(errors.As(err, &e) && e.Kind == Invalid && e.Field == "branch")
+}
