--- a/settings/tree_test.go
+++ b/settings/tree_test.go
@@ -191,3 +191,20 @@
 		}
 	}
 }
+
+// Guards against a caller's key in an error, if an operator writes it in place of its hash.
+func TestKeyIsNotInAnError(t *testing.T) {
+	is := is.New(t)
+	_, err := New().Edit(Edit{Kind: Caller, Name: "c", BaseRev: AnyRevision, Set: map[string]string{"branch": "/", "key-hash": "secret"}})
+	is.True(err != nil)
+	is.True(!strings.Contains(err.Error(), "secret"))
+}
+
+// Guards against an edit that ends the operator's call without an answer: a caller on a branch without
+// a name.
+func TestCallerOfNoBranchIsInvalid(t *testing.T) {
+	is := is.New(t)
+	_, err := New().Edit(Edit{Kind: Caller, Name: "c", BaseRev: AnyRevision, Set: map[string]string{"branch": "", "key-hash": strings.Repeat("0", 64)}})
+	var e *Error
+	is.True(errors.As(err, &e) && e.Kind == Invalid && e.Field == "branch")
+}
