--- a/listen/listen_test.go
+++ b/listen/listen_test.go
@@ -99,7 +99,7 @@
 		}
 	}()
 	start := time.Now()
-	_, err = c.Write(make([]byte, 128<<10))
+	_, err = c.Write(make([]byte, 256<<10))
 	is.NoErr(err)
 	t.Logf("a slow client was written to for %v", time.Since(start))
 }
