Let streams go on only at the start of an engine that its grant is for

Cause: an engine may start again under its ID in another software version. Its owner learns that from its report, loads the model and adapters, and grants requests, while the row still shows the start before. The nodes compared the version of the row alone, so streams of the former version went on at the new one, and streams that began there were recorded as of the former version.

Change: a grant names the start of the engine that the owner knows, and its software version if the report tells it (AdmitResponse.boot and build). For a resumable stream, a node whose row shows another start goes by the granted version, and uses another engine if that is not known. A grant of an older start than the one that runs does no harm: a start holds no adapters until its owner knows of it, and turns the request away as not run. An engine that is found to have another version after its grant is not asked again at once.

--- a/backend/server.go
+++ b/backend/server.go
@@ -30,7 +30,10 @@
 }
 
 // Incarnation returns an identifier of this start of the server.
-func (s *Server) Incarnation() string { return s.ID + "/" + strconv.FormatInt(s.StartMS, 10) }
+func (s *Server) Incarnation() string { return s.ID + "/" + s.Boot() }
+
+// Boot returns the boot ID of this start, as in the reports of an engine.
+func (s *Server) Boot() string { return strconv.FormatInt(s.StartMS, 10) }
 
 // HasLoaded reports whether the server's row lists the adapter of the model, or the
 // model itself if the adapter is empty.
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -24,6 +24,8 @@
 	Engine       string
 	ID           string // ID of the request at the engine
 	FencingToken int64  // fencing token of the owner that issued the grant
+	Boot         string // boot ID of the engine's start that the grant is for; empty if it is not known
+	Build        string // software version of that start; empty if it is not known
 	// QueueWait is the expected queue wait of the next short request on the
 	// engine.
 	QueueWait time.Duration
--- a/demo/stream_version_test.go
+++ b/demo/stream_version_test.go
@@ -129,6 +129,16 @@
 			cutAll(p)
 			p.traffic.run(1000)
 		}, false},
+		{"servers start again in the other version, and their rows follow", func(p *versionPlay) {
+			cutAll(p)
+			p.during(4000, func() {
+				for i := range 8 {
+					r := p.replicas[i%len(p.replicas)]
+					r.RestartAs(softwareVersions[(i+1+i/len(p.replicas))%len(softwareVersions)], 4*time.Second)
+					time.Sleep(5 * time.Second)
+				}
+			})
+		}, false},
 		{"nodes end one after the other", func(p *versionPlay) {
 			p.during(4000, func() {
 				for i := range 2 * daemonCount {
--- a/engine/command.go
+++ b/engine/command.go
@@ -6,6 +6,7 @@
 // last commands.
 type State struct {
 	Boot          string // differs for every start of the engine
+	Build         string // software version; empty if the report does not tell
 	Sequence      int64  // number of commands accepted since the start
 	ChangingModel bool   // a base model is being loaded or unloaded
 	Models        []string
--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -66,6 +66,7 @@
 	current      bool       // the fields below match the engine's state
 	minFetchTime time.Time  // a state fetched before this time may predate the last command
 	boot         string
+	build        string // software version of that start, if it is known
 	sequence     int64
 	modelLoaded  bool
 	adapters     map[string]int64 // versions of adapters in slots, including those being loaded
@@ -120,6 +121,17 @@
 	return s.boot
 }
 
+// BuildOf returns the engine's software version if the last known state is of the start with the
+// given boot ID and tells it.
+func (s *Sequencer) BuildOf(boot string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if boot != s.boot {
+		return ""
+	}
+	return s.build
+}
+
 // ModelReady reports whether the base model is known to be loaded.
 func (s *Sequencer) ModelReady() bool {
 	s.mu.Lock()
@@ -152,7 +164,8 @@
 	if st.Boot == s.boot && st.Sequence < s.sequence && fetchStart.Before(s.minFetchTime.Add(staleReportLimit)) {
 		return // the state lacks accepted commands
 	}
-	s.boot, s.sequence, s.modelLoaded, s.current = st.Boot, st.Sequence, slices.Contains(st.Models, s.Model), !st.ChangingModel
+	s.boot, s.build = st.Boot, st.Build
+	s.sequence, s.modelLoaded, s.current = st.Sequence, slices.Contains(st.Models, s.Model), !st.ChangingModel
 	clear(s.adapters)
 	maps.Copy(s.adapters, st.Loaded)
 	maps.Copy(s.adapters, st.Loading)
--- a/node/admission.go
+++ b/node/admission.go
@@ -70,6 +70,7 @@
 			n.setOwnerHint(engineName, owner)
 			return caller.Grant{
 				Engine: engineName, ID: w.ID, FencingToken: resp.GetToken(), QueueWait: time.Duration(resp.GetWaitMs()) * time.Millisecond,
+				Boot: resp.GetBoot(), Build: resp.GetBuild(),
 			}, nil
 		case peerpb.AdmitResponse_VERDICT_REFUSED:
 			r := caller.Refusal{
@@ -178,7 +179,10 @@
 		FirstTokenDeadline: timeAfterMillis(now, req.GetFirstByMs()), FirstTokenTarget: timeAfterMillis(now, req.GetAimByMs()),
 	}, address)
 	if act.Kind == engine.Grant {
-		return &peerpb.AdmitResponse{Verdict: peerpb.AdmitResponse_VERDICT_GRANTED, Token: o.token, WaitMs: o.expectedWait(now).Milliseconds()}
+		boot, build := o.lastStart()
+		return &peerpb.AdmitResponse{
+			Verdict: peerpb.AdmitResponse_VERDICT_GRANTED, Token: o.token, WaitMs: o.expectedWait(now).Milliseconds(), Boot: boot, Build: build,
+		}
 	}
 	n.metrics.refused(act.Reason)
 	running, waiting := o.requestCounts()
--- a/node/owned.go
+++ b/node/owned.go
@@ -287,6 +287,17 @@
 	o.boot = boot
 }
 
+// lastStart returns the boot ID of the engine's last known start, and its software version if the
+// engine tells it.
+func (o *ownedEngine) lastStart() (boot, build string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.seq != nil {
+		build = o.seq.BuildOf(o.boot)
+	}
+	return o.boot, build
+}
+
 // loadBaseModel loads the base model into an engine that started without it.
 func (o *ownedEngine) loadBaseModel(ctx context.Context) {
 	defer func() {
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -158,8 +158,11 @@
 	if s.Draining {
 		return result{notRun: true, unsent: true, reason: "the engine began to drain while the request was queued"}
 	}
+	if s, ok = x.atGrantedStart(s, g); !ok {
+		return result{failed: true, notRun: true, unsent: true, reason: "the engine has started again, and the software version of this start is not known"}
+	}
 	if !x.canUse(s) {
-		return result{notRun: true, unsent: true, reason: "the engine has another software version than the one that began the stream"}
+		return result{failed: true, notRun: true, unsent: true, reason: "the engine has another software version than the one that began the stream"}
 	}
 	if x.handler.Balancer.Pauses.Left(time.Now(), s) > 0 {
 		return result{notRun: true, unsent: true, reason: "the engine asked for a pause while the request was queued"}
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/caller"
 )
 
 // isTakeUp reports whether the caller has the first part of the stream that it asks for.
@@ -53,6 +54,22 @@
 	return x.handler.MayBegin == nil || x.handler.MayBegin(s)
 }
 
+// atGrantedStart returns an engine with the software version of the start that a grant is for. The
+// row may be of the start before: the owner of an engine learns from its reports that it has started
+// again, and the row may follow seconds later. It returns false if that version is needed, and not
+// known. Without a grant of the owner only the row tells.
+func (x *exchange) atGrantedStart(s *backend.Server, g caller.Grant) (*backend.Server, bool) {
+	if !x.route.IsResumableStream() || g.Boot == "" || g.Boot == s.Boot() {
+		return s, true
+	}
+	if g.Build == "" {
+		return s, false
+	}
+	granted := *s
+	granted.Build = g.Build
+	return &granted, true
+}
+
 // recordOrigin records where the stream began whose next event is about to be sent to the caller.
 func (x *exchange) recordOrigin() {
 	if x.originRecorded || !x.route.IsResumableStream() {
--- a/relay/stream_version_test.go
+++ b/relay/stream_version_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -108,6 +109,58 @@
 	})
 }
 
+// Guards against streams that go on at an engine that has started again in another software version,
+// and against streams that begin there and go on at the version of its row: the owner of the engine
+// knows of the start before its new row is read.
+func TestVersionOfStreamIsThatOfTheGrantedStart(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		boot, build string // of the start of b, which has v2 in its row, according to its owner
+		begins      bool   // the stream begins at b, instead of going on there
+		servers     string
+	}{
+		{"goes on at the start of the row", "0", "", false, "d b"},
+		{"goes on at a start whose version is not known", "9", "", false, "d d"},
+		{"goes on at a start in another version", "9", "v1", false, "d d"},
+		{"goes on at a start in the same version", "9", "v2", false, "d b"},
+		{"begins at the start of the row", "0", "", true, "b d"},
+		{"begins at a start whose version is not known", "9", "", true, "d d"},
+		{"begins at a start in another version", "9", "v1", true, "b c"},
+		{"without an owner", "", "", false, "d b"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newVersionFixture(enginePool(), streamReply(1, 2, true), streamReply(3, 4, false))
+				order := []string{"d", "b", "d", "c"}
+				if tt.begins {
+					order = []string{"b", "d", "b", "d", "c"}
+				}
+				f.handler.Acquire = func(_ context.Context, names []string, w engine.Work) (caller.Grant, error) {
+					for i, name := range order {
+						if slices.Contains(names, name) {
+							order = order[i+1:]
+							if name != "b" {
+								return caller.Grant{Engine: name, ID: w.ID, Boot: "0"}, nil
+							}
+							return caller.Grant{Engine: name, ID: w.ID, Boot: tt.boot, Build: tt.build}, nil
+						}
+					}
+					return caller.Grant{}, &caller.Refusal{Reason: engine.NotLoaded}
+				}
+				w, cut := f.serve("/p/x", "r1", "body")
+				var servers []string
+				for _, r := range f.servers.requests {
+					servers = append(servers, r.Server.ID)
+				}
+				is.Equal(strings.Join(servers, " "), tt.servers)
+				is.True(!cut)
+				is.Equal(w.Body.String(), events(1, 4))
+			})
+		})
+	}
+}
+
 // Guards against take-ups that go on at a software version that did not begin the stream.
 func TestTakeUpGoesOnAtItsVersion(t *testing.T) {
 	for _, tt := range []struct {
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -112,6 +112,17 @@
 	r.publishState()
 }
 
+// RestartAs is like Restart with software of the given version. The row shows it after rowLag.
+func (r *Replica) RestartAs(build string, rowLag time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Self.Build = build
+	r.reset()
+	r.rowFrom = time.Now().Add(rowLag)
+	r.publishState()
+	r.afterDelay(rowLag, func() {})
+}
+
 // reset begins a new incarnation. r.mu must be held.
 func (r *Replica) reset() {
 	r.startMS, r.draining = max(time.Now().UnixMilli(), r.startMS+1), false
@@ -357,7 +368,7 @@
 		}
 		time.Sleep(eventTime)
 		r.mu.Lock()
-		ended := r.startMS != startMS || cut && i > lastSent+3
+		build, ended := r.Self.Build, r.startMS != startMS || cut && i > lastSent+3
 		r.mu.Unlock()
 		if ended {
 			if r.isUnframed() {
@@ -366,7 +377,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, EventData(head.ID, adapterVersion, r.Self.Build, i))
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, EventData(head.ID, adapterVersion, build, i))
 		if http.NewResponseController(w).Flush() != nil || req.Context().Err() != nil {
 			return // the client closed the connection
 		}
