Refuse waiting work that a new limit of an engine delays for too long

Cause (TestServersGetNoMoreThanTheirLimits/one_engine_at_0.5_a_second, less of the limit is used than asked for): requests that wait at an engine when it states a limit stayed in its queue, though the limit let one of them start every 2 s. New work counted them as ahead of it and was refused with a wait of 2 s for each, up to 10 s, so that all nodes stayed away that long. The waiting ones were refused after 2 s when their first token was due.

Change: when a limit begins or changes, waiting work that cannot be served in time within it is refused at once (Limited), in the order of the queue. Its nodes can then try other engines, and new work is told the true wait.

Measured: TestWaitingWorkIsRefusedBeyondANewLimit fails before.

--- a/engine/rate_limit_test.go
+++ b/engine/rate_limit_test.go
@@ -40,6 +40,31 @@
 	is.Equal(acts[len(acts)-1].Kind, Grant)
 }
 
+// Guards against an engine that stays idle within its limit: work that waited when the limit came
+// could not be served in time, but new work was told to come back after all of it.
+func TestWaitingWorkIsRefusedBeyondANewLimit(t *testing.T) {
+	is := is.New(t)
+	s := NewScheduler(SchedulerConfig{})
+	for i := range 5 {
+		w := shortWork(string(rune('a'+i)), "x") // waits for a load
+		if i != 2 {
+			w.FirstTokenTarget = t0.Add(500 * time.Millisecond)
+		}
+		s.Submit(t0, w)
+	}
+	is.Equal(describe(s.SetRateLimit(t0, 0.5, true)), []string{"refuse a limited", "refuse b limited", "refuse d limited", "refuse e limited"})
+	s.ApproveLoad(t0)
+	is.Equal(len(s.FinishLoad(t0, LoadResult{Adapter: "x", OK: true})), 0)
+	now := t0.Add(2 * time.Second)
+	is.Equal(describe(s.Tick(now)), []string{"grant c"})
+	w := shortWork("f", "x")
+	w.FirstTokenTarget = now.Add(500 * time.Millisecond)
+	acts := s.Submit(now, w)
+	is.Equal(describe(acts), []string{"refuse f limited"})
+	is.Equal(acts[0].RetryAfter, 2*time.Second)
+	is.Equal(len(s.SetRateLimit(now, 0.5, true)), 0) // not changed
+}
+
 // Guards against a limit of 0 under which the server could never end it, and against an
 // overflow of the wait.
 func TestRateLimit(t *testing.T) {
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -84,7 +84,11 @@
 	if !limited && !s.rate.limited {
 		return nil
 	}
+	old := s.rate
 	s.rate.Set(now, max(LeastRate, perSecond), limited)
+	if limited && (!old.limited || old.rate != s.rate.rate) {
+		return s.dispatch(now, s.refuseBeyondRate(now))
+	}
 	return s.dispatch(now, nil)
 }
 
