Keep a slot free for a former owner's late load, known to the scheduler

Change: the scheduler is told how many slots its sequencer keeps free, and loads into the others only. An owner that took an engine over keeps one free for 13 s at most, if the engine started within the last 15 s, and not if the engine was full at the takeover: the owner before kept one free as long as it had to. Several late orders of a former owner count as one.

--- a/engine/command.go
+++ b/engine/command.go
@@ -1,14 +1,18 @@
 package engine
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
 // State is the reported state of a sequenced engine. It may be older than the
 // last commands.
 type State struct {
-	Boot          string // differs for every start of the engine
-	Build         string // software version; empty if the report does not tell
-	Sequence      int64  // number of commands accepted since the start
-	ChangingModel bool   // a base model is being loaded or unloaded
+	Boot          string    // differs for every start of the engine
+	StartedAt     time.Time // when the engine started, by its own clock; zero if unknown
+	Build         string    // software version; empty if the report does not tell
+	Sequence      int64     // number of commands accepted since the start
+	ChangingModel bool      // a base model is being loaded or unloaded
 	Models        []string
 	Loaded        map[string]int64 // versions of loaded adapters by "model/adapter"
 	Loading       map[string]int64 // versions of adapters that are being loaded, by the same key
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -37,6 +37,8 @@
 	tokenTime        time.Duration // moving average of the time between tokens
 	tokenTimeAt      time.Time     // last measurement of the time between tokens
 
+	reserved int // slots that must stay free
+
 	rate RateLimit // of the requests that the engine takes
 
 	mode Mode
--- a/engine/scheduler_test.go
+++ b/engine/scheduler_test.go
@@ -286,3 +286,22 @@
 		s.Release(t0, "r", false)
 	}
 }
+
+// Guards against a scheduler that fills the slot that its sequencer keeps free: the sequencer then
+// unloads an adapter that the scheduler counts on, or the load fails and its work is lost.
+func TestReservedSlotsStayFree(t *testing.T) {
+	is := is.New(t)
+	s := newLoadedScheduler(SchedulerConfig{Slots: 3}, "a", "b")
+	s.SetReservedSlots(t0, 1)
+	is.Equal(describe(s.Submit(t0, shortWork("r1", "c"))), []string{"ask-load"})
+	act, ok := s.ApproveLoad(t0)
+	is.True(ok)
+	is.Equal(act.Victim, "a")
+	s.FinishLoad(t0, LoadResult{Adapter: "c", Victim: "a", OK: true})
+	is.Equal(describe(s.Submit(t0, shortWork("r2", "b"))), []string{"grant r2"})
+	is.Equal(describe(s.Submit(t0, shortWork("r3", "a"))), []string{}) // all adapters are in use
+	is.Equal(describe(s.SetReservedSlots(t0, 0)), []string{"ask-load"})
+	act, ok = s.ApproveLoad(t0)
+	is.True(ok)
+	is.Equal(act.Victim, "")
+}
--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -55,6 +55,9 @@
 	// OnUnanswered, if set, is called when a command ends without a response. It may still
 	// arrive at the engine.
 	OnUnanswered func()
+	// TakenOver is set if others may have sent commands to the engine before. Those without a
+	// reply are not known to this sequencer.
+	TakenOver bool
 	// InUse reports whether an adapter must not be unloaded to make room. If it
 	// is nil, any adapter may be unloaded.
 	InUse func(name string) bool
@@ -76,13 +79,16 @@
 	unconfirmed map[string]int64
 	// unanswered lists the load commands without a reply that may still be executed.
 	unanswered   []unansweredLoad
+	begun        time.Time // when the sequencer was first used
+	startedAt    time.Time // when the engine started; zero if unknown
+	fullBoot     string    // boot ID of the first known state, if the engine had no free slot
 	coldLoadTime time.Duration
 	warmLoadTime time.Duration
 }
 
 func (s *Sequencer) init() {
 	s.once.Do(func() {
-		s.commandLock = semaphore.NewWeighted(1)
+		s.commandLock, s.begun = semaphore.NewWeighted(1), time.Now()
 		s.adapters, s.loadedBefore, s.unconfirmed = make(map[string]int64), make(map[string]bool), make(map[string]int64)
 		s.coldLoadTime, s.warmLoadTime = 250*time.Millisecond, 25*time.Millisecond
 	})
@@ -164,7 +170,10 @@
 	if st.Boot == s.boot && st.Sequence < s.sequence && fetchStart.Before(s.minFetchTime.Add(staleReportLimit)) {
 		return // the state lacks accepted commands
 	}
-	s.boot, s.build = st.Boot, st.Build
+	if s.boot == "" && len(st.Loaded)+len(st.Loading) >= s.Slots {
+		s.fullBoot = st.Boot
+	}
+	s.boot, s.build, s.startedAt = st.Boot, st.Build, st.StartedAt
 	s.sequence, s.modelLoaded, s.current = st.Sequence, slices.Contains(st.Models, s.Model), !st.ChangingModel
 	clear(s.adapters)
 	maps.Copy(s.adapters, st.Loaded)
--- a/engine/sequencer_test.go
+++ b/engine/sequencer_test.go
@@ -17,6 +17,7 @@
 	slots        int
 	sequence     int64
 	boot         string
+	startedAt    time.Time
 	loaded       map[string]bool
 	loading      map[string]time.Time // when the load ends
 	loadTime     time.Duration
@@ -52,7 +53,7 @@
 
 func (e *sequencedEngine) recordState() {
 	e.finishLoads()
-	st := State{Boot: e.boot, Sequence: e.sequence, Models: []string{"m"}, Loaded: map[string]int64{}, Loading: map[string]int64{}}
+	st := State{Boot: e.boot, StartedAt: e.startedAt, Sequence: e.sequence, Models: []string{"m"}, Loaded: map[string]int64{}, Loading: map[string]int64{}}
 	for name := range e.loaded {
 		st.Loaded[name] = 1
 	}
@@ -66,6 +67,7 @@
 // reach it.
 func (e *sequencedEngine) restart() {
 	e.boot += "'"
+	e.startedAt = time.Now()
 	e.sequence = 0
 	clear(e.loaded)
 	clear(e.loading)
@@ -264,6 +266,41 @@
 	})
 }
 
+// Guards against a late load command of a former owner that finds no free slot after a restart of
+// the engine, since the new owner does not know of it.
+func TestSequencerReservesASlotAfterATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newSequencedEngine(3)
+		former := e.sequencer()
+		ctx := t.Context()
+		for _, name := range []string{"m/a", "m/b", "m/c"} {
+			_, err := former.Load(ctx, name, 1)
+			is.NoErr(err)
+		}
+		e.delayCommand = func() bool { return true }
+		_, err := former.Load(ctx, "m/lost", 1)
+		is.True(err != nil)
+		e.delayCommand = nil
+		e.delayed = []Command{{Load: true, Model: "m", Adapter: "lost", ExpectedSequence: 3}}
+		e.restart()
+		time.Sleep(time.Second)
+		s := e.sequencer()
+		s.TakenOver = true
+		for _, name := range []string{"m/d", "m/e", "m/f"} {
+			_, _ = s.Load(ctx, name, 2) // there may be no slot for it
+		}
+		e.deliverDelayed()
+		is.Equal(e.crashes, 0)
+		time.Sleep(maxCommandDelay)
+		for _, name := range []string{"m/g", "m/h", "m/i"} {
+			_, err := s.Load(ctx, name, 2)
+			is.NoErr(err)
+		}
+		is.Equal(len(e.loaded)+len(e.loading), 3) // all slots are used again
+	})
+}
+
 // A load takes several commands, and the lease may end between them.
 func TestSequencerChecksLeaseBeforeEachCommand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/engine/slot_reservation.go
+++ b/engine/slot_reservation.go
@@ -23,10 +23,30 @@
 	s.unanswered = append(s.unanswered, unansweredLoad{c.ExpectedSequence, time.Now()})
 }
 
+// startClockMargin allows for the difference between the clocks of an engine and of this VM.
+const startClockMargin = 2 * time.Second
+
+// ReservedSlots returns the number of slots that the sequencer keeps free for load commands without
+// a reply. A scheduler that fills these slots loses the work of the adapters that are then unloaded.
+func (s *Sequencer) ReservedSlots(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reservedSlots(now)
+}
+
+// mayHaveFormerLoad reports whether a load command of a former owner, sent to an earlier start of
+// the engine, may still be executed. The former owner kept a slot free in that case, so it cannot be
+// if the engine had none. s.mu must be held.
+func (s *Sequencer) mayHaveFormerLoad(now time.Time) bool {
+	return s.TakenOver && s.boot != s.fullBoot && now.Sub(s.begun) < maxCommandDelay &&
+		!s.startedAt.IsZero() && now.Sub(s.startedAt) < maxCommandDelay+startClockMargin
+}
+
 // reservedSlots returns the number of slots to keep free for load commands
 // without a reply. While the engine keeps running, the next accepted command
 // invalidates them. After a restart, however, the sequence number starts from 0
-// and can reach their expected numbers again. The caller must hold s.mu.
+// and can reach their expected numbers again. Of a former owner's commands, one
+// is assumed. The caller must hold s.mu.
 func (s *Sequencer) reservedSlots(now time.Time) int {
 	s.unanswered = slices.DeleteFunc(s.unanswered, func(u unansweredLoad) bool { return now.Sub(u.sentAt) > maxCommandDelay })
 	n := 0
@@ -35,6 +55,9 @@
 			n++
 		}
 	}
+	if s.mayHaveFormerLoad(now) {
+		n++
+	}
 	return min(n, s.Slots-1)
 }
 
--- a/engine/slots.go
+++ b/engine/slots.go
@@ -186,11 +186,21 @@
 	return n
 }
 
+// SetReservedSlots sets how many slots of the engine must stay free. Adapters that are in one of
+// them already stay loaded.
+func (s *Scheduler) SetReservedSlots(now time.Time, n int) []Action {
+	if n == s.reserved {
+		return nil
+	}
+	s.reserved = n
+	return s.dispatch(now, nil)
+}
+
 // chooseSlot reports whether there is a free slot. Otherwise it returns the
 // adapter to evict, or nil if there is none.
 func (s *Scheduler) chooseSlot(now time.Time) (victim *adapter, free bool) {
 	swapOnly := s.mode.SwapOnly && s.cfg.NeedsIntents
-	if s.slotsUsed() < s.cfg.Slots && (!swapOnly || s.swapUsed() < s.cfg.SwapSlots) {
+	if s.slotsUsed() < s.cfg.Slots-s.reserved && (!swapOnly || s.swapUsed() < s.cfg.SwapSlots) {
 		return nil, true
 	}
 	if s.mode.NoEvict {
--- a/node/commands.go
+++ b/node/commands.go
@@ -24,6 +24,7 @@
 		releaseLoad = o.n.loadBudget.acquire(ctx, o.name, demand)
 	}
 	o.mu.Lock()
+	o.updateReservedSlots(time.Now())
 	act, wanted := o.sched.ApproveLoad(time.Now())
 	o.mu.Unlock()
 	if !wanted {
--- a/node/owned.go
+++ b/node/owned.go
@@ -83,7 +83,7 @@
 		o.seq = n.cfg.Sequencer(b)
 		o.seq.Slots, o.seq.Model, o.seq.InUse = b.Slots, b.BaseModel, o.needsAdapter
 		o.seq.CanSend, o.seq.TimeLeft, o.seq.Ending = o.canSendCommand, n.session.leaseLeft, o.loadsEnding
-		o.seq.OnUnanswered = o.recordUnanswered
+		o.seq.OnUnanswered, o.seq.TakenOver = o.recordUnanswered, row.FencingToken > 1
 	}
 	o.sched.SetMode(time.Now(), engine.Mode{Recovering: true})
 	return o
@@ -214,6 +214,7 @@
 		o.server.Store(b)
 	}
 	o.updateRateLimit(now)
+	o.updateReservedSlots(now)
 	if m := o.mode(now); m != o.sched.Mode() {
 		o.apply(o.sched.SetMode(now, m))
 	} else {
@@ -247,6 +248,7 @@
 	first := o.lastReport.IsZero()
 	o.lastReport = now
 	o.recordBoot(now, r.Boot)
+	o.updateReservedSlots(now)
 	switch {
 	case first:
 		o.apply(o.sched.Adopt(now, o.classifyAdapters(r.Loaded), nil))
@@ -287,6 +289,14 @@
 	o.boot = boot
 }
 
+// updateReservedSlots tells the scheduler how many slots its sequencer keeps free. The caller must
+// hold o.mu.
+func (o *ownedEngine) updateReservedSlots(now time.Time) {
+	if o.seq != nil {
+		o.apply(o.sched.SetReservedSlots(now, o.seq.ReservedSlots(now)))
+	}
+}
+
 // lastStart returns the boot ID of the engine's last known start, and its software version if the
 // engine tells it.
 func (o *ownedEngine) lastStart() (boot, build string) {
