--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -37,6 +37,8 @@
 	tokenTime        time.Duration // moving average of the time between tokens
 	tokenTimeAt      time.Time     // last measurement of the time between tokens
 
+	reserved int // slots that must stay free
+
 	rate RateLimit // of the requests that the engine takes
 
 	cost        *costOrder // nil unless the queue is ordered by cost
@@ -90,7 +92,11 @@
 	if !limited && !s.rate.limited {
 		return nil
 	}
+	old := s.rate
 	s.rate.Set(now, max(LeastRate, perSecond), limited)
+	if limited && (!old.limited || old.rate != s.rate.rate) {
+		return s.dispatch(now, s.refuseBeyondRate(now))
+	}
 	return s.dispatch(now, nil)
 }
 
