--- a/engine/by_cost_refusals.go
+++ b/engine/by_cost_refusals.go
@@ -120,13 +120,25 @@
 		return nil
 	}
 	var last *Work
-	for _, other := range s.waiting {
-		if !other.Resumed && (last == nil || other.key > last.key) {
-			last = other
-		}
+	for _, a := range s.resident {
+		last = a.waiting.later(last)
 	}
-	if last == nil || last.key <= w.key {
-		return nil
+	for a := range s.cold {
+		last = a.waiting.later(last)
+	}
+	if last == nil || last.Resumed || last.key <= w.key {
+		return nil // the keys of resumed work are the lowest
+	}
+	return last
+}
+
+// later returns the work with the highest key of the heap and the given one, which may be nil. It is
+// one of the leaves of the heap.
+func (h workHeap) later(last *Work) *Work {
+	for _, w := range h[len(h)/2:] {
+		if last == nil || w.key > last.key {
+			last = w
+		}
 	}
 	return last
 }
