Report malformed settings documents instead of ending the check

Cause: documents with names that the settings refuse were put into a tree, whose functions rely on valid names: a branch without a slash ended the command. Two entries of one name made a configuration differ from itself.

Change: only documents with valid names are put into the tree, and entries of one name are numbered. A check without places works.

--- a/check/configuration.go
+++ b/check/configuration.go
@@ -50,7 +50,8 @@
 	Accounts    []route.AccountKeys
 	HasAccounts bool
 	Limits      route.Limits
-	// Place returns where a part stands in the file. A field that is missing has the line of its entry.
+	// Place, which is optional, returns where a part stands in the file. A field that is missing has the
+	// line of its entry.
 	Place func(p Part) Place
 }
 
@@ -75,7 +76,14 @@
 }
 
 func (f *finder) add(p Part, rule Rule, message string) {
-	f.found = append(f.found, Finding{Place: f.Place(p), Rule: rule, Message: message})
+	f.found = append(f.found, Finding{Place: f.place(p), Rule: rule, Message: message})
+}
+
+func (c Configuration) place(p Part) Place {
+	if c.Place == nil {
+		return Place{}
+	}
+	return c.Place(p)
 }
 
 // checkNames finds names that two entries of a list have. Of pools the last one counts; routes and
--- a/check/differences.go
+++ b/check/differences.go
@@ -70,31 +70,41 @@
 	if c.Version < inForce.Version {
 		message = fmt.Sprintf("nodes ignore version %d, since version %d is in force", c.Version, inForce.Version)
 	}
-	return []Finding{{Place: c.Place(Part{Field: Version}), Rule: VersionNotNewer, Message: message}}
+	return []Finding{{Place: c.place(Part{Field: Version}), Rule: VersionNotNewer, Message: message}}
 }
 
 // compareLists compares the entries that two lists have in common, by their names, and adds the others.
 func compareLists[T any](d *differ, kind string, before, after []T, name func(T) string, compare func(of string, from, to T)) {
-	index := func(list []T) map[string]int {
-		byName := make(map[string]int, len(list))
-		for i, e := range list {
-			byName[name(e)] = i
+	namesBefore, indexBefore := numberNames(before, name)
+	namesAfter, indexAfter := numberNames(after, name)
+	for _, n := range namesBefore {
+		if _, ok := indexAfter[n]; !ok {
+			d.addf("%s %s removed", kind, n)
 		}
-		return byName
 	}
-	indexBefore, indexAfter := index(before), index(after)
-	for _, e := range before {
-		if _, ok := indexAfter[name(e)]; !ok {
-			d.addf("%s %s removed", kind, name(e))
+	for i, n := range namesAfter {
+		if j, ok := indexBefore[n]; ok {
+			compare(kind+" "+n, before[j], after[i])
+		} else {
+			d.addf("%s %s added", kind, n)
 		}
 	}
-	for _, e := range after {
-		if i, ok := indexBefore[name(e)]; ok {
-			compare(kind+" "+name(e), before[i], e)
-		} else {
-			d.addf("%s %s added", kind, name(e))
+}
+
+// numberNames returns the names of entries and the index of each. The second and later entries with a
+// name have a number behind it.
+func numberNames[T any](list []T, name func(T) string) (names []string, index map[string]int) {
+	index = make(map[string]int, len(list))
+	count := make(map[string]int, len(list))
+	for i, e := range list {
+		n := name(e)
+		if count[n]++; count[n] > 1 {
+			n = fmt.Sprintf("%s (%d)", n, count[n])
 		}
+		names = append(names, n)
+		index[n] = i
 	}
+	return names, index
 }
 
 func (d *differ) compareRoutes(of string, from, to route.Route) {
--- a/cmd/vanilladrift/config_check_test.go
+++ b/cmd/vanilladrift/config_check_test.go
@@ -33,6 +33,8 @@
 		{"older", exitFailed, []string{"../../../platform/example-config.json", "--against", "good.json"}},
 		{"documents", 0, []string{"documents.json"}},
 		{"documents-next", exitFailed, []string{"documents-next.json", "--against", "documents.json"}},
+		{"documents-faults", exitFailed, []string{"documents-faults.json"}},
+		{"document", exitFailed, []string{"document.json", "--against", "documents.json"}},
 		{"syntax", exitUsage, []string{"syntax.json"}},
 		{"missing", exitUsage, []string{"none.json"}},
 		{"against-missing", exitUsage, []string{"good.json", "--against", "none.json"}},
@@ -66,3 +68,24 @@
 		})
 	}
 }
+
+// Guards against files that end the command instead of being reported.
+func FuzzConfigCheck(f *testing.F) {
+	for _, name := range []string{"faults.json", "documents-next.json", "documents-faults.json", "document.json", "type.json", "syntax.json"} {
+		data, err := os.ReadFile(filepath.Join("testdata", name))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r configReport
+		check := r.checkConfiguration
+		if strings.Contains(string(data), `"kind"`) {
+			check = r.checkDocuments
+		}
+		if check(data, data, "against") == nil && len(r.Differences) > 0 {
+			t.Errorf("differs from itself: %q", r.Differences)
+		}
+	})
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -1,6 +1,9 @@
 package settings
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // Fault is why a document of a set would be refused. Err has the type *[Error].
 type Fault struct {
@@ -13,21 +16,26 @@
 // first.
 func Check(docs []Document) []Fault {
 	const op = "check"
-	tree := FromSnapshot(0, docs)
-	for i := len(docs) - 1; i >= 0; i-- {
-		if d := docs[i]; d.Kind == Caller && !d.Deleted {
+	var faults []Fault
+	var named []Document // the tree relies on valid names
+	for i, d := range docs {
+		if err := checkName(op, d.Kind, d.Name); err != nil && !d.Deleted {
+			faults = append(faults, Fault{Index: i, Err: asError(op, err)})
+		} else if err == nil {
+			named = append(named, d)
+		}
+	}
+	tree := FromSnapshot(0, named)
+	for _, d := range slices.Backward(named) {
+		if d.Kind == Caller && !d.Deleted {
 			tree.callersByKeyHash[d.Fields[keyHashField]] = d
 		}
 	}
-	var faults []Fault
 	for i, d := range docs {
-		if d.Deleted {
+		if d.Deleted || checkName(op, d.Kind, d.Name) != nil {
 			continue
 		}
-		err := checkName(op, d.Kind, d.Name)
-		if err == nil {
-			err = checkFields(op, d)
-		}
+		err := checkFields(op, d)
 		if err == nil {
 			err = tree.checkReferences(op, d)
 		}
