Count only nodes that take a keeper for the keeper toward its majority

Change: HoldQuota names the sender, and the answer the accounts that it is the keeper of. A keeper that lost its majority grants nothing for two seconds and a lease time.

--- a/node/kept_accounts.go
+++ b/node/kept_accounts.go
@@ -53,6 +53,11 @@
 	a.lostTo = to
 }
 
+// hasYielded reports whether this node names the keeper that it has yielded to.
+func (a *keptAccount) hasYielded(now time.Time) bool {
+	return a != nil && a.yieldedTo != (keeperName{}) && now.Sub(a.yieldedAt) < yieldTime
+}
+
 // view is a set of live nodes.
 type view struct {
 	since      time.Time
@@ -83,6 +88,17 @@
 	return name, m.Address
 }
 
+// known returns the node that this one takes for the keeper of an account: the preferred one, or the one
+// that it has yielded to.
+func (k *keptAccounts) known(account string) (name, address string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if kept := k.byName[account]; kept.hasYielded(k.n.bootNow()) {
+		return kept.yieldedTo.node, kept.yieldedTo.address
+	}
+	return k.preferred(account)
+}
+
 func (k *keptAccounts) started(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -154,7 +170,7 @@
 	now := k.n.bootNow()
 	k.observe(now)
 	kept := k.byName[account]
-	if kept != nil && kept.keeper == nil && now.Sub(kept.yieldedAt) < yieldTime {
+	if kept.hasYielded(now) {
 		return quota.Answer{}, kept.yieldedTo
 	}
 	if name != k.n.cfg.Name {
@@ -295,7 +311,7 @@
 			level, was = k.idleLevel(now, since, limit)
 		}
 	}
-	if kept != nil && kept.keeper == nil && kept.yieldedTo != to && now.Sub(kept.yieldedAt) < yieldTime {
+	if kept.hasYielded(now) && kept.yieldedTo != to {
 		other = kept.yieldedTo
 	}
 	k.byName[account] = &keptAccount{yieldedTo: to, yieldedAt: now}
@@ -303,72 +319,81 @@
 	return level, was, other
 }
 
-// tick asks nodes that were not heard from to leave their own shares unused.
+// tick asks the nodes that were not heard from to leave their own shares unused.
 func (k *keptAccounts) tick(ctx context.Context) {
 	live := k.n.members.liveNames()
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	now := k.n.bootNow()
 	k.observe(now)
-	accounts := make(map[string][]string) // by node
+	reqs := make(map[string]*peerpb.HoldQuotaRequest) // by node
 	for account, kept := range k.byName {
 		if kept.keeper == nil || kept.lostTo != "" || kept.settling {
 			continue
 		}
 		kept.keeper.SetNodes(now, live)
 		for _, node := range kept.keeper.Silent(now) {
-			if !k.holding[node] {
-				accounts[node] = append(accounts[node], account)
+			if k.holding[node] {
+				continue
+			}
+			if reqs[node] == nil {
+				reqs[node] = &peerpb.HoldQuotaRequest{Node: k.n.cfg.Name, HoldMs: quota.SharePromise.Milliseconds()}
+			}
+			if kept.keeper.IsGranting(now) {
+				reqs[node].Accounts = append(reqs[node].Accounts, account)
+			} else {
+				reqs[node].Waiting = append(reqs[node].Waiting, account)
 			}
 		}
 	}
-	for node := range accounts {
+	for node, req := range reqs {
 		k.holding[node] = true
-	}
-	k.mu.Unlock()
-	for node, list := range accounts {
-		k.n.tasks.Go(func() { k.askToHold(ctx, node, list) })
+		k.n.tasks.Go(func() { k.askToHold(ctx, node, req) })
 	}
 }
 
 // askToHold asks a node to leave its own shares unused.
-func (k *keptAccounts) askToHold(ctx context.Context, node string, accounts []string) {
+func (k *keptAccounts) askToHold(ctx context.Context, node string, req *peerpb.HoldQuotaRequest) {
 	sent := k.n.bootNow()
-	var held []string
-	m, ok := k.n.members.get(node)
-	if ok {
-		held, ok = k.sendHold(ctx, m.Address, accounts)
-	}
+	resp, err := k.sendHold(ctx, node, req)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.holding, node)
-	if !ok {
+	if err != nil {
 		return
 	}
-	for _, account := range accounts {
+	now := k.n.bootNow()
+	for _, account := range resp.GetKnown() {
+		if kept := k.byName[account]; kept != nil && kept.keeper != nil {
+			kept.keeper.Present(now, node)
+		}
+	}
+	for _, account := range req.GetAccounts() {
 		kept := k.byName[account]
 		switch {
 		case kept == nil || kept.keeper == nil:
-		case slices.Contains(held, account):
-			kept.keeper.Promised(k.n.bootNow(), node, sent.Add(quota.SharePromise))
+		case slices.Contains(resp.GetHeld(), account):
+			kept.keeper.Promised(now, node, sent.Add(quota.SharePromise))
 		default:
-			kept.keeper.Declined(k.n.bootNow(), node)
+			kept.keeper.Declined(now, node)
 		}
 	}
 }
 
-func (k *keptAccounts) sendHold(ctx context.Context, address string, accounts []string) (held []string, ok bool) {
-	client, ctx, cancel, ok := k.n.members.beginCall(ctx, address)
+func (k *keptAccounts) sendHold(ctx context.Context, node string, req *peerpb.HoldQuotaRequest) (*peerpb.HoldQuotaResponse, error) {
+	m, _ := k.n.members.get(node)
+	client, ctx, cancel, ok := k.n.members.beginCall(ctx, m.Address)
 	if !ok {
-		return nil, false
+		return nil, &Error{Op: "hold quota", Kind: Unreachable, Reason: m.Address}
 	}
 	defer cancel()
 	ctx, cancelCall := context.WithTimeout(ctx, k.n.cfg.ProbeTimeout)
 	defer cancelCall()
-	resp, err := client.HoldQuota(ctx, connect.NewRequest(&peerpb.HoldQuotaRequest{Accounts: accounts, HoldMs: quota.SharePromise.Milliseconds()}))
+	resp, err := client.HoldQuota(ctx, connect.NewRequest(req))
 	if err != nil {
-		return nil, false
+		return nil, err
 	}
-	return resp.Msg.GetHeld(), true
+	return resp.Msg, nil
 }
 
 // quotaLimit returns the limit of an account by this node's configuration.
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -162,8 +162,19 @@
 // HoldQuota implements the Peer service.
 func (s *peerServer) HoldQuota(_ context.Context, req *connect.Request[peerpb.HoldQuotaRequest]) (*connect.Response[peerpb.HoldQuotaResponse], error) {
 	resp := &peerpb.HoldQuotaResponse{}
+	known := func(account string) bool {
+		keeper, _ := s.n.quotas.kept.known(account)
+		if keeper != req.Msg.GetNode() {
+			return false
+		}
+		resp.Known = append(resp.Known, account)
+		return true
+	}
+	for _, account := range req.Msg.GetWaiting() {
+		known(account)
+	}
 	for _, account := range req.Msg.GetAccounts() {
-		if s.n.quotas.lease(account).hold(time.Duration(req.Msg.GetHoldMs()) * time.Millisecond) {
+		if known(account) && s.n.quotas.lease(account).hold(time.Duration(req.Msg.GetHoldMs())*time.Millisecond) {
 			resp.Held = append(resp.Held, account)
 		}
 	}
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -20,6 +20,8 @@
 	// maxTurns is how long nodes wait for their turns when too little is available. Callers with a
 	// deadline of a few seconds do not come back later than that.
 	maxTurns = time.Second
+	// gatherTime is how long the answers of a majority may take when an account comes into use again.
+	gatherTime = 400 * time.Millisecond
 	// waitingRetry is when nodes ask again after a keeper granted nothing.
 	waitingRetry = 500 * time.Millisecond
 )
@@ -33,6 +35,10 @@
 	nodes      []string // live nodes, with self
 	grantsFrom time.Time
 	lastAskAt  time.Time
+	// activeSince is when the account came into use again. Until gatherTo the nodes are asked who is
+	// there.
+	activeSince time.Time
+	gatherTo    time.Time
 
 	// worst is the bucket if all reserved own shares are used, and best if none is. Grants come
 	// out of worst.
@@ -112,6 +118,9 @@
 		if since.Before(k.grantsFrom) {
 			since = k.grantsFrom
 		}
+		if since.Before(k.activeSince) {
+			since = k.activeSince
+		}
 		if d := now.Sub(since); d > 0 {
 			c.reserved += share * d.Seconds()
 			sum += share * d.Seconds()
@@ -145,17 +154,23 @@
 // Declined records the answer of a node that may be using its own share.
 func (k *Keeper) Declined(now time.Time, name string) {
 	k.advance(now)
-	c := k.contact(name, now)
-	c.heardAt, c.usesOwnShare = now, true
+	k.contact(name, now).usesOwnShare = true
+}
+
+// Present records that a node takes this one for the keeper.
+func (k *Keeper) Present(now time.Time, name string) {
+	k.advance(now)
+	k.contact(name, now).heardAt = now
 }
 
 // Silent returns the nodes that should be asked to leave their own shares unused, since what is
 // reserved for them might be needed or the keeper has not heard from enough nodes.
 func (k *Keeper) Silent(now time.Time) (names []string) {
-	if k.rule.IsSmall(k.limit) || now.Before(k.grantsFrom) || now.Sub(k.lastAskAt) > activeTime {
+	if k.rule.IsSmall(k.limit) || now.Sub(k.lastAskAt) > activeTime {
 		return nil
 	}
 	k.advance(now)
+	k.checkMajority(now)
 	contactTime := k.rule.ContactTime(k.limit)
 	heard := 0
 	for _, name := range k.nodes {
@@ -167,7 +182,7 @@
 			names = append(names, name)
 		}
 	}
-	if k.worst.level > k.limit.capacity()/2 && heard*3 > len(k.nodes)*2 {
+	if k.IsGranting(now) && k.worst.level > k.limit.capacity()/2 && heard*3 > len(k.nodes)*2 {
 		return nil
 	}
 	return names
@@ -185,6 +200,29 @@
 	return heard*2 > len(k.nodes)
 }
 
+// checkMajority reports whether the keeper may grant as far as the nodes know. After it had no
+// majority, another keeper may have had one, so that it grants nothing for the time of that one's leases.
+func (k *Keeper) checkMajority(now time.Time) bool {
+	switch {
+	case k.HasMajority(now):
+		return true
+	case now.Before(k.gatherTo):
+		return false
+	}
+	if from := now.Add(majorityTime + k.rule.LeaseTime(k.limit)); from.Sub(k.grantsFrom) > askAgainBefore {
+		k.GrantFrom(now, from, 0)
+	}
+	return false
+}
+
+// activate begins a time in which the account is in use. What the nodes did before is not known.
+func (k *Keeper) activate(now time.Time) {
+	k.activeSince, k.gatherTo = now, now.Add(gatherTime)
+	for _, c := range k.contacts {
+		c.heardAt = time.Time{}
+	}
+}
+
 // Level returns what the keeper could grant, for the keeper after it.
 func (k *Keeper) Level(now time.Time) float64 {
 	if now.Before(k.grantsFrom) {
@@ -212,12 +250,8 @@
 
 // Ask decides on an ask of a node.
 func (k *Keeper) Ask(now time.Time, node string, a AskFor) Answer {
-	if now.Sub(k.lastAskAt) > activeTime {
-		for _, c := range k.contacts { // silence while nothing was asked for says nothing
-			if !c.usesOwnShare && c.reserved == 0 {
-				c.heardAt = now
-			}
-		}
+	if !k.lastAskAt.IsZero() && now.Sub(k.lastAskAt) > activeTime {
+		k.activate(now)
 	}
 	k.lastAskAt = now
 	k.advance(now)
@@ -230,8 +264,11 @@
 		answer.IsWaiting, answer.RetryAfter = true, min(wait, waitingRetry)
 		return answer
 	}
-	if !k.rule.IsSmall(k.limit) && !k.HasMajority(now) {
+	if !k.rule.IsSmall(k.limit) && !k.checkMajority(now) {
 		answer.IsWaiting, answer.RetryAfter = true, waitingRetry
+		if now.Before(k.gatherTo) {
+			answer.RetryAfter = gatherTime / 4
+		}
 		return answer
 	}
 	k.askers[node] = now
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -64,6 +64,7 @@
 	isLimited    bool
 	heldTo       time.Time // until then the own share stays unused
 	usesOwnShare bool
+	isWaiting    bool // the keeper has answered that it grants nothing
 	askAgainAt   time.Time // while the own share is used
 	share        bucket    // of the own share
 	ownUsed      float64
@@ -209,6 +210,7 @@
 	}
 	if a.IsWaiting {
 		l.useOwnShare(now, max(a.RetryAfter, minRetryAfter))
+		l.isWaiting = true
 		return
 	}
 	l.usesOwnShare = false
@@ -244,15 +246,16 @@
 	if !l.usesOwnShare {
 		l.share = bucket{at: now}
 	}
-	l.usesOwnShare, l.askAgainAt = true, now.Add(askAgain)
+	l.usesOwnShare, l.isWaiting, l.askAgainAt = true, false, now.Add(askAgain)
 }
 
-// Hold promises to leave the own share unused, and reports whether it does.
+// Hold promises a keeper that grants leases to leave the own share unused, and reports whether it does.
+// It does not if its asks are not answered.
 func (l *Lease) Hold(now time.Time, d time.Duration) bool {
-	if l.usesOwnShare {
+	if l.usesOwnShare && !l.isWaiting {
 		return false
 	}
-	l.heldTo = now.Add(d)
+	l.usesOwnShare, l.heldTo = false, now.Add(d)
 	return true
 }
 
