--- a/node/kept_accounts.go
+++ b/node/kept_accounts.go
@@ -303,9 +303,7 @@
 	kept := k.byName[account]
 	switch {
 	case kept != nil && kept.keeper != nil && !kept.settling && (kept.lostTo == "" || kept.lostTo == to.node):
-		if was = kept.keeper.IsGranting(now); was {
-			level = kept.keeper.Level(now)
-		}
+		level, was = kept.keeper.Yield(now)
 	case kept == nil && known:
 		if since, ok := k.preferredSince(account, to.node); ok {
 			level, was = k.idleLevel(now, since, limit)
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -22,6 +22,8 @@
 	maxTurns = time.Second
 	// gatherTime is how long the answers of a majority may take when an account comes into use again.
 	gatherTime = 400 * time.Millisecond
+	// maxTurnDelay is how much later a request may come back so that its node gets more than it needs.
+	maxTurnDelay = 50 * time.Millisecond
 	// waitingRetry is when nodes ask again after a keeper granted nothing.
 	waitingRetry = 500 * time.Millisecond
 )
@@ -223,13 +225,14 @@
 	}
 }
 
-// Level returns what the keeper could grant, for the keeper after it.
-func (k *Keeper) Level(now time.Time) float64 {
-	if now.Before(k.grantsFrom) {
-		return 0
+// Yield returns what the keeper could grant, for the keeper after it. ok is false if it grants nothing,
+// also since it knows of no majority: another node may be the keeper then.
+func (k *Keeper) Yield(now time.Time) (level float64, ok bool) {
+	if !k.IsGranting(now) || !k.rule.IsSmall(k.limit) && !k.checkMajority(now) {
+		return 0, false
 	}
 	k.advance(now)
-	return k.worst.level
+	return k.worst.level, true
 }
 
 // IsGranting reports whether the keeper grants leases.
@@ -343,7 +346,7 @@
 
 // promise keeps the next free part of the bucket for a node, and returns when it is available.
 func (k *Keeper) promise(now time.Time, node string, a AskFor, available float64) time.Duration {
-	amount := max(a.Needed, min(a.Needed+a.Extra, k.quantum()))
+	amount := max(a.Needed, min(a.Needed+a.Extra, k.quantum(), a.Needed+k.limit.PerSecond*maxTurnDelay.Seconds()))
 	missing := min(amount, k.limit.capacity()) - available
 	wait := time.Duration(missing / max(k.netRate(now), k.limit.PerSecond/4) * float64(time.Second))
 	wait = max(wait, minRetryAfter)
