--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -198,6 +198,7 @@
 	}
 	prompts.IsTrialNode, requests.IsTrialNode = d.node.IsTrialNode, d.node.IsRequestTrialNode
 	d.state.store, d.state.enginesChanged = d.node.Store(), d.node.ReconcileOwnership
+	d.state.accountsInForce = d.node.ExpectQuotas
 	d.operatorFeed = d.newFollower(platform.OperatorTable, operatorPollWait(s.CatchUpPeriod), 0, d.state.replaceOperatorRows, d.state.applyOperatorChanges)
 	d.operatorFeed.OnRead = func(r feed.Read) {
 		l.Info("operator's rows read", "version", r.Version, "rows", r.Rows, "complete", r.Complete, "store-ms", r.StoreTime.Milliseconds(), "call-ms", r.Elapsed.Milliseconds(), "age-ms", r.Age.Milliseconds())
--- a/entry/state.go
+++ b/entry/state.go
@@ -43,6 +43,7 @@
 	servers         backend.Registry
 	adapterVersions sync.Map      // "model/adapter" to int64
 	enginesChanged  func()        // called after the engines have changed
+	accountsInForce func()        // called when a configuration with client accounts is in force
 	changed         chan struct{} // receives after the routes or the servers may have changed
 
 	mu              sync.Mutex
@@ -115,6 +116,9 @@
 		return
 	}
 	s.routes.Store(routes)
+	if routes.HasAccounts() && s.accountsInForce != nil {
+		s.accountsInForce()
+	}
 	l.Info("configuration in force", "replaced", inForce, "pools", len(routes.Pools()))
 	s.installEngines()
 }
--- a/node/joined_test.go
+++ b/node/joined_test.go
@@ -113,6 +113,9 @@
 	c.net.Listen(name, n.cfg.Address, n.Peers())
 	c.nodes[i] = n
 	n.Start()
+	if cfg.Quota != nil {
+		n.ExpectQuotas()
+	}
 	return n
 }
 
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -55,6 +55,10 @@
 	return func() { l.giveBack(d.Source, cost) }, 0, true
 }
 
+// ExpectQuotas prepares the node for accounts with quotas, so that it knows since when it is the keeper of
+// accounts when their first requests come. Otherwise it waits as after a restart. It sends nothing.
+func (n *Node) ExpectQuotas() { n.quotas.begin() }
+
 // begin starts what runs in the background.
 func (q *quotas) begin() {
 	q.start.Do(func() {
