Keep promised parts of a quota for the nodes that wait for them

Cause: the test of promises failed: a node that came back later than its promise was kept, or with a request that costs more, took what was promised to others.

Change: such a node asks as at first. Times to come back are rounded up.

--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -275,6 +275,9 @@
 		return answer
 	}
 	k.askers[node] = now
+	if p, ok := k.promises[node]; ok && (now.Sub(p.due) > promiseGrace || !now.Before(p.due) && a.Needed > p.amount) {
+		delete(k.promises, node) // what is beyond the promise would be taken from later ones
+	}
 	available := k.available(now, node)
 	own, hasOwn := k.promises[node]
 	isDue := hasOwn && !now.Before(own.due)
@@ -349,7 +352,7 @@
 	amount := max(a.Needed, min(a.Needed+a.Extra, k.quantum(), a.Needed+k.limit.PerSecond*maxTurnDelay.Seconds()))
 	missing := min(amount, k.limit.capacity()) - available
 	wait := time.Duration(missing / max(k.netRate(now), k.limit.PerSecond/4) * float64(time.Second))
-	wait = max(wait, minRetryAfter)
+	wait = max(wait+time.Microsecond, minRetryAfter) // rounded up
 	k.promises[node] = promise{amount, now.Add(wait)}
 	return wait
 }
--- a/quota/lease.go
+++ b/quota/lease.go
@@ -64,7 +64,7 @@
 	isLimited    bool
 	heldTo       time.Time // until then the own share stays unused
 	usesOwnShare bool
-	isWaiting    bool // the keeper has answered that it grants nothing
+	isWaiting    bool      // the keeper has answered that it grants nothing
 	askAgainAt   time.Time // while the own share is used
 	share        bucket    // of the own share
 	ownUsed      float64
