--- a/entry/state.go
+++ b/entry/state.go
@@ -43,7 +43,7 @@
 	servers         backend.Registry
 	adapterVersions sync.Map      // "model/adapter" to int64
 	enginesChanged  func()        // called after the engines have changed
-	accountsInForce func()        // called after a configuration with client accounts has come in force
+	accountsInForce func()        // called when a configuration with client accounts is in force
 	changed         chan struct{} // receives after the routes or the servers may have changed
 
 	mu              sync.Mutex
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -55,10 +55,9 @@
 	return func() { l.giveBack(d.Source, cost) }, 0, true
 }
 
-// FollowQuotas lets the node notice from now on which nodes are the keepers of accounts. A node that has
-// been the keeper of an account since long before its first request need not begin with an empty
-// bucket.
-func (n *Node) FollowQuotas() { n.quotas.begin() }
+// ExpectQuotas prepares the node for accounts with quotas, so that it knows since when it is the keeper of
+// accounts when their first requests come. Otherwise it waits as after a restart. It sends nothing.
+func (n *Node) ExpectQuotas() { n.quotas.begin() }
 
 // begin starts what runs in the background.
 func (q *quotas) begin() {
@@ -167,8 +166,19 @@
 // HoldQuota implements the Peer service.
 func (s *peerServer) HoldQuota(_ context.Context, req *connect.Request[peerpb.HoldQuotaRequest]) (*connect.Response[peerpb.HoldQuotaResponse], error) {
 	resp := &peerpb.HoldQuotaResponse{}
+	known := func(account string) bool {
+		keeper, _ := s.n.quotas.kept.known(account)
+		if keeper != req.Msg.GetNode() {
+			return false
+		}
+		resp.Known = append(resp.Known, account)
+		return true
+	}
+	for _, account := range req.Msg.GetWaiting() {
+		known(account)
+	}
 	for _, account := range req.Msg.GetAccounts() {
-		if s.n.quotas.lease(account).hold(time.Duration(req.Msg.GetHoldMs()) * time.Millisecond) {
+		if known(account) && s.n.quotas.lease(account).hold(time.Duration(req.Msg.GetHoldMs())*time.Millisecond) {
 			resp.Held = append(resp.Held, account)
 		}
 	}
--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -20,6 +20,10 @@
 	// maxTurns is how long nodes wait for their turns when too little is available. Callers with a
 	// deadline of a few seconds do not come back later than that.
 	maxTurns = time.Second
+	// gatherTime is how long the answers of a majority may take when an account comes into use again.
+	gatherTime = 400 * time.Millisecond
+	// maxTurnDelay is how much later a request may come back so that its node gets more than it needs.
+	maxTurnDelay = 50 * time.Millisecond
 	// waitingRetry is when nodes ask again after a keeper granted nothing.
 	waitingRetry = 500 * time.Millisecond
 )
@@ -33,6 +37,10 @@
 	nodes      []string // live nodes, with self
 	grantsFrom time.Time
 	lastAskAt  time.Time
+	// activeSince is when the account came into use again. Until gatherTo the nodes are asked who is
+	// there.
+	activeSince time.Time
+	gatherTo    time.Time
 
 	// worst is the bucket if all reserved own shares are used, and best if none is. Grants come
 	// out of worst.
@@ -112,6 +120,9 @@
 		if since.Before(k.grantsFrom) {
 			since = k.grantsFrom
 		}
+		if since.Before(k.activeSince) {
+			since = k.activeSince
+		}
 		if d := now.Sub(since); d > 0 {
 			c.reserved += share * d.Seconds()
 			sum += share * d.Seconds()
@@ -145,17 +156,23 @@
 // Declined records the answer of a node that may be using its own share.
 func (k *Keeper) Declined(now time.Time, name string) {
 	k.advance(now)
-	c := k.contact(name, now)
-	c.heardAt, c.usesOwnShare = now, true
+	k.contact(name, now).usesOwnShare = true
+}
+
+// Present records that a node takes this one for the keeper.
+func (k *Keeper) Present(now time.Time, name string) {
+	k.advance(now)
+	k.contact(name, now).heardAt = now
 }
 
 // Silent returns the nodes that should be asked to leave their own shares unused, since what is
 // reserved for them might be needed or the keeper has not heard from enough nodes.
 func (k *Keeper) Silent(now time.Time) (names []string) {
-	if k.rule.IsSmall(k.limit) || now.Before(k.grantsFrom) || now.Sub(k.lastAskAt) > activeTime {
+	if k.rule.IsSmall(k.limit) || now.Sub(k.lastAskAt) > activeTime {
 		return nil
 	}
 	k.advance(now)
+	k.checkMajority(now)
 	contactTime := k.rule.ContactTime(k.limit)
 	heard := 0
 	for _, name := range k.nodes {
@@ -167,7 +184,7 @@
 			names = append(names, name)
 		}
 	}
-	if k.worst.level > k.limit.capacity()/2 && heard*3 > len(k.nodes)*2 {
+	if k.IsGranting(now) && k.worst.level > k.limit.capacity()/2 && heard*3 > len(k.nodes)*2 {
 		return nil
 	}
 	return names
@@ -185,13 +202,37 @@
 	return heard*2 > len(k.nodes)
 }
 
-// Level returns what the keeper could grant, for the keeper after it.
-func (k *Keeper) Level(now time.Time) float64 {
-	if now.Before(k.grantsFrom) {
-		return 0
+// checkMajority reports whether the keeper may grant as far as the nodes know. After it had no
+// majority, another keeper may have had one, so that it grants nothing for the time of that one's leases.
+func (k *Keeper) checkMajority(now time.Time) bool {
+	switch {
+	case k.HasMajority(now):
+		return true
+	case now.Before(k.gatherTo):
+		return false
+	}
+	if from := now.Add(majorityTime + k.rule.LeaseTime(k.limit)); from.Sub(k.grantsFrom) > askAgainBefore {
+		k.GrantFrom(now, from, 0)
+	}
+	return false
+}
+
+// activate begins a time in which the account is in use. What the nodes did before is not known.
+func (k *Keeper) activate(now time.Time) {
+	k.activeSince, k.gatherTo = now, now.Add(gatherTime)
+	for _, c := range k.contacts {
+		c.heardAt = time.Time{}
+	}
+}
+
+// Yield returns what the keeper could grant, for the keeper after it. ok is false if it grants nothing,
+// also since it knows of no majority: another node may be the keeper then.
+func (k *Keeper) Yield(now time.Time) (level float64, ok bool) {
+	if !k.IsGranting(now) || !k.rule.IsSmall(k.limit) && !k.checkMajority(now) {
+		return 0, false
 	}
 	k.advance(now)
-	return k.worst.level
+	return k.worst.level, true
 }
 
 // IsGranting reports whether the keeper grants leases.
@@ -212,12 +253,8 @@
 
 // Ask decides on an ask of a node.
 func (k *Keeper) Ask(now time.Time, node string, a AskFor) Answer {
-	if now.Sub(k.lastAskAt) > activeTime {
-		for _, c := range k.contacts { // silence while nothing was asked for says nothing
-			if !c.usesOwnShare && c.reserved == 0 {
-				c.heardAt = now
-			}
-		}
+	if !k.lastAskAt.IsZero() && now.Sub(k.lastAskAt) > activeTime {
+		k.activate(now)
 	}
 	k.lastAskAt = now
 	k.advance(now)
@@ -230,11 +267,17 @@
 		answer.IsWaiting, answer.RetryAfter = true, min(wait, waitingRetry)
 		return answer
 	}
-	if !k.rule.IsSmall(k.limit) && !k.HasMajority(now) {
+	if !k.rule.IsSmall(k.limit) && !k.checkMajority(now) {
 		answer.IsWaiting, answer.RetryAfter = true, waitingRetry
+		if now.Before(k.gatherTo) {
+			answer.RetryAfter = gatherTime / 4
+		}
 		return answer
 	}
 	k.askers[node] = now
+	if p, ok := k.promises[node]; ok && (now.Sub(p.due) > promiseGrace || !now.Before(p.due) && a.Needed > p.amount) {
+		delete(k.promises, node) // what is beyond the promise would be taken from later ones
+	}
 	available := k.available(now, node)
 	own, hasOwn := k.promises[node]
 	isDue := hasOwn && !now.Before(own.due)
@@ -306,10 +349,10 @@
 
 // promise keeps the next free part of the bucket for a node, and returns when it is available.
 func (k *Keeper) promise(now time.Time, node string, a AskFor, available float64) time.Duration {
-	amount := max(a.Needed, min(a.Needed+a.Extra, k.quantum()))
+	amount := max(a.Needed, min(a.Needed+a.Extra, k.quantum(), a.Needed+k.limit.PerSecond*maxTurnDelay.Seconds()))
 	missing := min(amount, k.limit.capacity()) - available
 	wait := time.Duration(missing / max(k.netRate(now), k.limit.PerSecond/4) * float64(time.Second))
-	wait = max(wait, minRetryAfter)
+	wait = max(wait+time.Microsecond, minRetryAfter) // rounded up
 	k.promises[node] = promise{amount, now.Add(wait)}
 	return wait
 }
