--- a/model/quota.pml
+++ b/model/quota.pml
@@ -68,10 +68,8 @@
 #endif
 
 #ifdef CLOCK_STOPS
-#define EXPIRES(g) true
 #define SPENDABLE(g) (frozen & BIT(holder[g]))
 #else
-#define EXPIRES(g) true
 #define SPENDABLE(g) false
 #endif
 
