--- a/node/quotas.go
+++ b/node/quotas.go
@@ -133,7 +133,7 @@
 // mayUseOwnShare reports whether this node may use its own share of a quota, which counts the live
 // nodes. Keepers reserve it until the node's session has ended.
 func (q *quotas) mayUseOwnShare(l quota.Limit) bool {
-	if keeper, _ := q.kept.preferred(""); keeper == "" {
+	if len(q.n.members.candidateList()) == 0 {
 		return false // it does not know the other nodes yet
 	}
 	return q.n.cfg.QuotaRule.IsSmall(l) || q.n.session.leaseValid()
