--- a/node/kept_accounts.go
+++ b/node/kept_accounts.go
@@ -207,7 +207,7 @@
 	kept := &keptAccount{limit: l, settling: !isIdle, wasKeeper: former != nil && former.wasKeeper, keeper: quota.NewKeeper(k.n.cfg.QuotaRule, crand.Text(), k.n.cfg.Name, l, level, now, from)}
 	k.byName[account] = kept
 	if kept.settling {
-		k.n.tasks.Go(func() { k.settle(account, kept, since) })
+		k.n.tasks.Go(func() { k.settle(account, kept) })
 	}
 	return kept
 }
@@ -230,7 +230,7 @@
 }
 
 // settle asks the former keeper to yield.
-func (k *keptAccounts) settle(account string, kept *keptAccount, since time.Time) {
+func (k *keptAccounts) settle(account string, kept *keptAccount) {
 	former, hasEnded := k.formerKeeper(account)
 	level, was, answered := 0.0, false, hasEnded
 	if !hasEnded {
