Let callers come back when a keeper grants leases again

Cause: while no keeper granted leases, refusals stated when the node would ask again (0.5 s) or when its own share would be enough.

Change: such refusals state a second.

--- a/quota/lease.go
+++ b/quota/lease.go
@@ -35,7 +35,11 @@
 	// ownShareAskInterval is the time between two asks of a keeper that does not answer, or that
 	// grants nothing.
 	ownShareAskInterval = 500 * time.Millisecond
-	maxRetryAfter       = 10 * time.Second
+	// keeperRetry is when a request comes back that was refused while no keeper grants leases. After
+	// a restart of all nodes the last keeper does so 0.8 s after it has started, and callers
+	// come back once only.
+	keeperRetry   = time.Second
+	maxRetryAfter = 10 * time.Second
 )
 
 // part is an amount that may be spent until it expires.
@@ -64,6 +68,7 @@
 	isLimited    bool
 	heldTo       time.Time // until then the own share stays unused
 	usesOwnShare bool
+	hasNoKeeper  bool      // the last ask was not answered
 	isWaiting    bool      // the keeper has answered that it grants nothing
 	askAgainAt   time.Time // while the own share is used
 	share        bucket    // of the own share
@@ -130,6 +135,12 @@
 	if rate := l.lastAmount / l.rule.LeaseTime(l.limit).Seconds(); rate > 0 && !l.usesOwnShare {
 		wait += time.Duration(min((l.backlog-cost)/rate, maxRetryAfter.Seconds()) * float64(time.Second))
 	}
+	switch {
+	case l.usesOwnShare:
+		wait = min(wait, keeperRetry)
+	case l.hasNoKeeper:
+		wait = max(wait, keeperRetry)
+	}
 	return Decision{Verdict: Refused, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
 }
 
@@ -204,7 +215,7 @@
 func (l *Lease) Answered(sent, now time.Time, ask AskFor, a Answer) {
 	l.expire(now)
 	l.ownUsed -= l.ownAsked
-	l.ownAsked = 0
+	l.ownAsked, l.hasNoKeeper = 0, false
 	if a.Term != l.term {
 		l.term, l.returned = a.Term, 0
 	}
@@ -230,7 +241,7 @@
 
 // Unanswered records that an ask got no answer, so that the own share is used if the node may do so.
 func (l *Lease) Unanswered(now time.Time, mayUseShare bool) {
-	l.ownAsked = 0
+	l.ownAsked, l.hasNoKeeper = 0, true
 	if mayUseShare && !now.Before(l.heldTo) {
 		l.useOwnShare(now, ownShareAskInterval)
 		return
