Ask the nodes while they still count for a keeper's majority

Cause: a keeper of an account that few nodes have requests of asked the other nodes two seconds after it had heard from them, when they no longer counted for its majority; it then granted nothing for two seconds and a lease time.

Result: TestKeeperKeepsItsMajority fails before.

--- a/quota/keeper.go
+++ b/quota/keeper.go
@@ -173,12 +173,13 @@
 	}
 	k.advance(now)
 	k.checkMajority(now)
-	contactTime := k.rule.ContactTime(k.limit)
+	// The nodes are asked while they still count for the majority.
+	heardFor := min(k.rule.ContactTime(k.limit), majorityTime-askAgainBefore)
 	heard := 0
 	for _, name := range k.nodes {
 		c := k.contacts[name]
 		switch {
-		case name == k.self, now.Sub(c.heardAt) < contactTime, now.Add(askAgainBefore).Before(c.promisedTo):
+		case name == k.self, now.Sub(c.heardAt) < heardFor, now.Add(askAgainBefore).Before(c.promisedTo):
 			heard++
 		default:
 			names = append(names, name)
--- a/quota/keeper_test.go
+++ b/quota/keeper_test.go
@@ -88,3 +88,20 @@
 		k.Ask(now, names[i%75], AskFor{Needed: 800, Extra: 5000, Term: "term"})
 	}
 }
+
+// Guards against a keeper that loses its majority two seconds after the first request of an account that
+// few nodes have requests of, as it asked the others only when they no longer counted: for five seconds
+// it granted nothing then.
+func TestKeeperKeepsItsMajority(t *testing.T) {
+	is := is.New(t)
+	k, _ := newTestKeeper(Limit{PerSecond: 29_000, Burst: 68_866}, 75)
+	const answerTime = 70 * time.Millisecond
+	for now := epoch; now.Before(epoch.Add(10 * time.Second)); now = now.Add(answerTime) {
+		asked := k.Silent(now)
+		is.True(!k.Ask(now, "n1", AskFor{Needed: 700}).IsWaiting)
+		for _, name := range asked {
+			k.Present(now.Add(answerTime), name)
+			k.Promised(now.Add(answerTime), name, now.Add(SharePromise))
+		}
+	}
+}
