Choose the next work in one place, by cost and by arrival

Cause: the order by cost came with a copy of the search through the waiting work; the order by arrival kept its own, with a second search of one adapter's queue.

Change: Scheduler.bestWaiting serves both; workHeap.first is gone, whose condition the caller passes now.

--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"math"
 	"time"
 )
 
@@ -408,25 +407,7 @@
 	if s.cost != nil {
 		return s.nextByCost(long)
 	}
-	var best *Work
-	bestKey := math.Inf(1)
-	for _, a := range s.resident {
-		if a.state != loaded || len(a.waiting) == 0 {
-			continue
-		}
-		w := a.waiting.first(long)
-		if w == nil {
-			continue
-		}
-		key := w.key
-		if a.pins > 0 {
-			key -= s.cfg.BatchBonus
-		}
-		if key < bestKey {
-			best, bestKey = w, key
-		}
-	}
-	return best
+	return s.bestWaiting(func(w *Work) bool { return long || w.Short })
 }
 
 func (s *Scheduler) hasRoom(short bool) bool {
@@ -435,19 +416,3 @@
 	}
 	return short || s.longRunning < max(1, int(s.cfg.LongShare*float64(s.cfg.BatchSize)))
 }
-
-// first returns the head of the queue, or the first short work if long is
-// false. The linear search is cheap, since an adapter's queue rarely mixes both
-// classes.
-func (h workHeap) first(long bool) *Work {
-	if long || h[0].Short {
-		return h[0]
-	}
-	var best *Work
-	for _, w := range h {
-		if w.Short && (best == nil || w.key < best.key) {
-			best = w
-		}
-	}
-	return best
-}
