review: case 6, a node that is cut off joins streams of two software versions

Cause: findOrigin takes a node's own knowledge for all there is if no other node answers. Done: a script with three daemons, one of them cut off while a newer version comes into service.

--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,64 +1,66 @@
-// Command 6 lets clients send bodies far over the limit, and ends a daemon once it takes more memory than
-// its machine has, as the platform does. See claim.txt.
+// Command 6 cuts one node off while a newer software version of the engines comes into service, and lets
+// callers take streams up at that node. See claim.txt.
 package main
 
 import (
-	"bufio"
-	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/backend"
 	"github.com/vanilladrift/vanilladrift/review/rig2"
 	"github.com/vanilladrift/vanilladrift/standin"
+	"github.com/vanilladrift/vanilladrift/table"
 )
 
 const (
-	nodes = 2
-	// memoryMB and the descriptors in settings are those of a machine of the sheet of wfw-briquette-grown.
-	memoryMB = 184
-	settings = "limits: {memory_mb: 184, max_fds: 4100, cpu_share: 0.192, cpu_cores: 1}\n"
-	// crowd is the number of clients of each node.
-	crowd = 1000
-	// day is how long they send, and endsOfFault the number of ends of a process that are a fault.
-	day         = 40 * time.Second
-	endsOfFault = 3
-	// sampling is the time between two looks of the platform, and restartDelay the one after an end.
-	sampling     = 50 * time.Millisecond
-	restartDelay = time.Second
-	// chunk is the size of the chunks, and stuckTime how long a client waits when nothing is taken any more.
-	chunk     = 64 << 10
-	stuckTime = 2 * time.Second
-	// calmPause is the time between two requests of a client inside the limits.
-	calmPause = 5 * time.Second
+	nodes, olderEngines, newerEngines = 3, 3, 3
+
+	streams = 60
+	events  = 60 // of a stream, one each eventTime
+	// eventTime makes a stream last as long as one of a large review does.
+	eventTime     = 50 * time.Millisecond
+	streamTimeout = 6 * time.Second
+	// allowedJoined is the number of streams that the rule allows.
+	allowedJoined = 2
+	// releaseAfter and streamsAfter count from the cut: until the newer engines register, and until the
+	// streams begin, some of them at the newer engines. cutTime is how long the cut lasts.
+	releaseAfter = 500 * time.Millisecond
+	streamsAfter = 6500 * time.Millisecond
+	resetAfter   = 1500 * time.Millisecond // from the first stream on
+	cutTime      = 11 * time.Second
+	settleTime   = 2 * time.Second
+	ownerTime    = 20 * time.Second
 )
 
 const config = `{"version": 1, "routes": [
- {"name": "orders", "host": "a.example", "prefix": "/orders/", "type": "non_idempotent", "timeout_ms": 1500, "target_latency_ms": 150, "priority": 0, "service": "ledger", "max_attempts": 2}],
- "services": [{"name": "ledger", "health_path": "/health", "max_connections": 100}],
+ {"name": "chat", "host": "a.example", "prefix": "/chat/", "type": "stream", "timeout_ms": 6000, "target_latency_ms": 500, "gap_aim_ms": 250, "priority": 0, "service": "engines", "max_attempts": 2, "session_affinity": true, "resumable": true}],
+ "services": [{"name": "engines", "health_path": "/health", "max_connections": 360,
+  "engine": {"slots": 64, "kv_capacity": 250000, "adapter_slots": 18, "stride": 5, "loads_per_s": 3, "models": [{"name": "base", "load_time_s": 0.5}]}}],
  "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}`
 
-// counts are what the clients saw.
-type counts struct{ sent, ok, refused, other atomic.Int64 }
+const settings = "limits: {memory_mb: 284, max_fds: 4100, cpu_share: 0.4, cpu_cores: 1}\n"
+
+func newEngine(i int, build string) *standin.Replica {
+	return &standin.Replica{
+		Self:  backend.Server{ID: fmt.Sprintf("engine-%d", i), Pool: "engines", MaxRequests: 64, Build: build},
+		Model: "base", AdapterSlots: 18, AdapterLoadTime: 250 * time.Millisecond, ModelLoadTime: 500 * time.Millisecond,
+		PrefillTime: 26 * time.Microsecond, EventTime: eventTime, ReportLag: 300 * time.Millisecond, QueueSize: 16,
+	}
+}
 
 func main() { os.Exit(run()) }
 
 func run() int {
-	var replicas []*standin.Replica
-	for i := range 4 {
-		replicas = append(replicas, &standin.Replica{
-			Self:      backend.Server{ID: fmt.Sprintf("ledger-%d", i+1), Pool: "ledger", MaxRequests: 6},
-			EventTime: 15 * time.Millisecond, QueueSize: 24,
-		})
+	var engines []*standin.Replica
+	for i := range olderEngines {
+		engines = append(engines, newEngine(i+1, "v1"))
 	}
-	p, err := rig2.Start(rig2.Options{Case: 6, Config: config, Replicas: replicas, Settings: settings})
+	p, err := rig2.Start(rig2.Options{Case: 6, Config: config, Replicas: engines, Settings: settings, Cuttable: true})
 	if err != nil {
 		fmt.Println(err)
 		return rig2.NotRun
@@ -68,139 +70,110 @@
 		fmt.Println(err)
 		return rig2.NotRun
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), day)
-	defer cancel()
-	client := callCalm
+	lone, other := p.Nodes[0], p.Nodes[1]
+	front, err := p.NewFront(other)
+	if err != nil || !awaitOwners(p) {
+		fmt.Println("not every engine has an owner", err)
+		return rig2.NotRun
+	}
+	time.Sleep(settleTime)
+	begin := time.Now()
 	if rig2.HasTrouble() {
-		client = callOverLimit
+		p.Record.Printf("%s is cut off from the store and the other nodes", lone.Name)
+		lone.Cut(true)
 	}
-	var clients, platforms sync.WaitGroup
-	var c counts
-	ends := make([]int, nodes)
-	for i, n := range p.Nodes {
-		platforms.Go(func() { ends[i] = keep(ctx, p, n) })
-		for k := range crowd {
-			clients.Go(func() { client(ctx, n.Callers(), fmt.Sprintf("%s-%d", n.Name, k), &c) })
+	time.Sleep(releaseAfter)
+	for i := range newerEngines {
+		e := newEngine(olderEngines+i+1, "v2")
+		engines = append(engines, e)
+		if err := p.AddReplica(e); err != nil {
+			fmt.Println(err)
+			return rig2.NotRun
 		}
+		p.Record.Printf("%s of version %s registers", e.Self.ID, e.Self.Build)
 	}
-	platforms.Wait()
-	clients.Wait()
-	p.Record.Printf("requests sent %d, answered 2xx %d, refused %d, otherwise %d", c.sent.Load(), c.ok.Load(), c.refused.Load(), c.other.Load())
-	for _, r := range replicas {
-		p.Record.Printf("%s ran %d requests", r.Self.ID, len(r.Record().Executions))
-	}
-	p.Record.Printf("processes ended by themselves: %v times", ends)
-	fmt.Println("processes ended by themselves:", ends)
-	for _, n := range ends {
-		if n < endsOfFault {
-			return rig2.Held
-		}
+	time.Sleep(time.Until(begin.Add(streamsAfter)))
+	p.Record.Printf("%d streams begin at %s", streams, other.Name)
+	all := make([]*rig2.Stream, streams)
+	var wg sync.WaitGroup
+	for i := range all {
+		all[i] = &rig2.Stream{ID: fmt.Sprintf("s%d", i+1)}
+		wg.Go(func() {
+			all[i].Call(front.Address, "base", events, streamTimeout)
+			if !all[i].Ended {
+				all[i].Call(lone.Callers(), "base", events, streamTimeout)
+			}
+		})
 	}
-	return rig2.Broken
+	time.Sleep(resetAfter)
+	p.Record.Printf("half of the callers' connections to %s are reset; their callers take the streams up at %s", other.Name, lone.Name)
+	front.Reset()
+	time.Sleep(time.Until(begin.Add(cutTime)))
+	lone.Cut(false)
+	p.Record.Printf("the cut is over")
+	wg.Wait()
+	return judge(p, all)
 }
 
-// keep does what the platform does for a process: it ends one that takes more memory than its machine
-// has, and starts it again. It returns how often it did.
-func keep(ctx context.Context, p *rig2.Platform, n *rig2.Node) (ends int) {
-	var most rig2.Memory
-	t := time.NewTicker(sampling)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			p.Record.Printf("%s: since its last start at most %d MB resident and %d MB unread on %d connections", n.Name, most.Resident>>20, most.Unread>>20, most.Conns)
-			return ends
-		case <-t.C:
-		}
-		m := n.Memory()
-		if m.Total() > most.Total() {
-			most = m
+// judge counts the streams with events of two software versions.
+func judge(p *rig2.Platform, all []*rig2.Stream) int {
+	joined, takenUp, wentOn := 0, 0, 0
+	for _, s := range all {
+		builds := make(map[string]int)
+		for _, e := range s.Events {
+			_, build, _ := strings.Cut(e.Data, " by ")
+			builds[build]++
 		}
-		_, hasEnded := n.HasExited()
-		if !hasEnded && m.Total() <= memoryMB<<20 {
-			continue
+		if len(builds) > 1 {
+			joined++
 		}
-		ends++
-		p.Record.Printf("%s ends: %d MB resident and %d MB unread on %d connections, of %d MB", n.Name, m.Resident>>20, m.Unread>>20, m.Conns, memoryMB)
-		n.Kill()
-		most = rig2.Memory{}
-		select {
-		case <-ctx.Done():
-			return ends
-		case <-time.After(restartDelay):
-		}
-		if err := n.Start(); err != nil {
-			p.Record.Printf("%s does not start: %v", n.Name, err)
-			return ends
+		if len(s.Tries) > 1 {
+			takenUp++
+			if s.Ended {
+				wentOn++
+			}
 		}
+		p.Record.Printf("%s: %s; events by version: %v", s.ID, strings.Join(s.Tries, ", then "), builds)
 	}
+	for _, b := range slices.Sorted(maps.Keys(logged(p))) {
+		p.Record.Printf("%s", b)
+	}
+	p.Record.Printf("%d of %d streams were taken up, %d of these went on to their end; %d hold events of two versions", takenUp, len(all), wentOn, joined)
+	fmt.Printf("taken up %d, went on %d, of two versions %d\n", takenUp, wentOn, joined)
+	switch {
+	case takenUp <= allowedJoined:
+		return rig2.NotRun
+	case joined > allowedJoined:
+		return rig2.Broken
+	}
+	return rig2.Held
 }
 
-func head(id string) string {
-	return "POST /orders/x HTTP/1.1\r\nHost: a.example\r\nX-Vanilladrift-Request-Id: " + id + "\r\nX-Vanilladrift-Deadline-Ms: 1500\r\nTransfer-Encoding: chunked\r\n\r\n"
-}
-
-// callOverLimit sends chunked bodies that do not end, until nothing of them is taken any more.
-func callOverLimit(ctx context.Context, address, name string, c *counts) {
-	piece := fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("x", chunk))
-	for i := 0; ctx.Err() == nil; i++ {
-		conn, err := net.DialTimeout("tcp", address, time.Second)
-		if err != nil {
-			time.Sleep(sampling)
-			continue
-		}
-		c.sent.Add(1)
-		_, err = io.WriteString(conn, head(fmt.Sprintf("%s-%d", name, i)))
-		for err == nil && ctx.Err() == nil {
-			_ = conn.SetWriteDeadline(time.Now().Add(stuckTime))
-			_, err = io.WriteString(conn, piece)
+// logged returns what the nodes logged of the software versions.
+func logged(p *rig2.Platform) map[string]bool {
+	lines := make(map[string]bool)
+	for _, n := range p.Nodes {
+		for line := range strings.Lines(n.Log()) {
+			if strings.Contains(line, "the software versions of a pool") {
+				lines[n.Name+": "+strings.TrimSpace(line)] = true
+			}
 		}
-		_ = conn.SetReadDeadline(time.Now().Add(stuckTime))
-		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		count(c, resp, err)
-		conn.Close()
 	}
+	return lines
 }
 
-// callCalm sends small bodies on a kept connection.
-func callCalm(ctx context.Context, address, name string, c *counts) {
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		return
-	}
-	defer func() { conn.Close() }()
-	r := bufio.NewReader(conn)
-	for i := 0; ctx.Err() == nil; i++ {
-		c.sent.Add(1)
-		_, _ = io.WriteString(conn, head(fmt.Sprintf("%s-%d", name, i))+"400\r\n"+strings.Repeat("x", 0x400)+"\r\n0\r\n\r\n")
-		resp, err := http.ReadResponse(r, nil)
-		count(c, resp, err)
-		if err == nil {
-			_, err = io.Copy(io.Discard, resp.Body)
-		}
-		if err != nil || resp.Close {
-			conn.Close()
-			if conn, err = net.Dial("tcp", address); err != nil {
-				return
+// awaitOwners waits until each engine has an owner.
+func awaitOwners(p *rig2.Platform) bool {
+	for end := time.Now().Add(ownerTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		owned := 0
+		for _, row := range p.Store.Rows(table.OwnerPrefix) {
+			if o, err := table.DecodeOwner(row); err == nil && o.Node != "" {
+				owned++
 			}
-			r = bufio.NewReader(conn)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(calmPause):
+		if owned >= olderEngines {
+			return true
 		}
 	}
-}
-
-func count(c *counts, resp *http.Response, err error) {
-	switch {
-	case err != nil:
-		c.other.Add(1)
-	case resp.StatusCode < http.StatusMultipleChoices:
-		c.ok.Add(1)
-	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusRequestEntityTooLarge, resp.StatusCode == http.StatusRequestTimeout:
-		c.refused.Add(1)
-	default:
-		c.other.Add(1)
-	}
+	return false
 }
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -52,6 +52,8 @@
 	Replicas []*standin.Replica
 	// Settings are further lines of the settings file, for each node the same.
 	Settings string
+	// Cuttable puts proxies between the nodes, and between them and the store; see [Node.Cut].
+	Cuttable bool
 	// Wrap, which is optional, replaces the handler of the store.
 	Wrap func(store http.Handler) http.Handler
 	// WrapReplica, which is optional, replaces the handler of a replica.
@@ -67,6 +69,7 @@
 	Nodes  []*Node
 	Record *Record
 
+	network  *network
 	dir      string
 	storeAt  string
 	ports    [4]int // of callers, readiness, the first internal one, and the last
@@ -101,9 +104,15 @@
 			return nil, err
 		}
 	}
+	if o.Cuttable {
+		p.network = &network{p: p}
+	}
 	return p, p.choosePorts()
 }
 
+// AddReplica starts one more replica.
+func (p *Platform) AddReplica(r *standin.Replica) error { return p.startReplica(r) }
+
 func (p *Platform) startReplica(r *standin.Replica) error {
 	key := platform.ServersTable + "/" + r.Self.ID
 	r.WriteRow = func(row []byte) { p.Store.Put(key, row) }
@@ -128,7 +137,7 @@
 
 func (p *Platform) serve(ln net.Listener, h http.Handler) {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
-	go func() { _ = srv.Serve(ln) }()                             // returns when it is closed
+	go func() { _ = srv.Serve(ln) }()                         // returns when it is closed
 	p.closers = append(p.closers, func() { _ = srv.Close() }) // the case ends
 }
 
@@ -171,8 +180,17 @@
 func (p *Platform) StartNodes(n int) error {
 	first := len(p.Nodes)
 	for range n {
-		node := &Node{platform: p, Name: fmt.Sprintf("front-%d", len(p.Nodes)+1), IP: p.ip(len(p.Nodes))}
+		store := p.storeAt
+		if p.network != nil {
+			var err error
+			if store, err = p.network.add(); err != nil {
+				return err
+			}
+		}
+		node := &Node{platform: p, store: store, Name: fmt.Sprintf("front-%d", len(p.Nodes)+1), IP: p.ip(len(p.Nodes))}
 		p.Nodes = append(p.Nodes, node)
+	}
+	for _, node := range p.Nodes[first:] {
 		if err := node.Start(); err != nil {
 			return err
 		}
@@ -203,6 +221,7 @@
 	Name, IP string
 
 	platform *Platform
+	store    string // its address
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	starts   int
@@ -223,7 +242,7 @@
 heartbeat_ms: 1200
 bounds: {healthy_ms: 3000, drain_ms: 2000, grace_s: 8, lease_ms: 3000, retry_budget_ratio: 0.2, retry_window_s: 10, retry_budget_slack: 54}
 platform: {address: %q}
-%s`, n.Name, n.IP, n.IP, p.ports[0], n.IP, p.ports[1], p.ports[2], p.ports[3], p.storeAt, p.Settings)
+%s`, n.Name, n.IP, n.IP, p.ports[0], n.IP, p.ports[1], p.ports[2], p.ports[3], n.store, p.Settings)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
