--- a/review/6/main.go
+++ b/review/6/main.go
@@ -4,17 +4,13 @@
 
 import (
 	"fmt"
-	"maps"
 	"os"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/vanilladrift/vanilladrift/backend"
 	"github.com/vanilladrift/vanilladrift/review/rig2"
 	"github.com/vanilladrift/vanilladrift/standin"
-	"github.com/vanilladrift/vanilladrift/table"
 )
 
 const (
@@ -34,47 +30,41 @@
 	resetAfter   = 1500 * time.Millisecond // from the first stream on
 	cutTime      = 11 * time.Second
 	settleTime   = 2 * time.Second
-	ownerTime    = 20 * time.Second
 )
 
-const config = `{"version": 1, "routes": [
- {"name": "chat", "host": "a.example", "prefix": "/chat/", "type": "stream", "timeout_ms": 6000, "target_latency_ms": 500, "gap_aim_ms": 250, "priority": 0, "service": "engines", "max_attempts": 2, "session_affinity": true, "resumable": true}],
- "services": [{"name": "engines", "health_path": "/health", "max_connections": 360,
-  "engine": {"slots": 64, "kv_capacity": 250000, "adapter_slots": 18, "stride": 5, "loads_per_s": 3, "models": [{"name": "base", "load_time_s": 0.5}]}}],
- "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}`
-
-const settings = "limits: {memory_mb: 284, max_fds: 4100, cpu_share: 0.4, cpu_cores: 1}\n"
-
-func newEngine(i int, build string) *standin.Replica {
-	return &standin.Replica{
-		Self:  backend.Server{ID: fmt.Sprintf("engine-%d", i), Pool: "engines", MaxRequests: 64, Build: build},
-		Model: "base", AdapterSlots: 18, AdapterLoadTime: 250 * time.Millisecond, ModelLoadTime: 500 * time.Millisecond,
-		PrefillTime: 26 * time.Microsecond, EventTime: eventTime, ReportLag: 300 * time.Millisecond, QueueSize: 16,
-	}
-}
-
 func main() { os.Exit(run()) }
 
 func run() int {
 	var engines []*standin.Replica
 	for i := range olderEngines {
-		engines = append(engines, newEngine(i+1, "v1"))
+		engines = append(engines, rig2.NewEngine(i+1, "v1", eventTime))
 	}
-	p, err := rig2.Start(rig2.Options{Case: 6, Config: config, Replicas: engines, Settings: settings, Cuttable: true})
+	p, err := rig2.Start(rig2.Options{Case: 6, Config: rig2.EngineConfig, Replicas: engines, Settings: rig2.MachineSettings, Cuttable: true})
 	if err != nil {
 		fmt.Println(err)
 		return rig2.NotRun
 	}
 	defer p.Close()
-	if err := p.StartNodes(nodes); err != nil {
+	all, err := play(p)
+	if err != nil {
 		fmt.Println(err)
 		return rig2.NotRun
 	}
+	return judge(p, all)
+}
+
+// play brings the disruptions about, and returns the streams.
+func play(p *rig2.Platform) ([]*rig2.Stream, error) {
+	if err := p.StartNodes(nodes); err != nil {
+		return nil, err
+	}
 	lone, other := p.Nodes[0], p.Nodes[1]
 	front, err := p.NewFront(other)
-	if err != nil || !awaitOwners(p) {
-		fmt.Println("not every engine has an owner", err)
-		return rig2.NotRun
+	if err != nil {
+		return nil, err
+	}
+	if err := p.AwaitOwners(olderEngines); err != nil {
+		return nil, err
 	}
 	time.Sleep(settleTime)
 	begin := time.Now()
@@ -84,11 +74,9 @@
 	}
 	time.Sleep(releaseAfter)
 	for i := range newerEngines {
-		e := newEngine(olderEngines+i+1, "v2")
-		engines = append(engines, e)
+		e := rig2.NewEngine(olderEngines+i+1, "v2", eventTime)
 		if err := p.AddReplica(e); err != nil {
-			fmt.Println(err)
-			return rig2.NotRun
+			return nil, err
 		}
 		p.Record.Printf("%s of version %s registers", e.Self.ID, e.Self.Build)
 	}
@@ -99,9 +87,9 @@
 	for i := range all {
 		all[i] = &rig2.Stream{ID: fmt.Sprintf("s%d", i+1)}
 		wg.Go(func() {
-			all[i].Call(front.Address, "base", events, streamTimeout)
+			all[i].Call(front.Address, rig2.Model, events, streamTimeout)
 			if !all[i].Ended {
-				all[i].Call(lone.Callers(), "base", events, streamTimeout)
+				all[i].Call(lone.Callers(), rig2.Model, events, streamTimeout)
 			}
 		})
 	}
@@ -110,20 +98,16 @@
 	front.Reset()
 	time.Sleep(time.Until(begin.Add(cutTime)))
 	lone.Cut(false)
-	p.Record.Printf("the cut is over")
+	p.Record.Printf("the cut, if there was one, is over")
 	wg.Wait()
-	return judge(p, all)
+	return all, nil
 }
 
 // judge counts the streams with events of two software versions.
 func judge(p *rig2.Platform, all []*rig2.Stream) int {
 	joined, takenUp, wentOn := 0, 0, 0
 	for _, s := range all {
-		builds := make(map[string]int)
-		for _, e := range s.Events {
-			_, build, _ := strings.Cut(e.Data, " by ")
-			builds[build]++
-		}
+		builds := s.Builds()
 		if len(builds) > 1 {
 			joined++
 		}
@@ -135,45 +119,14 @@
 		}
 		p.Record.Printf("%s: %s; events by version: %v", s.ID, strings.Join(s.Tries, ", then "), builds)
 	}
-	for _, b := range slices.Sorted(maps.Keys(logged(p))) {
-		p.Record.Printf("%s", b)
-	}
+	p.RecordLog("the software versions of a pool")
 	p.Record.Printf("%d of %d streams were taken up, %d of these went on to their end; %d hold events of two versions", takenUp, len(all), wentOn, joined)
 	fmt.Printf("taken up %d, went on %d, of two versions %d\n", takenUp, wentOn, joined)
 	switch {
-	case takenUp <= allowedJoined:
-		return rig2.NotRun
 	case joined > allowedJoined:
 		return rig2.Broken
+	case takenUp <= allowedJoined:
+		return rig2.NotRun
 	}
 	return rig2.Held
 }
-
-// logged returns what the nodes logged of the software versions.
-func logged(p *rig2.Platform) map[string]bool {
-	lines := make(map[string]bool)
-	for _, n := range p.Nodes {
-		for line := range strings.Lines(n.Log()) {
-			if strings.Contains(line, "the software versions of a pool") {
-				lines[n.Name+": "+strings.TrimSpace(line)] = true
-			}
-		}
-	}
-	return lines
-}
-
-// awaitOwners waits until each engine has an owner.
-func awaitOwners(p *rig2.Platform) bool {
-	for end := time.Now().Add(ownerTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		owned := 0
-		for _, row := range p.Store.Rows(table.OwnerPrefix) {
-			if o, err := table.DecodeOwner(row); err == nil && o.Node != "" {
-				owned++
-			}
-		}
-		if owned >= olderEngines {
-			return true
-		}
-	}
-	return false
-}
