--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -52,6 +52,8 @@
 	Replicas []*standin.Replica
 	// Settings are further lines of the settings file, for each node the same.
 	Settings string
+	// Zones is the number of zones among which the nodes are divided; 0 means one.
+	Zones int
 	// Cuttable puts proxies between the nodes, and between them and the store; see [Node.Cut].
 	Cuttable bool
 	// Wrap, which is optional, replaces the handler of the store.
@@ -187,7 +189,7 @@
 				return err
 			}
 		}
-		node := &Node{platform: p, store: store, Name: fmt.Sprintf("front-%d", len(p.Nodes)+1), IP: p.ip(len(p.Nodes))}
+		node := &Node{platform: p, store: store, zone: 1 + len(p.Nodes)%max(1, p.Zones), Name: fmt.Sprintf("front-%d", len(p.Nodes)+1), IP: p.ip(len(p.Nodes))}
 		p.Nodes = append(p.Nodes, node)
 	}
 	for _, node := range p.Nodes[first:] {
@@ -222,6 +224,7 @@
 
 	platform *Platform
 	store    string // its address
+	zone     int
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	starts   int
@@ -233,7 +236,7 @@
 	file := filepath.Join(p.dir, n.Name+".yaml")
 	text := fmt.Sprintf(`node_name: %q
 ip: %q
-zone: "z1"
+zone: "z%d"
 region: "r1"
 listen_addrs:
   front: "%s:%d"
@@ -242,7 +245,7 @@
 heartbeat_ms: 1200
 bounds: {healthy_ms: 3000, drain_ms: 2000, grace_s: 8, lease_ms: 3000, retry_budget_ratio: 0.2, retry_window_s: 10, retry_budget_slack: 54}
 platform: {address: %q}
-%s`, n.Name, n.IP, n.IP, p.ports[0], n.IP, p.ports[1], p.ports[2], p.ports[3], n.store, p.Settings)
+%s`, n.Name, n.IP, n.zone, n.IP, p.ports[0], n.IP, p.ports[1], p.ports[2], p.ports[3], n.store, p.Settings)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
