--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -21,6 +21,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -228,6 +229,7 @@
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	starts   int
+	started  atomic.Int64 // when the process was started last, in Unix ns
 }
 
 // Start starts the process with the command of the deploy file.
@@ -259,6 +261,7 @@
 	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsFileEnv + "=" + file}
 	n.cmd.Stdout, n.cmd.Stderr = out, out
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	n.started.Store(time.Now().UnixNano())
 	if err := n.cmd.Start(); err != nil {
 		return err
 	}
@@ -278,6 +281,9 @@
 // Callers returns the address for callers.
 func (n *Node) Callers() string { return fmt.Sprintf("%s:%d", n.IP, n.platform.ports[0]) }
 
+// Started returns when the process was started last.
+func (n *Node) Started() time.Time { return time.Unix(0, n.started.Load()) }
+
 // Signal sends a signal to the process.
 func (n *Node) Signal(s syscall.Signal) { _ = n.cmd.Process.Signal(s) } // it may have ended
 
