Take the silence of nodes for no answer where a stream is taken up

Cause: a node that has no record of a stream asks the others. One that does not answer added no version, so that a node that knew one version took it for the origin, although it could read nothing and nobody had answered. It also took its view of the servers for that of now until a call to the store had failed, which is up to 3 s after a cut.

Change: backend.OnlyBuild decides from what this node and those that answer know, and whether that is current: the row was read, and the rows of servers since the notice of any further version began. While the store is lost nobody is current, and all other nodes must answer.

Ruled out: a wrong record of the origin; without the cut no stream goes on at another version.

--- a/backend/build_history.go
+++ b/backend/build_history.go
@@ -27,6 +27,10 @@
 // within the time that a stream can be taken up, so that nodes know it that have just started. The zero
 // value is ready to use. It is safe for concurrent use.
 type BuildHistory struct {
+	// Age, which is optional, returns the time since when changes of the rows of servers may have been
+	// missed.
+	Age func() time.Duration
+
 	mu        sync.Mutex
 	pools     map[string]*poolBuilds
 	storeLost bool
@@ -194,32 +198,30 @@
 	return ok && now.Sub(at) >= buildNotice
 }
 
-// Builds returns the software versions at which streams of a pool can have begun, as far as this
-// node knows, and whether it knows the row and the servers of now.
-func (h *BuildHistory) Builds(pool string) (builds []string, isCertain bool) {
+// Known returns what this node knows of the software versions at which streams of a pool can have begun.
+func (h *BuildHistory) Known(pool string) KnownBuilds {
+	age := time.Duration(0)
+	if h.Age != nil {
+		age = h.Age()
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.pools[pool]
 	if p == nil {
-		return nil, false
+		return KnownBuilds{}
 	}
 	all := maps.Clone(p.firstSeen)
 	maps.Copy(all, p.listed)
-	return slices.Sorted(maps.Keys(all)), p.isRead && !h.storeLost
-}
-
-// IsRead reports whether the row of a pool was read.
-func (h *BuildHistory) IsRead(pool string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	p := h.pools[pool]
-	return p != nil && p.isRead
+	return KnownBuilds{
+		Builds: slices.Sorted(maps.Keys(all)), IsRead: p.isRead,
+		IsCurrent: p.isRead && !h.storeLost && age < buildNotice,
+	}
 }
 
 // IsMixed reports whether streams of a pool can have begun at several software versions.
 func (h *BuildHistory) IsMixed(pool string) bool {
-	builds, isCertain := h.Builds(pool)
-	return len(builds) != 1 || !isCertain
+	known := h.Known(pool)
+	return len(known.Builds) != 1 || !known.IsCurrent
 }
 
 // hasUnlisted reports whether a version is not known to be listed that another node should have
--- a/demo/mortal_network_test.go
+++ b/demo/mortal_network_test.go
@@ -5,18 +5,46 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/vanilladrift/vanilladrift/entry"
 )
 
+// cutDialTimeout is how long a connection to an address that is cut off is waited for.
+const cutDialTimeout = 400 * time.Millisecond
+
 // mortalNetwork is the network of a process that may lose power: its connections then end, and
-// nothing that it does reaches anybody any more.
+// nothing that it does reaches anybody any more. It may also be cut off from some addresses.
 type mortalNetwork struct {
 	entry.Network
 
 	mu      sync.Mutex
 	dead    bool
-	closers map[interface{ Close() error }]bool // open connections and listeners
+	closers map[interface{ Close() error }]string // open connections and listeners, by address
+	isCut   func(address string) bool             // nil while nothing is cut off
+}
+
+// cut ends the connections from and to the addresses that isCut names, and lets no new ones come
+// about until it is called with nil.
+func (n *mortalNetwork) cut(isCut func(address string) bool) {
+	n.mu.Lock()
+	n.isCut = isCut
+	var conns []net.Conn
+	for c, address := range n.closers {
+		if conn, ok := c.(net.Conn); ok && isCut != nil && isCut(address) {
+			conns = append(conns, conn)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close() // the other end is out of reach
+	}
+}
+
+func (n *mortalNetwork) reaches(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isCut == nil || !n.isCut(address)
 }
 
 // kill ends the process for all others.
@@ -32,16 +60,16 @@
 }
 
 // add remembers what is open, and reports whether the process lives.
-func (n *mortalNetwork) add(c interface{ Close() error }) bool {
+func (n *mortalNetwork) add(c interface{ Close() error }, address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.dead {
 		return false
 	}
 	if n.closers == nil {
-		n.closers = make(map[interface{ Close() error }]bool)
+		n.closers = make(map[interface{ Close() error }]string)
 	}
-	n.closers[c] = true
+	n.closers[c] = address
 	return true
 }
 
@@ -59,20 +87,27 @@
 		if err != nil {
 			return nil, err
 		}
-		return &mortalListener{ln, n}, n.check(ln)
+		return &mortalListener{ln, n, address}, n.check(ln, address)
 	}
 	out.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if !n.reaches(address) {
+			select {
+			case <-time.After(cutDialTimeout):
+			case <-ctx.Done():
+			}
+			return nil, &net.OpError{Op: "dial", Err: syscall.ETIMEDOUT}
+		}
 		c, err := n.Dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &mortalConn{c, n}, n.check(c)
+		return &mortalConn{c, n}, n.check(c, address)
 	}
 	return out
 }
 
-func (n *mortalNetwork) check(c interface{ Close() error }) error {
-	if n.add(c) {
+func (n *mortalNetwork) check(c interface{ Close() error }, address string) error {
+	if n.add(c, address) {
 		return nil
 	}
 	_ = c.Close() // of a process that is gone
@@ -82,6 +117,7 @@
 type mortalListener struct {
 	net.Listener
 	network *mortalNetwork
+	address string
 }
 
 // Accept implements net.Listener.
@@ -90,7 +126,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &mortalConn{c, l.network}, l.network.check(c)
+	if !l.network.reaches(l.address) {
+		_ = c.Close() // comes from an address that is cut off
+	}
+	return &mortalConn{c, l.network}, l.network.check(c, l.address)
 }
 
 // Close implements net.Listener.
--- a/demo/platform_traffic.go
+++ b/demo/platform_traffic.go
@@ -73,6 +73,8 @@
 	accounts          []route.AccountKeys // of the callers; without any, their requests have no key
 	accountOf         map[string]string   // client account by attempt
 	maxAttempts       int                 // of a request
+	baseModelOnly     bool                // streams ask for no adapter
+	lostConnections   float64             // part of the streams whose callers lose their connection after two events
 	crashes           int                 // requests sent that crash servers
 }
 
@@ -145,6 +147,9 @@
 		rank := int(engineAdapters * t.rng.Float64() * t.rng.Float64())
 		c.route = "chat"
 		c.head.Timeout, c.head.Model, c.head.Adapter = 6*time.Second, baseModel, fmt.Sprintf("a%d", rank+1)
+		if t.baseModelOnly {
+			c.head.Adapter = ""
+		}
 		c.head.PromptTokens, c.head.MaxTokens = 100+t.rng.IntN(600), 4+t.rng.IntN(12)
 		c.head.PromptParts = []string{fmt.Sprintf("system-%d", rank%3), fmt.Sprintf("subject-%d", rank)}
 	case u < platformStreamFraction+platformOrderFraction:
@@ -251,6 +256,9 @@
 		if c.stream.events == first {
 			adapterVersion, _, _ = strings.Cut(data, " ")
 		}
+		if c.stream.events == 2 && !c.stream.takenUp && t.losesConnection() {
+			return false
+		}
 		correct = correct && data == standin.EventData(c.head.ID, adapterVersion, build, c.stream.events)
 		mixed = mixed || build != c.stream.build
 	}
@@ -270,6 +278,13 @@
 	return true
 }
 
+// losesConnection reports whether the caller of a stream loses its connection.
+func (t *platformTraffic) losesConnection() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lostConnections > 0 && t.rng.Float64() < t.lostConnections
+}
+
 // countResponse counts a complete response by its checks.
 func (t *platformTraffic) countResponse(correctBody, correctVersion bool) {
 	t.updateResult(func(r *PlatformResult) {
--- a/entry/builds.go
+++ b/entry/builds.go
@@ -149,17 +149,17 @@
 	if o, ok := d.streams.Find(key); ok {
 		return o, true
 	}
-	builds, isCertain := d.builds.Builds(pool)
-	if len(builds) == 1 && isCertain {
-		return backend.Origin{Pool: pool, Build: builds[0]}, true
+	own := d.builds.Known(pool)
+	if build, ok := backend.OnlyBuild(own, nil, false); ok {
+		return backend.Origin{Pool: pool, Build: build}, true
 	}
-	o, others, ok := d.node.FindStream(ctx, key, pool)
-	if ok {
-		return o, true
+	s := d.node.FindStream(ctx, key, pool)
+	if s.Found {
+		return s.Origin, true
 	}
-	builds = slices.Compact(slices.Sorted(slices.Values(slices.Concat(builds, others))))
-	if len(builds) == 1 && d.builds.IsRead(pool) {
-		return backend.Origin{Pool: pool, Build: builds[0]}, true
+	build, ok := backend.OnlyBuild(own, s.Known, s.IsComplete)
+	if !ok {
+		d.log.Info("cannot tell where a stream began", "pool", pool, "builds", strings.Join(own.Builds, ","), "current", own.IsCurrent, "answers", len(s.Known), "complete", s.IsComplete)
 	}
-	return backend.Origin{}, false
+	return backend.Origin{Pool: pool, Build: build}, ok
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -211,6 +211,7 @@
 		l.Info("operator's rows read", "version", r.Version, "rows", r.Rows, "complete", r.Complete, "store-ms", r.StoreTime.Milliseconds(), "call-ms", r.Elapsed.Milliseconds(), "age-ms", r.Age.Milliseconds())
 	}
 	d.serversFeed = d.newFollower(platform.ServersTable, 0, serversPollInterval(s.DrainPeriod), d.state.replaceServerRows, d.state.applyServerChanges)
+	d.builds.Age = func() time.Duration { return d.age(d.serversFeed) }
 	d.transports = &poolTransports{network: n, nodeCount: d.node.LiveNodes, usable: d.state.isUsable, paused: d.isPaused, callerLeft: d.callerLeft, onLate: d.recordLate}
 	d.metrics = newMetrics(d.node.Meter())
 	for f, name := range map[*feed.Follower]string{d.operatorFeed: "configuration-age-seconds", d.serversFeed: "servers-age-seconds"} {
--- a/node/streams.go
+++ b/node/streams.go
@@ -129,47 +129,75 @@
 	return out
 }
 
-// FindStream asks the other nodes where a stream began. If none knows, it returns the software
-// versions at which streams of the pool can have begun, as far as the nodes know.
-func (n *Node) FindStream(ctx context.Context, key backend.StreamKey, pool string) (o backend.Origin, builds []string, ok bool) {
+// StreamSearch is what the other nodes answered to the question where a stream began.
+type StreamSearch struct {
+	Origin backend.Origin
+	Found  bool
+	// Known is what the nodes know of the software versions of the pool, if none knows the origin.
+	Known []backend.KnownBuilds
+	// IsComplete is set if all other nodes answered of which this node has read, and none of them
+	// has started again since.
+	IsComplete bool
+}
+
+// FindStream asks the other nodes where a stream began.
+func (n *Node) FindStream(ctx context.Context, key backend.StreamKey, pool string) (s StreamSearch) {
+	silent := 0 // nodes that are not known, not asked, or do not answer
 	select {
 	case <-n.members.known:
 	case <-time.After(membersTimeout):
+		silent++
 	case <-ctx.Done():
+		silent++
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.ProbeTimeout)
 	defer cancel()
-	var others []member
+	var asked []member
 	for _, mem := range n.members.all() {
-		if mem.live() && mem.Process != n.process && !n.members.isDown(mem.Address) {
-			others = append(others, mem)
+		switch {
+		case mem.Process == n.process:
+		case !mem.live() || n.members.isDown(mem.Address):
+			silent++
+		default:
+			asked = append(asked, mem)
 		}
 	}
-	responses := make(chan *peerpb.FindStreamResponse, len(others))
-	for _, mem := range others {
+	type foundStream struct {
+		*peerpb.FindStreamResponse
+		asked string // process
+	}
+	responses := make(chan foundStream, len(asked))
+	for _, mem := range asked {
 		n.tasks.Go(func() {
 			resp, err := n.members.link(mem.Address).client.FindStream(ctx, connect.NewRequest(&peerpb.FindStreamRequest{Key: key[:], Pool: pool}))
 			if err != nil {
 				n.log.Debug("cannot ask a node where a stream began", "address", mem.Address, "err", err)
-				responses <- nil
+				responses <- foundStream{}
 				return
 			}
-			responses <- resp.Msg
+			responses <- foundStream{resp.Msg, mem.Process}
 		})
 	}
-	for range others {
+	for range asked {
 		resp := <-responses
 		if resp.GetFound() {
-			return backend.Origin{Pool: resp.GetPool(), Build: resp.GetBuild()}, nil, true
+			return StreamSearch{Found: true, Origin: backend.Origin{Pool: resp.GetPool(), Build: resp.GetBuild()}}
+		}
+		if resp.FindStreamResponse == nil || resp.GetProcess() != resp.asked {
+			silent++
+		}
+		if resp.FindStreamResponse == nil {
+			continue
 		}
-		builds = append(builds, resp.GetBuilds()...)
+		s.Known = append(s.Known, backend.KnownBuilds{Builds: resp.GetBuilds(), IsRead: resp.GetIsRead(), IsCurrent: resp.GetIsCurrent()})
 	}
-	return backend.Origin{}, builds, false
+	s.IsComplete = silent == 0
+	return s
 }
 
 // FindStream implements the Peer service.
 func (s *peerServer) FindStream(_ context.Context, req *connect.Request[peerpb.FindStreamRequest]) (*connect.Response[peerpb.FindStreamResponse], error) {
-	resp := &peerpb.FindStreamResponse{}
+	resp := &peerpb.FindStreamResponse{Process: s.n.process}
 	var key backend.StreamKey
 	if s.n.cfg.Streams == nil || copy(key[:], req.Msg.GetKey()) != len(key) {
 		return connect.NewResponse(resp), nil
@@ -177,7 +205,8 @@
 	if o, ok := s.n.cfg.Streams.Find(key); ok {
 		resp.Found, resp.Pool, resp.Build = true, o.Pool, o.Build
 	} else {
-		resp.Builds, _ = s.n.cfg.Builds.Builds(req.Msg.GetPool())
+		known := s.n.cfg.Builds.Known(req.Msg.GetPool())
+		resp.Builds, resp.IsRead, resp.IsCurrent = known.Builds, known.IsRead, known.IsCurrent
 	}
 	return connect.NewResponse(resp), nil
 }
