Leave a young software version its notice at a node that has just started

What callers could see: a node that starts just after a version was listed takes it for listed long ago, and begins streams there at once.

Cause: what the first read of the row lists counts as listed before, however young its servers are.

Change: on the first read, a version whose first server started within the last ten seconds is given the notice that other nodes give it. As before, the notice only matters while another version serves.

--- a/backend/build_history.go
+++ b/backend/build_history.go
@@ -15,6 +15,9 @@
 	listingTime = 300 * time.Millisecond
 	// listTimeout is how long streams do not begin at a software version that cannot be listed.
 	listTimeout = 3 * time.Second
+	// settledAfter is the time from the start of the first server of a version until all nodes have
+	// had notice of it, also if the server registers late.
+	settledAfter = 10 * time.Second
 	// unlistAfter is how long a listed software version is without a server until its listing may be
 	// removed. No caller takes up a stream by then. After relistAfter, which is shorter since
 	// nodes read rows at different times, no node relies on its listing any more.
@@ -45,6 +48,7 @@
 	ready      map[string]int       // servers that take new requests
 	firstSeen  map[string]time.Time // of versions that have servers
 	lastSeen   map[string]time.Time
+	startMS    map[string]int64 // of the earliest start among the servers of a version, Unix ms
 }
 
 // BuildListing is a change of the row of a pool.
@@ -73,8 +77,12 @@
 
 func (p *poolBuilds) observe(now time.Time, servers []*Server) {
 	p.ready = make(map[string]int)
+	p.startMS = make(map[string]int64)
 	present := make(map[string]bool)
 	for _, s := range servers {
+		if !present[s.Build] || s.StartMS < p.startMS[s.Build] {
+			p.startMS[s.Build] = s.StartMS
+		}
 		present[s.Build] = true
 		if !s.Draining {
 			p.ready[s.Build]++
@@ -119,14 +127,20 @@
 	listed := make(map[string]time.Time)
 	for _, build := range l.Builds {
 		at, ok := p.listed[build]
-		if !ok && len(p.listed) > 0 {
-			at = now // else this is the first read, and the version was listed before
+		if !ok && (len(p.listed) > 0 || p.isYoung(now, build)) {
+			at = now // else this is the first read, and the version was listed long before
 		}
 		listed[build] = at
 	}
 	p.listed, p.rowVersion, p.isRead = listed, l.RowVersion, true
 }
 
+// isYoung reports whether a version may have been listed so recently that other nodes do not know of it.
+func (p *poolBuilds) isYoung(now time.Time, build string) bool {
+	ms, ok := p.startMS[build]
+	return ok && now.Sub(time.UnixMilli(ms)) < settledAfter
+}
+
 // Unread returns the pools with servers whose rows must be read.
 func (h *BuildHistory) Unread(now time.Time) (pools []string) {
 	h.mu.Lock()
--- a/backend/build_history_test.go
+++ b/backend/build_history_test.go
@@ -128,3 +128,25 @@
 	is.True(n.IsMixed("p"))
 	is.True(n.MayBegin(now, "p", "v1"))
 }
+
+// Guards against a node that starts just after a version was listed, and begins streams there of which other nodes
+// cannot tell: they have not read of that version yet.
+func TestNodeThatStartsLeavesNoticeOfAYoungVersion(t *testing.T) {
+	is := is.New(t)
+	n, now := &buildNode{}, time.Unix(1000, 0)
+	servers := buildServers("v1", "v2", "v2")
+	servers[0].StartMS = now.Add(-time.Minute).UnixMilli()
+	servers[1].StartMS = now.Add(-time.Second).UnixMilli()
+	servers[2].StartMS = now.UnixMilli()
+	n.observe(now, servers...)
+	n.SetRow(now, BuildListing{Pool: "p", Builds: []string{"v1", "v2"}, RowVersion: 8})
+	is.True(n.MayBegin(now, "p", "v1"))
+	is.True(!n.MayBegin(now, "p", "v2"))
+	is.True(n.MayBegin(now.Add(buildNotice), "p", "v2"))
+
+	servers[1].StartMS = now.Add(-settledAfter).UnixMilli()
+	settled := &buildNode{}
+	settled.observe(now, servers...)
+	settled.SetRow(now, BuildListing{Pool: "p", Builds: []string{"v1", "v2"}, RowVersion: 8})
+	is.True(settled.MayBegin(now, "p", "v2"))
+}
