Let owners and requests for grants know where streams began

Cause: in fleets of 16 nodes and more one keeper was told of a node's streams, in messages held back to 1,000 bytes a second, most of it overhead. The part of the nodes that ends takes the keeper with it, and what was held back is lost as well.

Change: three sources know of a stream. The owner that grants it gets the attempt's key with the request, before the stream begins, and forgets it if the stream did not begin there. Requests for grants carry the newest streams of their node to further owners. Six keepers take turns within the rate of before, each with what it was not told of; a message that is lost is sent again.

Ruled out: more messages (4 KB a second at 360 nodes), the store (1,440 calls a second of 400), a version by the attempt's ID.

--- a/backend/stream_origins.go
+++ b/backend/stream_origins.go
@@ -36,10 +36,36 @@
 	// pool begin.
 	IsShared func(pool string) bool
 
-	mu            sync.Mutex
+	mu       sync.Mutex
+	known    originMemory
+	expected originMemory     // where streams were granted that may have begun there
+	unshared []unsharedStream // in order
+}
+
+// originMemory remembers origins for one to two retention times.
+type originMemory struct {
 	recent, older map[StreamKey]Origin
 	rotated       time.Time
-	unshared      []unsharedStream // in order
+}
+
+func (m *originMemory) add(now time.Time, o StreamOrigin) {
+	if m.recent == nil || now.Sub(m.rotated) > originRetention {
+		m.older, m.recent, m.rotated = m.recent, make(map[StreamKey]Origin), now
+	}
+	m.recent[o.Key] = o.Origin
+}
+
+func (m *originMemory) find(key StreamKey) (Origin, bool) {
+	if o, ok := m.recent[key]; ok {
+		return o, true
+	}
+	o, ok := m.older[key]
+	return o, ok
+}
+
+func (m *originMemory) remove(key StreamKey) {
+	delete(m.recent, key)
+	delete(m.older, key)
 }
 
 type unsharedStream struct {
@@ -51,7 +77,7 @@
 func (s *StreamOrigins) Begin(now time.Time, o StreamOrigin) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.add(now, o)
+	s.known.add(now, o)
 	s.unshared = append(s.unshared, unsharedStream{o, now})
 	for len(s.unshared) > 0 && now.Sub(s.unshared[0].at) > unsharedRetention {
 		s.unshared = s.unshared[1:]
@@ -63,7 +89,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range list {
-		s.add(now, o)
+		s.known.add(now, o)
 	}
 }
 
@@ -71,11 +97,42 @@
 func (s *StreamOrigins) Find(key StreamKey) (Origin, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o, ok := s.recent[key]; ok {
-		return o, true
+	return s.known.find(key)
+}
+
+// Expect records that a stream was granted to a server. If its node ends before it tells anybody, the stream began
+// there if anywhere.
+func (s *StreamOrigins) Expect(now time.Time, o StreamOrigin) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expected.add(now, o)
+}
+
+// Expected returns where a stream was granted, if it is known.
+func (s *StreamOrigins) Expected(key StreamKey) (Origin, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.expected.find(key)
+}
+
+// Withdraw records that streams did not begin where they were granted.
+func (s *StreamOrigins) Withdraw(keys []StreamKey) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, key := range keys {
+		s.expected.remove(key)
 	}
-	o, ok := s.older[key]
-	return o, ok
+}
+
+// AgreedOrigin returns the only origin in a list.
+func AgreedOrigin(list []Origin) (o Origin, ok bool) {
+	for i, other := range list {
+		if i > 0 && other != o {
+			return Origin{}, false
+		}
+		o = other
+	}
+	return o, len(list) > 0
 }
 
 // TakeUnshared returns the streams that began here, that other nodes should know, and that were
@@ -102,11 +159,3 @@
 	s.unshared = kept
 	return list
 }
-
-// add records an origin; s.mu must be held. Each is kept for one to two retention times.
-func (s *StreamOrigins) add(now time.Time, o StreamOrigin) {
-	if s.recent == nil || now.Sub(s.rotated) > originRetention {
-		s.older, s.recent, s.rotated = s.recent, make(map[StreamKey]Origin), now
-	}
-	s.recent[o.Key] = o.Origin
-}
--- a/demo/stream_version_test.go
+++ b/demo/stream_version_test.go
@@ -28,6 +28,10 @@
 }
 
 func playVersions(t *testing.T, play func(p *versionPlay)) *PlatformResult {
+	return playVersionsOn(t, daemonCount, play)
+}
+
+func playVersionsOn(t *testing.T, daemons int, play func(p *versionPlay)) *PlatformResult {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(2)) // more threads add only contention in virtual time
 	var result PlatformResult
 	synctest.Test(t, func(t *testing.T) {
@@ -36,7 +40,7 @@
 		p.platformSystem, err = newPlatform(entry.Network{Listen: p.pipes.Listen, Dial: p.pipes.Dial, Clock: clock.Virtual()})
 		p.is.NoErr(err)
 		p.is.NoErr(p.startEngine()) // two of each version
-		for i := range daemonCount {
+		for i := range daemons {
 			p.startMortal(i)
 		}
 		defer checkOwners(t, p.platformSystem)
@@ -251,3 +255,34 @@
 	is.True(r.TakenUp > 0)
 	is.True(r.Refused["503 chat"]*10 <= r.TakenUp)
 }
+
+// Guards against take-ups that are rejected since a large part of a larger fleet ended at once, and with it every node
+// that knew where the streams began. Streams must go on half as often as new ones begin.
+func TestStreamsGoOnAfterManyNodesEndAtOnce(t *testing.T) {
+	const daemons = 24
+	for _, part := range []float64{0.3, 0.45, 0.6, 0.8} {
+		t.Run(fmt.Sprint(part), func(t *testing.T) {
+			is := is.New(t)
+			r := playVersionsOn(t, daemons, func(p *versionPlay) {
+				for _, r := range p.replicas {
+					r.EventTime = 150 * time.Millisecond
+				}
+				p.traffic.baseModelOnly = true
+				p.during(1200, func() {
+					for k := range 3 {
+						time.Sleep(8 * time.Second)
+						var ended []int
+						for i := range int(part * daemons) {
+							ended = append(ended, (i+k*daemons/3)%daemons)
+						}
+						p.kill(time.Second, ended...)
+					}
+				})
+			})
+			t.Logf("%d of %d requests served; %d streams taken up, %d went on, %d of two versions", r.Served, r.Requests, r.TakenUp, r.WentOn, r.MixedBuilds)
+			is.True(r.TakenUp >= 12)
+			is.Equal(r.MixedBuilds, 0)
+			is.True(2*r.WentOn >= r.TakenUp)
+		})
+	}
+}
--- a/engine/work.go
+++ b/engine/work.go
@@ -15,6 +15,7 @@
 	Resumed        bool   // the caller has the first part of the stream
 	Priority       int    // 0 is the highest
 	Account        string // client account; empty if there is none
+	Stream         string // key of the attempt, if it is one of a stream that can be resumed
 	ExpectedTokens int    // expected number of output tokens
 	PromptTokens   int
 	Deadline       time.Time
--- a/entry/builds.go
+++ b/entry/builds.go
@@ -144,6 +144,21 @@
 	return d.builds.MayBegin(time.Now(), s.Pool, s.Build)
 }
 
+// engineOrigin returns where streams begin at an engine in the start with a boot ID, if it is known. Its row may be of
+// another start; then the engine may have told the software version.
+func (d *Daemon) engineOrigin(name, boot, build string) (backend.Origin, bool) {
+	s, ok := d.state.servers.View().Server(name)
+	switch {
+	case !ok || boot == "":
+		return backend.Origin{}, false
+	case s.Boot() == boot:
+		build = s.Build
+	case build == "":
+		return backend.Origin{}, false
+	}
+	return backend.Origin{Pool: s.Pool, Build: build}, true
+}
+
 // findOrigin returns where a stream began that a caller takes up, unless it is not known.
 func (d *Daemon) findOrigin(ctx context.Context, key backend.StreamKey, pool string) (backend.Origin, bool) {
 	if o, ok := d.streams.Find(key); ok {
@@ -157,6 +172,12 @@
 	if s.Found {
 		return s.Origin, true
 	}
+	if o, ok := d.streams.Expected(key); ok {
+		s.Granted = append(s.Granted, o)
+	}
+	if o, ok := backend.AgreedOrigin(s.Granted); ok {
+		return o, true
+	}
 	build, ok := backend.OnlyBuild(own, s.Known, s.IsComplete)
 	if !ok {
 		d.log.Info("cannot tell where a stream began", "pool", pool, "builds", strings.Join(own.Builds, ","), "current", own.IsCurrent, "answers", len(s.Known), "complete", s.IsComplete)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -190,7 +190,7 @@
 	ttl, margin, renewEvery := leaseTimings(s.OwnerAlternationGap)
 	cfg := node.Config{
 		Name: s.Node, Address: s.PeerAddress, Region: s.Region, DataCenter: s.DataCenter,
-		Table: d.table, Sequencer: d.sequencer, Streams: d.streams, Builds: d.builds,
+		Table: d.table, Sequencer: d.sequencer, Streams: d.streams, Builds: d.builds, EngineOrigin: d.engineOrigin,
 		Prompts: prompts, Requests: requests, Limits: d.limits, SettingsPushed: true, OwnerAlternationGap: s.OwnerAlternationGap, LeaseTTL: ttl, LeaseMargin: margin,
 		RenewEvery: renewEvery, TableRenewEvery: sessionRenewInterval, PollEvery: sessionPollInterval, ProbeAfter: probeAfter, ProbeTimeout: probeTimeout, DrainGrace: time.Millisecond, PeerHTTP: n.newPeerClient(), IsOverloaded: d.overload.RejectsSome, ByCost: d.isByCost, Clock: n.Clock, OnResume: d.closeIdleConnections, Log: l, Seed: uint64(time.Now().UnixNano()),
 	}
--- a/node/admission.go
+++ b/node/admission.go
@@ -49,6 +49,9 @@
 		return // the request was sent without a grant
 	}
 	n.registry.End(g.Engine, g.ID)
+	if !g.HasBegun {
+		n.withdrawStream(g.Owner, g.Stream)
+	}
 	n.releaseGrant(g, adapterMissing, tokenTime)
 }
 
@@ -63,6 +66,7 @@
 	for range 2 {
 		resp, hold, err := n.requestGrant(ctx, owner, engineName, w)
 		if err != nil {
+			n.withdrawStream(owner, w.Stream) // it may have been granted
 			n.clearOwnerHint(engineName, owner)
 			return caller.Grant{}, &caller.Refusal{Reason: engine.NoOwner, RetryAfter: ownerChangeRetry}
 		}
@@ -71,7 +75,7 @@
 			n.setOwnerHint(engineName, owner)
 			return caller.Grant{
 				Engine: engineName, ID: w.ID, FencingToken: resp.GetToken(), QueueWait: time.Duration(resp.GetWaitMs()) * time.Millisecond,
-				Boot: resp.GetBoot(), Build: resp.GetBuild(),
+				Boot: resp.GetBoot(), Build: resp.GetBuild(), Owner: owner, Stream: w.Stream,
 			}, nil
 		case peerpb.AdmitResponse_VERDICT_REFUSED:
 			r := caller.Refusal{
@@ -125,7 +129,7 @@
 		ShortClass: w.Short, Resumed: w.Resumed, Tokens: int32(w.ExpectedTokens), PromptTokens: int32(w.PromptTokens),
 		TimeLeftMs: time.Until(w.Deadline).Milliseconds(), MaxWaitMs: w.MaxWait.Milliseconds(),
 		FirstByMs: millisUntil(w.FirstTokenDeadline), AimByMs: millisUntil(w.FirstTokenTarget), Limit: n.knownLimit(engineName),
-		Priority: int32(w.Priority), Account: w.Account,
+		Priority: int32(w.Priority), Account: w.Account, Stream: []byte(w.Stream),
 	}
 	if owner == n.cfg.Name {
 		return n.admit(ctx, req, n.cfg.Address), 0, nil
@@ -139,8 +143,11 @@
 		return nil, 0, &caller.Refusal{Reason: engine.NoOwner}
 	}
 	defer cancel()
+	streams := n.streamSharing.carried(owner)
+	req.Streams = encodeStreamOrigins(streams)
 	r, err := client.Admit(ctx, connect.NewRequest(req))
 	if err != nil {
+		n.streamSharing.lost(owner, streams)
 		return nil, 0, err
 	}
 	return r.Msg, statedHoldTime(r.Header()), nil
@@ -166,6 +173,9 @@
 // is down there can be no later owner.
 func (n *Node) admit(ctx context.Context, req *peerpb.AdmitRequest, address string) *peerpb.AdmitResponse {
 	n.learnLimit(req.GetLimit())
+	if n.cfg.Streams != nil {
+		n.cfg.Streams.Learn(time.Now(), decodeStreamOrigins(req.GetStreams()))
+	}
 	o := n.ownedEngine(req.GetEngine())
 	now := time.Now()
 	if o == nil {
@@ -189,6 +199,7 @@
 	}
 	if act.Kind == engine.Grant {
 		boot, build := o.lastStart()
+		n.recordGranted(req.GetStream(), o.name, boot, build)
 		return &peerpb.AdmitResponse{
 			Verdict: peerpb.AdmitResponse_VERDICT_GRANTED, Token: o.token, WaitMs: o.expectedWait(now).Milliseconds(), Boot: boot, Build: build,
 		}
--- a/node/config.go
+++ b/node/config.go
@@ -47,6 +47,9 @@
 	// software versions of servers.
 	Streams *backend.StreamOrigins
 	Builds  *backend.BuildHistory
+	// EngineOrigin, if set, returns where streams begin at an engine in the start with a boot ID, if it is known.
+	// build is the software version that the engine tells of that start, or empty.
+	EngineOrigin func(engineName, boot, build string) (backend.Origin, bool)
 	// Limits holds what servers state of the requests that they take from all nodes together;
 	// nil means that none does. The owner of an engine keeps to its limit, and so does
 	// [Node.TakeTurn].
--- a/node/node.go
+++ b/node/node.go
@@ -69,7 +69,7 @@
 	pollPending  atomic.Bool // an announced read of the session rows has not begun
 	requestCount atomic.Int64
 
-	streamSharing streamSharing // used by shareStreams alone
+	streamSharing streamSharing
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/node/streams.go
+++ b/node/streams.go
@@ -12,40 +12,11 @@
 	"github.com/vanilladrift/vanilladrift/peer/peerpb"
 )
 
-const (
-	// streamShareInterval is the shortest time between two messages about streams that have begun.
-	// If this node ends, streams that began since the last one are not known any more.
-	streamShareInterval = 75 * time.Millisecond
-	// smallFleetNodes is the number of nodes below which most may be lost at once. They then tell
-	// smallFleetKeepers nodes, so that any that is left knows; others tell one, in another data
-	// centre.
-	smallFleetNodes   = 16
-	smallFleetKeepers = 6
-	// streamShareRate bounds the bytes a second of the messages in larger fleets, where streams
-	// last long. It is half of what a node has for control: it receives as much as it sends.
-	streamShareRate = 1000
-	// messageBytes is what a message between nodes takes beside its content.
-	messageBytes = 160
-	// membersTimeout bounds the time in which a node that has just started learns of the others.
-	membersTimeout = 500 * time.Millisecond
-)
-
-// streamSharing decides when and to which nodes a node tells where streams began at it.
-type streamSharing struct {
-	next time.Time // no message is sent before
-}
+// membersTimeout bounds the time in which a node that has just started learns of the others.
+const membersTimeout = 500 * time.Millisecond
 
-// isDue reports whether a message may be sent.
-func (s *streamSharing) isDue(now time.Time) bool { return !now.Before(s.next) }
-
-// sent records a message of the given size.
-func (s *streamSharing) sent(now time.Time, bytes, nodes int) {
-	if nodes >= smallFleetNodes {
-		s.next = now.Add(time.Duration(bytes+messageBytes) * time.Second / streamShareRate)
-	}
-}
-
-// streamKeepers returns the names of the nodes that are told of the streams of a node.
+// streamKeepers returns the names of the nodes that are told of the streams of a node. In larger fleets they are
+// in other data centres, as far as there are enough nodes.
 func streamKeepers(self candidate, nodes []candidate) []string {
 	var others, elsewhere []string
 	for _, c := range nodes {
@@ -57,47 +28,81 @@
 			elsewhere = append(elsewhere, c.name)
 		}
 	}
-	k := smallFleetKeepers
-	if len(nodes) >= smallFleetNodes {
-		k = 1
-		if len(elsewhere) > 0 {
-			others = elsewhere
-		}
+	if len(nodes) >= smallFleetNodes && len(elsewhere) >= streamCopies {
+		others = elsewhere
 	}
-	return engine.Rendezvous("streams/"+self.name, others, nil, k)
+	return engine.Rendezvous("streams/"+self.name, others, nil, streamCopies)
 }
 
 // shareStreams tells some nodes where streams began at this one.
 func (n *Node) shareStreams(ctx context.Context) {
-	now := time.Now()
-	if !n.streamSharing.isDue(now) {
-		return
-	}
-	list := n.cfg.Streams.TakeUnshared(now)
-	if len(list) == 0 {
-		return
-	}
-	req := &peerpb.KeepStreamsRequest{Streams: encodeStreamOrigins(list)}
+	now, s := time.Now(), &n.streamSharing
+	s.add(now, n.cfg.Streams.TakeUnshared(now))
 	nodes := n.members.candidateList()
-	n.streamSharing.sent(now, proto.Size(req), len(nodes))
+	s.retain(now, nodes)
+	var keepers []string
 	for _, name := range streamKeepers(candidate{n.cfg.Name, n.cfg.DataCenter}, nodes) {
-		if mem, ok := n.members.get(name); ok {
-			n.tasks.Go(func() { n.members.keepStreams(ctx, mem.Address, req) })
+		if mem, ok := n.members.get(name); ok && !n.members.isDown(mem.Address) {
+			keepers = append(keepers, name)
 		}
 	}
+	for _, m := range s.messages(now, keepers, len(nodes)) {
+		req := &peerpb.KeepStreamsRequest{Streams: encodeStreamOrigins(m.streams)}
+		s.begin(now, proto.Size(req))
+		n.tasks.Go(func() { s.end(m, n.keepStreams(ctx, m.keeper, req)) })
+	}
 }
 
-func (m *members) keepStreams(ctx context.Context, address string, req *peerpb.KeepStreamsRequest) {
-	ctx, cancel := context.WithTimeout(ctx, m.n.cfg.ProbeTimeout)
+// keepStreams tells a node of streams, and reports whether it answered.
+func (n *Node) keepStreams(ctx context.Context, name string, req *peerpb.KeepStreamsRequest) bool {
+	mem, ok := n.members.get(name)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.ProbeTimeout)
 	defer cancel()
-	if _, err := m.link(address).client.KeepStreams(ctx, connect.NewRequest(req)); err != nil {
-		m.n.log.Debug("cannot tell a node where streams began", "address", address, "err", err)
+	if _, err := n.members.link(mem.Address).client.KeepStreams(ctx, connect.NewRequest(req)); err != nil {
+		n.log.Debug("cannot tell a node where streams began", "of", name, "err", err)
+		return false
+	}
+	return true
+}
+
+// recordGranted records that a stream may begin at an engine of this node, which has granted it.
+func (n *Node) recordGranted(key []byte, engineName, boot, build string) {
+	var k backend.StreamKey
+	if n.cfg.Streams == nil || n.cfg.EngineOrigin == nil || copy(k[:], key) != len(k) {
+		return
+	}
+	if o, ok := n.cfg.EngineOrigin(engineName, boot, build); ok {
+		n.cfg.Streams.Expect(time.Now(), backend.StreamOrigin{Key: k, Origin: o})
 	}
 }
 
+// withdrawStream tells the node that granted a stream that it did not begin there.
+func (n *Node) withdrawStream(owner, stream string) {
+	if n.cfg.Streams == nil || stream == "" {
+		return
+	}
+	if owner == n.cfg.Name {
+		n.cfg.Streams.Withdraw(decodeStreamKeys([]byte(stream)))
+		return
+	}
+	n.tasks.Go(func() {
+		req := &peerpb.KeepStreamsRequest{Withdrawn: []byte(stream)}
+		for range releaseAttempts {
+			if n.keepStreams(n.ctx, owner, req) {
+				return
+			}
+			sleep(n.ctx, ownerChangeRetry)
+		}
+	})
+}
+
 // KeepStreams implements the Peer service.
 func (s *peerServer) KeepStreams(_ context.Context, req *connect.Request[peerpb.KeepStreamsRequest]) (*connect.Response[peerpb.KeepStreamsResponse], error) {
 	if s.n.cfg.Streams != nil {
+		s.n.cfg.Streams.Withdraw(decodeStreamKeys(req.Msg.GetWithdrawn()))
 		s.n.cfg.Streams.Learn(time.Now(), decodeStreamOrigins(req.Msg.GetStreams()))
 	}
 	return connect.NewResponse(&peerpb.KeepStreamsResponse{}), nil
@@ -117,22 +122,31 @@
 	return out
 }
 
-// decodeStreamOrigins ignores what is left of keys that are cut short.
 func decodeStreamOrigins(list []*peerpb.StreamOrigins) (out []backend.StreamOrigin) {
 	for _, p := range list {
-		s := backend.StreamOrigin{Origin: backend.Origin{Pool: p.GetPool(), Build: p.GetBuild()}}
-		for keys := p.GetKeys(); len(keys) >= len(s.Key); keys = keys[len(s.Key):] {
-			copy(s.Key[:], keys)
-			out = append(out, s)
+		for _, key := range decodeStreamKeys(p.GetKeys()) {
+			out = append(out, backend.StreamOrigin{Key: key, Origin: backend.Origin{Pool: p.GetPool(), Build: p.GetBuild()}})
 		}
 	}
 	return out
 }
 
+// decodeStreamKeys ignores what is left of keys that are cut short.
+func decodeStreamKeys(keys []byte) (out []backend.StreamKey) {
+	var key backend.StreamKey
+	for ; len(keys) >= len(key); keys = keys[len(key):] {
+		copy(key[:], keys)
+		out = append(out, key)
+	}
+	return out
+}
+
 // StreamSearch is what the other nodes answered to the question where a stream began.
 type StreamSearch struct {
 	Origin backend.Origin
 	Found  bool
+	// Granted is where owners of engines granted the stream, if none knows where it began.
+	Granted []backend.Origin
 	// Known is what the nodes know of the software versions of the pool, if none knows the origin.
 	Known []backend.KnownBuilds
 	// IsComplete is set if all other nodes answered of which this node has read, and none of them
@@ -189,6 +203,9 @@
 		if resp.FindStreamResponse == nil {
 			continue
 		}
+		if resp.GetGranted() {
+			s.Granted = append(s.Granted, backend.Origin{Pool: resp.GetPool(), Build: resp.GetBuild()})
+		}
 		s.Known = append(s.Known, backend.KnownBuilds{Builds: resp.GetBuilds(), IsRead: resp.GetIsRead(), IsCurrent: resp.GetIsCurrent()})
 	}
 	s.IsComplete = silent == 0
@@ -205,6 +222,9 @@
 	if o, ok := s.n.cfg.Streams.Find(key); ok {
 		resp.Found, resp.Pool, resp.Build = true, o.Pool, o.Build
 	} else {
+		if o, ok := s.n.cfg.Streams.Expected(key); ok {
+			resp.Granted, resp.Pool, resp.Build = true, o.Pool, o.Build
+		}
 		known := s.n.cfg.Builds.Known(req.Msg.GetPool())
 		resp.Builds, resp.IsRead, resp.IsCurrent = known.Builds, known.IsRead, known.IsCurrent
 	}
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -99,6 +99,10 @@
 		ExpectedTokens: x.head.OutputTokens(), PromptTokens: x.head.PromptTokens, Deadline: x.deadline,
 		FirstTokenDeadline: due, FirstTokenTarget: target,
 	}
+	if x.route.IsResumableStream() {
+		key := x.streamKey(x.head.ID)
+		w.Stream = string(key[:])
+	}
 	if sent := x.tokensSent(); sent > 0 {
 		w.Resumed = true
 		w.ExpectedTokens, w.PromptTokens = max(x.pool.Engine.TokensPerEvent, w.ExpectedTokens-sent), w.PromptTokens+sent
@@ -150,7 +154,10 @@
 func (x *exchange) tryEngine(ctx context.Context, g caller.Grant, mayResume bool) (res result) {
 	adapterMissing := false
 	var tokenTime time.Duration
-	defer func() { x.handler.Release(g, adapterMissing, tokenTime) }()
+	defer func() {
+		g.HasBegun = x.originRecorded
+		x.handler.Release(g, adapterMissing, tokenTime)
+	}()
 	s, ok := x.handler.Servers().Server(g.Engine)
 	if !ok {
 		return result{notRun: true, unsent: true, reason: "the engine is gone"}
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -6,8 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 
+	"github.com/vanilladrift/vanilladrift/backend"
 	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/route"
@@ -33,3 +35,24 @@
 		is.Equal(target, []time.Duration{500 * time.Millisecond, 250 * time.Millisecond})
 	})
 }
+
+// Guards against an owner that takes a stream for begun at its engine, which broke the attempt off before the first
+// event: the stream then began at another software version.
+func TestGrantWithoutAnEventWithdrawsItsStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newVersionFixture(enginePool(), reply{err: errors.New("connection reset")}, streamReply(1, 2, true), streamReply(3, 4, false))
+		f.handler.Acquire = func(_ context.Context, names []string, w engine.Work) (caller.Grant, error) {
+			return caller.Grant{Engine: names[len(names)-1], ID: w.ID, Stream: w.Stream}, nil
+		}
+		var begun []bool
+		f.handler.Release = func(g caller.Grant, _ bool, _ time.Duration) {
+			is.Equal(len(g.Stream), len(backend.StreamKey{}))
+			begun = append(begun, g.HasBegun)
+		}
+		w, cut := f.serve("/p/x", "r1", "body")
+		is.True(!cut)
+		is.Equal(w.Body.String(), events(1, 4))
+		is.Equal(begun, []bool{false, true, true})
+	})
+}
