Keep what an owner knows of its commands across restores, sessions and processes

Cause: the delay that the next owner is told at a release counts from the first command of the ownership. After a restore, a fence or a restart of its process, the node has a new ownership that has sent none, and releases the engine without a delay to the owner before.

Change: consecutive ownerships of one engine by one node share what it knows of when commands reach the engine (commandTimes); after an earlier process, its own start stands for the first command.

Ruled out: a claim by the owner before (the records have a release first), and the delay before the first command, which was kept.

--- a/node/arrivals.go
+++ b/node/arrivals.go
@@ -23,6 +23,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.arrivalsUntil = time.Now().Add(o.n.cfg.CommandArrivalBound)
+	o.times.unanswered(o.arrivalsUntil)
 }
 
 // awaitCommands waits until no command may arrive at the engine any more. No command can
@@ -48,16 +49,7 @@
 	return o.stopped && !o.mayCommandsArrive(time.Now()) && (o.commandsUnanswered == 0 || o.seq != nil)
 }
 
-// handoverDelay returns for how long after a release the next owner sends no commands. The gap between
-// VMs that alternate counts from the first command here; without one, the delay after the former owner goes
-// on. After a command without a response the next owner waits for CommandArrivalBound once more, since
-// an engine may read late what has arrived in time.
+// handoverDelay returns for how long after a release the next owner sends no commands.
 func (o *ownedEngine) handoverDelay() time.Duration {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delay := max(0, time.Until(o.noCommandsUntil), time.Until(o.arrivalsUntil.Add(o.n.cfg.CommandArrivalBound)))
-	if !o.firstCommandEnd.IsZero() {
-		delay = max(delay, time.Until(o.firstCommandEnd.Add(o.n.cfg.OwnerAlternationGap)))
-	}
-	return delay
+	return o.times.handoverDelay(o.n.cfg.OwnerAlternationGap, o.n.cfg.CommandArrivalBound)
 }
--- a/node/commands.go
+++ b/node/commands.go
@@ -86,9 +86,7 @@
 	defer o.mu.Unlock()
 	o.commandsInFlight--
 	o.lastCommandEnd = time.Now()
-	if o.firstCommandEnd.IsZero() {
-		o.firstCommandEnd = o.lastCommandEnd
-	}
+	o.times.ended(o.lastCommandEnd)
 }
 
 // sendCommand sends one command. The end of the ownership does not cancel it, so its
@@ -146,7 +144,7 @@
 // clearDelay removes the delay from the ownership row once it is over, so that the next process of this
 // node does not wait again. A failed write only costs that process the wait.
 func (o *ownedEngine) clearDelay(ctx context.Context) {
-	sleep(ctx, time.Until(o.noCommandsUntil))
+	sleep(ctx, o.times.noneLeft())
 	if ctx.Err() != nil || o.isEnding() {
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -55,7 +55,8 @@
 	formerlyOwned map[string][]*ownedEngine // no longer owned, but commands may be in flight
 	ownerHints    map[string]string         // engine to the node that is believed to own it
 	ownerChecks   map[string]time.Time      // engine to the last check of its ownership row
-	claims        map[string]time.Time      // engines owned when the table was last restored, to the end of their delays
+	claims        map[string]bool           // engines owned when the table was last restored
+	commandTimes  map[string]*commandTimes  // by engine, of this node's last ownership
 	vmList        vmlist.List
 	freshness     settings.Freshness
 	rng           *rand.Rand
@@ -88,7 +89,8 @@
 		formerlyOwned: make(map[string][]*ownedEngine),
 		ownerHints:    make(map[string]string),
 		ownerChecks:   make(map[string]time.Time),
-		claims:        make(map[string]time.Time),
+		claims:        make(map[string]bool),
+		commandTimes:  make(map[string]*commandTimes),
 
 		suspensions:   clock.Watch{Clock: cfg.Clock},
 		reconcileLock: semaphore.NewWeighted(1),
--- a/node/owned.go
+++ b/node/owned.go
@@ -52,7 +52,6 @@
 	commandsUnanswered int       // commands that failed without a response
 	arrivalsUntil      time.Time // commands without a response may arrive until then
 	boot               string
-	firstCommandEnd    time.Time // zero before the first one ended
 	lastCommandEnd     time.Time
 	lastReport         time.Time
 	reportPending      bool
@@ -61,7 +60,7 @@
 	hasFormerOwners    bool // a former owner may still send commands
 
 	seq              *engine.Sequencer // set for a sequenced engine
-	noCommandsUntil  time.Time         // commands of a former owner may be recent until then
+	times            *commandTimes     // of this node
 	loadingBaseModel bool              // a load of the base model is in progress
 }
 
@@ -70,11 +69,11 @@
 		n: n, name: b.Name, token: row.FencingToken, takenOverAt: time.Now(),
 		handoverLock: semaphore.NewWeighted(1), rowLock: semaphore.NewWeighted(1), row: row, version: ver,
 		waiters: make(map[string]chan engine.Action), entryAddresses: make(map[string]string),
-		engineFenced: !b.ChecksFencing, hasFormerOwners: len(row.FormerOwners) > 0, olderGrantsFenced: b.UnloadWaitsForRequests,
+		times: n.commandTimesOf(b.Name), engineFenced: !b.ChecksFencing, hasFormerOwners: len(row.FormerOwners) > 0, olderGrantsFenced: b.UnloadWaitsForRequests,
 	}
 	o.server.Store(&b)
 	o.loads, o.endLoads = context.WithCancel(n.ctx)
-	o.noCommandsUntil = o.takenOverAt.Add(time.Duration(row.HandoverDelayMS) * time.Millisecond)
+	o.times.waitUntil(o.takenOverAt.Add(time.Duration(row.HandoverDelayMS) * time.Millisecond))
 	o.sched = engine.NewScheduler(engine.SchedulerConfig{
 		Slots: b.Slots, SwapSlots: b.SwapSlots, BatchSize: b.BatchSize, NeedsIntents: !b.ChecksFencing && !b.UnloadWaitsForRequests,
 		ServesBase: b.UnloadWaitsForRequests, MaxLoads: b.MaxLoads, PrefillSpeed: b.PrefillSpeed, SerialPrefill: b.PrefillSpeed > 0, TokenTime: b.TokenTime,
@@ -203,7 +202,7 @@
 // leaseAllowsCommands reports whether the lease permits commands to an engine that does
 // not reject those of replaced owners. The caller must hold o.mu.
 func (o *ownedEngine) leaseAllowsCommands(now time.Time) bool {
-	return o.n.session.leaseValid() && !now.Before(o.noCommandsUntil)
+	return o.n.session.leaseValid() && o.times.maySend(now)
 }
 
 func (o *ownedEngine) draining() bool { return draining(o.backend(), o.n.currentVMList()) }
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -166,13 +166,12 @@
 	return true
 }
 
-// claimableEngines returns the engines that this node owns and is not releasing, with the time until
-// which it sends them no commands.
-func (n *Node) claimableEngines() map[string]time.Time {
-	claims := make(map[string]time.Time)
+// claimableEngines returns the engines that this node owns and is not releasing.
+func (n *Node) claimableEngines() map[string]bool {
+	claims := make(map[string]bool)
 	for _, o := range n.ownedEngines() {
 		if !o.isEnding() {
-			claims[o.name] = o.noCommandsUntil
+			claims[o.name] = true
 		}
 	}
 	return claims
--- a/node/played_commands_test.go
+++ b/node/played_commands_test.go
@@ -97,3 +97,13 @@
 	}
 	return c
 }
+
+// awaitOwnership waits until a node owns an engine again, after a former ownership.
+func awaitOwnership(n *Node, former *ownedEngine) *ownedEngine {
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if o := n.ownedEngine(former.name); o != nil && o != former {
+			return o
+		}
+	}
+	return nil
+}
--- a/node/restore.go
+++ b/node/restore.go
@@ -68,7 +68,7 @@
 // recordClaims records the engines that this node may take over again at once, since no other
 // node can have owned them when the table was restored. It returns false if a later
 // generation has begun.
-func (n *Node) recordClaims(generation int64, claims map[string]time.Time) bool {
+func (n *Node) recordClaims(generation int64, claims map[string]bool) bool {
 	n.generationLock.Lock()
 	defer n.generationLock.Unlock()
 	if generation < n.generations.Current() {
@@ -85,8 +85,7 @@
 func (n *Node) hasClaim(engineName string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_, ok := n.claims[engineName]
-	return ok
+	return n.claims[engineName]
 }
 
 // dropClaim records that an ownership row of the current generation of the table exists.
@@ -118,11 +117,8 @@
 // row, if any, is of an earlier generation of the table, and how long it then sends no commands. The row
 // may have been replaced in writes that were lost.
 func (n *Node) mayTakeOverFromCopy(engineName string) (delay time.Duration, ok bool) {
-	n.mu.Lock()
-	noCommandsUntil, claimed := n.claims[engineName]
-	n.mu.Unlock()
-	if claimed {
-		return max(0, time.Until(noCommandsUntil)), true
+	if n.hasClaim(engineName) {
+		return n.commandTimesOf(engineName).noneLeft(), true
 	}
 	return n.ownerAlternationDelay(), n.generations.Settled(time.Now())
 }
--- a/node/session.go
+++ b/node/session.go
@@ -301,9 +301,8 @@
 }
 
 // restart ends a session that was registered in an earlier generation of the table, with
-// the ownership of all engines. It returns those that it owned until now under a valid lease,
-// with the time until which it was to send them no commands.
-func (s *session) restart(ctx context.Context, generation int64) (claims map[string]time.Time, registered bool) {
+// the ownership of all engines. It returns those that it owned until now under a valid lease.
+func (s *session) restart(ctx context.Context, generation int64) (claims map[string]bool, registered bool) {
 	if s.rowLock.Acquire(ctx, 1) != nil {
 		return nil, false
 	}
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -40,7 +40,7 @@
 		if old.Process == self.Process && old.Epoch == self.Epoch && old.Node == self.Node {
 			// This session wrote the row in a commit that got no response. Writing it again
 			// keeps other such commits from being applied later.
-			changed = n.writeOwner(ctx, b, old, self, table.Tx{Checks: []table.Check{check}}, row, n.cfg.OwnerAlternationGap)
+			changed = n.writeOwner(ctx, b, old, self, table.Tx{Checks: []table.Check{check}}, row, n.cfg.OwnerAlternationGap, true)
 			return
 		}
 		tx, ok := n.checkOwnerSessionEnded(old)
@@ -50,7 +50,7 @@
 			return
 		}
 		tx.Checks = append(tx.Checks, check)
-		changed = n.writeOwner(ctx, b, old, self, tx, row, n.commandDelayAfter(old))
+		changed = n.writeOwner(ctx, b, old, self, tx, row, n.commandDelayAfter(old), old.Node == n.cfg.Name)
 	})
 	return changed
 }
@@ -63,12 +63,13 @@
 		n.log.Debug("the ownership row is of before the restore; not taking the engine over yet", "engine", b.Name, "owner", old.Node)
 		return false
 	}
-	return n.writeOwner(ctx, b, old, self, table.Tx{Checks: []table.Check{check}}, row, delay)
+	return n.writeOwner(ctx, b, old, self, table.Tx{Checks: []table.Check{check}}, row, delay, n.hasClaim(b.Name))
 }
 
 // writeOwner writes this node into the ownership row that was read, if the checks of the
-// transaction hold, and starts the ownership, which sends no commands during the delay.
-func (n *Node) writeOwner(ctx context.Context, b settings.BackendServer, old table.Owner, self table.Session, tx table.Tx, row table.Row, delay time.Duration) (changed bool) {
+// transaction hold, and starts the ownership, which sends no commands during the delay. isAgain is set if no
+// other node has owned the engine since this node or an earlier process of it did.
+func (n *Node) writeOwner(ctx context.Context, b settings.BackendServer, old table.Owner, self table.Session, tx table.Tx, row table.Row, delay time.Duration, isAgain bool) (changed bool) {
 	next := newOwnerRow(old, self, b.ChecksFencing || b.UnloadWaitsForRequests)
 	if b.UnloadWaitsForRequests {
 		next.HandoverDelayMS = delay.Milliseconds()
@@ -84,6 +85,7 @@
 	}
 	n.log.Info("took over the engine", "engine", b.Name, "token", next.FencingToken, "from", old.Node, "former-row-version", row.Version, "row-version", ver)
 	n.dropClaim(b.Name)
+	n.continueCommandTimes(b.Name, isAgain)
 	n.startOwnership(b, next, ver)
 	return false
 }
--- a/node/turns_test.go
+++ b/node/turns_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/vanilladrift/vanilladrift/table"
 )
 
 // Guards against owners that take turns: one ends soon after its takeover, and the owner before it returns.
@@ -96,3 +99,51 @@
 		}
 	})
 }
+
+// Guards against owners that take turns: a process or a session that takes over what an earlier one of its VM owned
+// does not know when that one sent its first command, and hands the engine back at once to the owner before.
+func TestOwnerKeepsItsFirstCommandAcrossSessions(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		end  func(c *leaseCluster, p *playedCommands, second *Node) *Node
+	}{
+		{"another process", func(c *leaseCluster, p *playedCommands, second *Node) *Node {
+			i := slices.Index(c.nodes, second)
+			p.kill(second)
+			time.Sleep(100 * time.Millisecond)
+			return c.start(i)
+		}},
+		{"another session", func(_ *leaseCluster, _ *playedCommands, second *Node) *Node {
+			second.session.withRow(second.ctx, func(row table.Session, check table.Check) {
+				row.Fenced = true
+				_, _ = second.table.Commit(second.ctx, table.Tx{Checks: []table.Check{check}, Puts: []table.Put{{Key: row.Key(), Value: row.Encode()}}})
+			})
+			for range 3 { // finds that it is fenced, registers again, and reads its rows
+				second.session.renew(second.ctx)
+			}
+			second.reconcileOwnership(second.ctx)
+			return second
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newStaggeredCluster(5, 10)
+				defer c.close()
+				time.Sleep(20 * time.Second)
+				p := newPlayedCommands(c)
+				p.play(time.Second, nil)
+				first := c.nodes[0]
+				o, next := preferredEngine(first)
+				is.True(o != nil)
+				first.handOver(t.Context(), o)
+				former := p.playUntilSent(o.name, next).ownedEngine(o.name)
+				again := awaitOwnership(tt.end(c, p, former.n), former)
+				is.True(again != nil)
+				again.n.handOver(t.Context(), again)
+				p.play(6*time.Second, nil)
+				is.Equal(p.violations(), nil)
+			})
+		})
+	}
+}
