Hand on the loads without a reply to the next owner of an engine

Cause: the loads without a reply were a field of one ownership's sequencer, and the next owner assumed that there is one. Two that expect consecutive numbers exceed the places, if the demand leaves the sequence number there.

Change: engine.LateLoads outlives a sequencer. The ownership row lists what may still be executed, and says whether the list is complete: after a release it is, and no place is kept free for an unknown load any more; after a kill one more is assumed; within one process the list is kept.

--- a/engine/sequencer.go
+++ b/engine/sequencer.go
@@ -60,8 +60,11 @@
 	// OnUnanswered, if set, is called when a command ends without a response. It may still
 	// arrive at the engine.
 	OnUnanswered func()
-	// TakenOver is set if others may have sent commands to the engine before. Those without a
-	// reply are not known to this sequencer.
+	// LateLoads has the loads without a reply, also those of former owners that they handed on. If it is nil, the
+	// sequencer starts with none. OnLateLoad, if set, is called when it has another one.
+	LateLoads  *LateLoads
+	OnLateLoad func()
+	// TakenOver is set if a former owner may have sent loads without a reply that are not in LateLoads.
 	TakenOver bool
 	// InUse reports whether an adapter must not be unloaded to make room. If it
 	// is nil, any adapter may be unloaded.
@@ -82,9 +85,7 @@
 	loadedBefore map[string]bool  // adapters loaded before; loading them again is faster
 	// unconfirmed lists the adapters that no report has shown as loaded yet, with the sequence
 	// number after their load was accepted. The replies that said so are not certain.
-	unconfirmed map[string]int64
-	// unanswered lists the load commands without a reply that may still be executed.
-	unanswered   []unansweredLoad
+	unconfirmed  map[string]int64
 	begun        time.Time // when the sequencer was first used
 	startedAt    time.Time // when the engine started; zero if unknown
 	fullBoot     string    // boot ID of the first known state, if the engine had no free slot
@@ -95,6 +96,9 @@
 func (s *Sequencer) init() {
 	s.once.Do(func() {
 		s.commandLock, s.begun = semaphore.NewWeighted(1), time.Now()
+		if s.LateLoads == nil {
+			s.LateLoads = &LateLoads{}
+		}
 		s.adapters, s.loadedBefore, s.unconfirmed = make(map[string]int64), make(map[string]bool), make(map[string]int64)
 		s.coldLoadTime, s.warmLoadTime = 250*time.Millisecond, 25*time.Millisecond
 	})
--- a/engine/slot_reservation.go
+++ b/engine/slot_reservation.go
@@ -7,20 +7,15 @@
 	"time"
 )
 
-// unansweredLoad is a load command without a reply.
-type unansweredLoad struct {
-	expectedSequence int64
-	sentAt           time.Time
-}
-
 // recordUnanswered records a load command that the engine may still execute.
 func (s *Sequencer) recordUnanswered(c Command) {
 	if !c.Load {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.unanswered = append(s.unanswered, unansweredLoad{c.ExpectedSequence, time.Now()})
+	s.LateLoads.Add(LateLoad{c.ExpectedSequence, time.Now()})
+	if s.OnLateLoad != nil {
+		s.OnLateLoad()
+	}
 }
 
 // startClockMargin allows for the difference between the clocks of an engine and of this VM.
@@ -29,12 +24,20 @@
 // ReservedSlots returns the number of slots that the sequencer keeps free for load commands without
 // a reply. A scheduler that fills these slots loses the work of the adapters that are then unloaded.
 func (s *Sequencer) ReservedSlots(now time.Time) int {
+	s.init()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.reservedSlots(now)
 }
 
-// mayHaveFormerLoad reports whether a load command of a former owner, sent to an earlier start of
+// MayHaveUnknownLoad reports whether a load command of a former owner may still be executed that is not in
+// LateLoads.
+func (s *Sequencer) MayHaveUnknownLoad(now time.Time) bool {
+	s.init()
+	return s.TakenOver && now.Sub(s.begun) < maxCommandDelay
+}
+
+// mayHaveFormerLoad reports whether an unknown load command of a former owner, sent to an earlier start of
 // the engine, may still be executed. The former owner kept a slot free in that case, so it cannot be
 // if the engine had none. s.mu must be held.
 func (s *Sequencer) mayHaveFormerLoad(now time.Time) bool {
@@ -45,13 +48,12 @@
 // reservedSlots returns the number of slots to keep free for load commands
 // without a reply. While the engine keeps running, the next accepted command
 // invalidates them. After a restart, however, the sequence number starts from 0
-// and can reach their expected numbers again. Of a former owner's commands, one
-// is assumed. The caller must hold s.mu.
+// and can reach their expected numbers again. Of the commands of a former owner that
+// did not hand them on, one is assumed. The caller must hold s.mu.
 func (s *Sequencer) reservedSlots(now time.Time) int {
-	s.unanswered = slices.DeleteFunc(s.unanswered, func(u unansweredLoad) bool { return now.Sub(u.sentAt) > maxCommandDelay })
 	n := 0
-	for _, u := range s.unanswered {
-		if u.expectedSequence > s.sequence {
+	for _, load := range s.LateLoads.Pending(now) {
+		if load.ExpectedSequence > s.sequence {
 			n++
 		}
 	}
--- a/node/command_times.go
+++ b/node/command_times.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/vanilladrift/vanilladrift/engine"
 )
 
 // commandTimes is what a node knows of when commands reach an engine, its own and those of the owner before it.
@@ -17,6 +19,11 @@
 	firstEnd time.Time
 	// arrivalsUntil is until when commands without a response may arrive.
 	arrivalsUntil time.Time
+
+	// lateLoads has the loads without a reply of this node, and those that owners before handed on.
+	lateLoads engine.LateLoads
+	// lateLoadsKnown is set if the owner before handed on all of them.
+	lateLoadsKnown bool
 }
 
 func (c *commandTimes) waitUntil(t time.Time) {
@@ -81,14 +88,16 @@
 }
 
 // continueCommandTimes prepares the times for an ownership that begins. isAgain is set if no other node has owned the
-// engine since this node or an earlier process of it did.
-func (n *Node) continueCommandTimes(engineName string, isAgain bool) {
+// engine since this node or an earlier process of it did. areLoadsKnown is set if the owner before released the
+// engine and knew its late loads. It returns whether they are known.
+func (n *Node) continueCommandTimes(engineName string, isAgain, areLoadsKnown bool) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
 	case !isAgain:
-		n.commandTimes[engineName] = &commandTimes{}
+		n.commandTimes[engineName] = &commandTimes{lateLoadsKnown: areLoadsKnown}
 	case n.commandTimes[engineName] == nil:
 		n.commandTimes[engineName] = &commandTimes{firstEnd: n.created}
 	}
+	return n.commandTimes[engineName].lateLoadsKnown
 }
--- a/node/owned.go
+++ b/node/owned.go
@@ -61,6 +61,7 @@
 
 	seq              *engine.Sequencer // set for a sequenced engine
 	times            *commandTimes     // of this node
+	sharingLateLoads atomic.Bool       // a write of them is about to begin
 	loadingBaseModel bool              // a load of the base model is in progress
 }
 
@@ -83,7 +84,12 @@
 		o.seq = n.cfg.Sequencer(b)
 		o.seq.Slots, o.seq.Model, o.seq.InUse = b.Slots, b.BaseModel, o.needsAdapter
 		o.seq.CanSend, o.seq.TimeLeft, o.seq.Ending = o.canSendCommand, n.session.leaseLeft, o.loadsEnding
-		o.seq.OnUnanswered, o.seq.TakenOver = o.recordUnanswered, row.FencingToken > 1
+		for _, load := range row.LateLoads {
+			// The sender's clock may be ahead or behind.
+			o.times.lateLoads.Add(engine.LateLoad{ExpectedSequence: load.ExpectedSequence, SentAt: time.UnixMilli(load.SentMS).Add(lateLoadClockMargin)})
+		}
+		o.seq.LateLoads, o.seq.OnLateLoad = &o.times.lateLoads, o.shareLateLoads
+		o.seq.OnUnanswered, o.seq.TakenOver = o.recordUnanswered, row.FencingToken > 1 && !row.LateLoadsKnown
 	}
 	o.sched.SetMode(time.Now(), engine.Mode{Recovering: true})
 	return o
@@ -380,6 +386,8 @@
 				table.FormerOwner{Node: row.Node, Process: row.Process, Address: row.Address, FencingToken: row.FencingToken})
 		}
 		row.HandoverDelayMS = o.handoverDelay().Milliseconds()
+		row.LateLoads = o.lateLoads(time.Now())
+		row.LateLoadsKnown = o.seq != nil && !o.seq.MayHaveUnknownLoad(time.Now())
 		row.Node, row.Process, row.Address = "", "", ""
 		return row
 	})
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -85,7 +85,8 @@
 	}
 	n.log.Info("took over the engine", "engine", b.Name, "token", next.FencingToken, "from", old.Node, "former-row-version", row.Version, "row-version", ver)
 	n.dropClaim(b.Name)
-	n.continueCommandTimes(b.Name, isAgain)
+	wasReleased := old.Node == "" && old.Generation == self.Generation
+	next.LateLoadsKnown = n.continueCommandTimes(b.Name, isAgain, next.FencingToken == 1 || wasReleased && old.LateLoadsKnown)
 	n.startOwnership(b, next, ver)
 	return false
 }
--- a/table/owner.go
+++ b/table/owner.go
@@ -29,12 +29,22 @@
 	// HandoverDelayMS is how long after the release the next owner must not send
 	// commands. It is set when the releasing node had taken over only shortly before. In the row
 	// of an owner it is how long that one sends none after its takeover.
-	HandoverDelayMS int64    `json:"settle-ms,omitempty"`
-	StableAdapters  []string `json:"stable,omitempty"`
+	HandoverDelayMS int64 `json:"settle-ms,omitempty"`
+	// LateLoads lists the loads without a reply that the engine may still execute, of the owner and those before
+	// it. LateLoadsKnown is set if the last owner before released the engine and knew them all.
+	LateLoads      []LateLoad `json:"late-loads,omitempty"`
+	LateLoadsKnown bool       `json:"late-loads-known,omitempty"`
+	StableAdapters []string   `json:"stable,omitempty"`
 	// FormerOwners lists processes of former owners that may still send commands.
 	FormerOwners []FormerOwner `json:"suspects,omitempty"`
 }
 
+// LateLoad is a load command without a reply.
+type LateLoad struct {
+	ExpectedSequence int64 `json:"expected"`
+	SentMS           int64 `json:"sent-ms"` // Unix time by the sender's clock
+}
+
 // FormerOwner is a process that owned the engine before and may still send
 // commands.
 type FormerOwner struct {
