Break an answer off whose reset was seen by the write of its request

What callers saw: part of an answer as a complete one.

Cause: a socket reports once that it was reset. The write of the upload took the error, and the read saw an ordinary end, which is how a body without a length ends.

Ruled out: that net/http drops the error of a read; without a write under way the read gets it.

--- a/entry/server_conn.go
+++ b/entry/server_conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/relay"
+	"github.com/vanilladrift/vanilladrift/transport"
 )
 
 // lookValidFor is how long the last look at the caller's connection is relied on. A request
@@ -30,6 +31,7 @@
 // command whose time is over.
 type serverConn struct {
 	net.Conn
+	lower net.Conn // below Conn
 	// beforeRequest, if set, is called before the first bytes of the next request. They are not
 	// sent if it returns an error. The HTTP transport uses a connection for one request at a time.
 	beforeRequest func() error
@@ -85,7 +87,7 @@
 )
 
 func (c *serverConn) setLinger(seconds int) error {
-	l, ok := c.Conn.(lingerer)
+	l, ok := c.lower.(lingerer)
 	if !ok {
 		return nil
 	}
@@ -133,7 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &serverConn{Conn: conn, id: c.lastConn.Add(1), since: time.Now()}, nil
+	return &serverConn{Conn: transport.NewConn(conn), lower: conn, id: c.lastConn.Add(1), since: time.Now()}, nil
 }
 
 // use is the use of a connection by a request.
@@ -194,7 +196,14 @@
 // the connection after that is not known.
 func (u *use) closeUnlessAnswer(r *http.Request, resp *http.Response) {
 	id := r.Header.Get(platform.RequestIDHeader)
-	if u.conn != nil && (platform.IsLateResponse(resp.Header, id) || id != "" && resp.Header.Get(platform.RequestIDHeader) == "") {
+	if platform.IsLateResponse(resp.Header, id) || id != "" && resp.Header.Get(platform.RequestIDHeader) == "" {
+		u.close()
+	}
+}
+
+// close closes the connection of a request.
+func (u *use) close() {
+	if u.conn != nil {
 		_ = u.conn.Close() // fails only if it is closed already
 	}
 }
