Check the heads of responses wherever they are read

Cause: net/http accepts any three digits and blanks in names; a length in such a field does not frame the body. WriteHeader panics for a status below 100.

Change: transport.CheckResponse demands a status from 200 to 599, names that are tokens and values without control bytes. Calls to servers, engines, the store and the project's own platform and those of the operators' client go through it; a connection whose response fails it is closed. Lengths that differ were refused before.

--- a/cmd/vanilladrift/client.go
+++ b/cmd/vanilladrift/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"slices"
 	"strings"
@@ -14,6 +13,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/vanilladrift/vanilladrift/operator/operatorpb/operatorpbconnect"
+	"github.com/vanilladrift/vanilladrift/transport"
 )
 
 // clientOptions are the flags of the commands that call a node.
@@ -35,7 +35,7 @@
 			return next(ctx, req)
 		}
 	})
-	return operatorpbconnect.NewOperatorClient(http.DefaultClient, "http://"+server, connect.WithInterceptors(bearer))
+	return operatorpbconnect.NewOperatorClient(transport.NewClient(), "http://"+server, connect.WithInterceptors(bearer))
 }
 
 func (o *clientOptions) timeoutContext() (context.Context, context.CancelFunc) {
--- a/engine/client.go
+++ b/engine/client.go
@@ -31,7 +31,7 @@
 type Client struct {
 	Name string // name of the backend server, used in errors
 	URL  string
-	HTTP *http.Client // nil means http.DefaultClient
+	HTTP *http.Client // nil means transport.DefaultClient
 }
 
 // CompletionRequest is a request for a completion or a chat completion.
@@ -174,7 +174,7 @@
 
 func (c *Client) client() *http.Client {
 	if c.HTTP == nil {
-		return http.DefaultClient
+		return transport.DefaultClient
 	}
 	return c.HTTP
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/vanilladrift/vanilladrift/relay"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/table"
+	"github.com/vanilladrift/vanilladrift/transport"
 )
 
 const (
@@ -178,7 +179,7 @@
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 	d := &Daemon{settings: s, network: n, log: l, retryBudgets: make(map[string]*backend.RetryBudget)}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	d.store = &platform.StoreClient{Address: s.StoreAddress, HTTP: &http.Client{Transport: n.newTransport(0, defaultIdleTimeout)}}
+	d.store = &platform.StoreClient{Address: s.StoreAddress, HTTP: &http.Client{Transport: transport.NewChecked(n.newTransport(0, defaultIdleTimeout))}}
 	d.balancer = &backend.Balancer{DataCenter: s.DataCenter}
 	d.limits = &backend.Limits{}
 	d.table = &table.Client{Read: d.readStore, Apply: d.applyStore}
--- a/entry/late_responses.go
+++ b/entry/late_responses.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/vanilladrift/vanilladrift/platform"
+	"github.com/vanilladrift/vanilladrift/transport"
 )
 
 const (
@@ -67,7 +68,7 @@
 	for range maxLateResponses {
 		source.N = maxHeadBytes
 		resp, err := http.ReadResponse(r, nil)
-		if err != nil || !platform.IsLateResponse(resp.Header, a.id) {
+		if err != nil || transport.CheckResponse(resp) != nil || !platform.IsLateResponse(resp.Header, a.id) {
 			break
 		}
 		source.N = maxLateBytes
--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -13,6 +13,7 @@
 
 	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/route"
+	"github.com/vanilladrift/vanilladrift/transport"
 )
 
 // defaultIdleTimeout is how long an idle connection is kept to a server whose
@@ -152,6 +153,12 @@
 		}
 		return nil, err
 	}
+	if err := transport.CheckResponse(resp); err != nil {
+		h.release()
+		used.close()
+		_ = resp.Body.Close() // fails only if its connection is closed already
+		return nil, err
+	}
 	used.closeUnlessAnswer(r, resp)
 	if keepAlive := platform.KeepAliveTimeout(resp.Header); keepAlive > 0 {
 		t.lowerIdleTimeout(keepAlive * 4 / 5)
--- a/node/config.go
+++ b/node/config.go
@@ -14,6 +14,7 @@
 	"github.com/vanilladrift/vanilladrift/quota"
 	"github.com/vanilladrift/vanilladrift/settings"
 	"github.com/vanilladrift/vanilladrift/table"
+	"github.com/vanilladrift/vanilladrift/transport"
 )
 
 // Config is the configuration of a node. Zero durations take defaults.
@@ -139,7 +140,7 @@
 	if c.HTTP == nil {
 		t := http.DefaultTransport.(*http.Transport).Clone()
 		t.MaxIdleConnsPerHost = 256
-		c.HTTP = &http.Client{Transport: t}
+		c.HTTP = &http.Client{Transport: transport.NewChecked(t)}
 	}
 	if c.Table == nil {
 		c.Table = &table.Client{URL: c.TableURL, HTTP: c.HTTP}
--- a/object/client.go
+++ b/object/client.go
@@ -49,7 +49,7 @@
 // Client is a client of the object store. It is safe for concurrent use.
 type Client struct {
 	URL  string
-	HTTP *http.Client // nil means http.DefaultClient
+	HTTP *http.Client // nil means transport.DefaultClient
 }
 
 // Put stores an object under a key, replacing any previous object.
@@ -76,7 +76,7 @@
 	defer cancel()
 	hc := c.HTTP
 	if hc == nil {
-		hc = http.DefaultClient
+		hc = transport.DefaultClient
 	}
 	resp, err := hc.Do(req.WithContext(ctx))
 	if err != nil {
--- a/service/client.go
+++ b/service/client.go
@@ -29,8 +29,8 @@
 	atMostOnce := http.DefaultTransport.(*http.Transport).Clone()
 	atMostOnce.DisableKeepAlives = true
 	return &Client{
-		AtMostOnce: &http.Client{Transport: atMostOnce, CheckRedirect: noRedirect},
-		Repeatable: &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone(), CheckRedirect: noRedirect},
+		AtMostOnce: &http.Client{Transport: transport.NewChecked(atMostOnce), CheckRedirect: noRedirect},
+		Repeatable: &http.Client{Transport: transport.NewChecked(http.DefaultTransport.(*http.Transport).Clone()), CheckRedirect: noRedirect},
 	}
 }
 
--- a/table/client.go
+++ b/table/client.go
@@ -21,7 +21,7 @@
 // Client is a client of the table service. It is safe for concurrent use.
 type Client struct {
 	URL  string
-	HTTP *http.Client // nil means http.DefaultClient
+	HTTP *http.Client // nil means transport.DefaultClient
 	// Read and Apply, if set, are called instead of the HTTP API at URL. Their
 	// errors must be of type [Error].
 	Read  func(ctx context.Context, q Query) ([]Row, error)
@@ -128,7 +128,7 @@
 	defer cancel()
 	hc := c.HTTP
 	if hc == nil {
-		hc = http.DefaultClient
+		hc = transport.DefaultClient
 	}
 	resp, err := hc.Do(req.WithContext(ctx))
 	if err != nil {
--- a/transport/read.go
+++ b/transport/read.go
@@ -13,6 +13,8 @@
 const (
 	TooLong ErrorKind = "too-long" // the body is over its limit
 	Broken  ErrorKind = "broken"   // the body ended early
+	// Malformed means that what came is no response.
+	Malformed ErrorKind = "malformed"
 )
 
 // Error is the error type of this package.
--- a/vmlist/client.go
+++ b/vmlist/client.go
@@ -21,6 +21,8 @@
 
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
+
+	"github.com/vanilladrift/vanilladrift/transport"
 )
 
 const (
@@ -76,7 +78,7 @@
 // Client is a client of the VM list. It is safe for concurrent use.
 type Client struct {
 	URL  string
-	HTTP *http.Client // nil means http.DefaultClient
+	HTTP *http.Client // nil means transport.DefaultClient
 }
 
 // List reads the current list.
@@ -97,7 +99,7 @@
 	}
 	hc := c.HTTP
 	if hc == nil {
-		hc = http.DefaultClient
+		hc = transport.DefaultClient
 	}
 	resp, err := hc.Do(req.WithContext(ctx))
 	if err != nil {
