Keep streams out of the requests that only load a copy of an adapter

Cause, found by reading: a request for a grant that only loads a copy of an adapter carried the key of the stream that it copied for, so that the owner of another engine took the stream for begun there until the grant was released. A take-up in that time found two owners that disagree, and was rejected.

Change: such a request has no key. A withdrawal is no longer sent for a call that ended with its request; the owner drops a grant that nobody waits for any more.

--- a/caller/preferred.go
+++ b/caller/preferred.go
@@ -150,7 +150,7 @@
 // busy. The request itself waits at one of those, where it starts sooner.
 func (a *Acquirer) loadCopy(name string, w engine.Work) {
 	w.ID, w.MaxWait, w.ExpectedTokens, w.PromptTokens, w.Short = w.ID+"copy", 0, 1, 1, true
-	w.Deadline = time.Now().Add(copyTimeout)
+	w.Deadline, w.Stream = time.Now().Add(copyTimeout), "" // no stream begins there
 	go func() {
 		ctx, cancel := context.WithDeadline(context.Background(), w.Deadline)
 		defer cancel()
--- a/caller/preferred_test.go
+++ b/caller/preferred_test.go
@@ -254,3 +254,24 @@
 	is.Equal(r.Reason, engine.NotLoaded)
 	is.True(r.RetryAfter > 0)
 }
+
+// Guards against an owner that takes a stream for begun at its engine, which only loads a copy of the stream's adapter:
+// when the stream is taken up, two owners would name different software versions.
+func TestCopyOfAnAdapterBeginsNoStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var granted []engine.Work
+		a := &Acquirer{
+			RequestGrant: func(_ context.Context, _ string, w engine.Work) (Grant, error) {
+				granted = append(granted, w)
+				return Grant{ID: w.ID}, nil
+			},
+			Release: func(Grant) {},
+			Router:  engine.NewRouter(engine.RouterConfig{}), Mu: new(sync.Mutex),
+		}
+		a.loadCopies([]string{"e"}, 1, engine.Work{ID: "r", Adapter: "m/a", Stream: "key"})
+		synctest.Wait()
+		is.Equal(len(granted), 1)
+		is.Equal(granted[0].Stream, "")
+	})
+}
--- a/node/admission.go
+++ b/node/admission.go
@@ -66,7 +66,9 @@
 	for range 2 {
 		resp, hold, err := n.requestGrant(ctx, owner, engineName, w)
 		if err != nil {
-			n.withdrawStream(owner, w.Stream) // it may have been granted
+			if ctx.Err() == nil {
+				n.withdrawStream(owner, w.Stream) // it may have been granted
+			}
 			n.clearOwnerHint(engineName, owner)
 			return caller.Grant{}, &caller.Refusal{Reason: engine.NoOwner, RetryAfter: ownerChangeRetry}
 		}
--- a/node/peers.go
+++ b/node/peers.go
@@ -66,6 +66,9 @@
 		return connect.NewResponse(&peerpb.AdmitResponse{Verdict: peerpb.AdmitResponse_VERDICT_NOT_OWNER}), nil
 	}
 	resp := connect.NewResponse(s.n.admit(ctx, req.Msg, address))
+	if ctx.Err() != nil && s.n.cfg.Streams != nil { // nobody reads the grant, if it is one
+		s.n.cfg.Streams.Withdraw(decodeStreamKeys(req.Msg.GetStream()))
+	}
 	if resp.Msg.GetVerdict() == peerpb.AdmitResponse_VERDICT_REFUSED {
 		s.n.stateHoldTime(resp.Header())
 	}
