Look for keepers of streams only while there are streams to tell of

Cause, found by reading: since nodes have six keepers, each node ranked all others and copied its list of members thirteen times a second, also while one software version serves and nothing is told.

Change: nothing is done without streams; whether keepers answer is looked up in one pass.

--- a/node/members.go
+++ b/node/members.go
@@ -151,6 +151,20 @@
 	return l != nil && l.isDown
 }
 
+// answering returns those of some nodes that are known and answer calls.
+func (m *members) answering(names []string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.DeleteFunc(names, func(name string) bool {
+		i := slices.IndexFunc(m.list, func(mem member) bool { return mem.Node == name })
+		if i < 0 {
+			return true
+		}
+		l := m.links[m.list[i].Address]
+		return l != nil && l.isDown
+	})
+}
+
 // all returns the members of the last update, sorted by name.
 func (m *members) all() []member {
 	m.mu.Lock()
--- a/node/stream_sharing.go
+++ b/node/stream_sharing.go
@@ -66,8 +66,8 @@
 }
 
 // retain forgets that nodes were told which are not live any more, and streams that are too old or known to
-// enough nodes.
-func (s *streamSharing) retain(now time.Time, live []candidate) {
+// enough nodes. It reports whether streams are left.
+func (s *streamSharing) retain(now time.Time, live []candidate) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !slices.Equal(s.live, live) {
@@ -84,6 +84,7 @@
 		age := now.Sub(o.at)
 		return age > sharedStreamAge || age > settledStreamAge && len(o.told) >= streamCopies
 	})
+	return len(s.streams) > 0
 }
 
 // carried returns the streams that a request for a grant carries to a node.
--- a/node/streams.go
+++ b/node/streams.go
@@ -39,13 +39,10 @@
 	now, s := time.Now(), &n.streamSharing
 	s.add(now, n.cfg.Streams.TakeUnshared(now))
 	nodes := n.members.candidateList()
-	s.retain(now, nodes)
-	var keepers []string
-	for _, name := range streamKeepers(candidate{n.cfg.Name, n.cfg.DataCenter}, nodes) {
-		if mem, ok := n.members.get(name); ok && !n.members.isDown(mem.Address) {
-			keepers = append(keepers, name)
-		}
+	if !s.retain(now, nodes) {
+		return
 	}
+	keepers := n.members.answering(streamKeepers(candidate{n.cfg.Name, n.cfg.DataCenter}, nodes))
 	for _, m := range s.messages(now, keepers, len(nodes)) {
 		req := &peerpb.KeepStreamsRequest{Streams: encodeStreamOrigins(m.streams)}
 		s.begin(now, proto.Size(req))
