Withdraw a stream only from owners of engines with another software version

What callers got: less under the heaviest load.

Cause: each grant that ended without an event was withdrawn in a message of its own, and each refusal of an owner that cannot be reached in three attempts at one, on nodes that are cut off or have too little processor time.

Change: what an owner knows of a stream only matters once it has begun, and only if that was at another version. Then the owners of earlier grants are told, and no others.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -26,10 +26,8 @@
 	FencingToken int64  // fencing token of the owner that issued the grant
 	Boot         string // boot ID of the engine's start that the grant is for; empty if it is not known
 	Build        string // software version of that start; empty if it is not known
-	// Owner is the name of the node that issued the grant, and Stream the key of the attempt that it was told. Until
-	// HasBegun is set, the release of the grant withdraws the stream.
+	// Owner is the name of the node that issued the grant, and Stream the key of the attempt that it was told.
 	Owner, Stream string
-	HasBegun      bool
 	// QueueWait is the expected queue wait of the next short request on the
 	// engine.
 	QueueWait time.Duration
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -238,7 +238,7 @@
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine, Requests: requests, OnRequestQuarantine: d.node.LogRequestQuarantine,
 		RetryBudget: d.retryBudget, Balancer: d.balancer, RecordAsks: d.recordAsks, IsLimited: d.limits.IsLimited, TakeTurn: d.takeTurn, Observe: d.observe,
 		IsOverloaded: d.overload.Rejects, AdmitPlain: d.admitPlain, ObservePlain: d.poolGates.Observe, CallerLeft: d.callerLeft, TakeQuota: d.node.TakeQuota,
-		FindOrigin: d.findOrigin, RecordOrigin: d.streams.Begin, MayBegin: d.mayBegin,
+		FindOrigin: d.findOrigin, RecordOrigin: d.streams.Begin, WithdrawStream: d.node.WithdrawStream, MayBegin: d.mayBegin,
 	}
 	return d, nil
 }
--- a/node/admission.go
+++ b/node/admission.go
@@ -49,9 +49,6 @@
 		return // the request was sent without a grant
 	}
 	n.registry.End(g.Engine, g.ID)
-	if !g.HasBegun {
-		n.withdrawStream(g.Owner, g.Stream)
-	}
 	n.releaseGrant(g, adapterMissing, tokenTime)
 }
 
@@ -66,9 +63,6 @@
 	for range 2 {
 		resp, hold, err := n.requestGrant(ctx, owner, engineName, w)
 		if err != nil {
-			if ctx.Err() == nil {
-				n.withdrawStream(owner, w.Stream) // it may have been granted
-			}
 			n.clearOwnerHint(engineName, owner)
 			return caller.Grant{}, &caller.Refusal{Reason: engine.NoOwner, RetryAfter: ownerChangeRetry}
 		}
@@ -150,6 +144,9 @@
 	r, err := client.Admit(ctx, connect.NewRequest(req))
 	if err != nil {
 		n.streamSharing.lost(owner, streams)
+		if ctx.Err() == nil { // otherwise nobody waits for the grant, and no stream begins
+			n.WithdrawStream(caller.Grant{Owner: owner, Stream: w.Stream})
+		}
 		return nil, 0, err
 	}
 	return r.Msg, statedHoldTime(r.Header()), nil
--- a/node/streams.go
+++ b/node/streams.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/caller"
 	"github.com/vanilladrift/vanilladrift/engine"
 	"github.com/vanilladrift/vanilladrift/peer/peerpb"
 )
@@ -76,19 +77,20 @@
 	}
 }
 
-// withdrawStream tells the node that granted a stream that it did not begin there.
-func (n *Node) withdrawStream(owner, stream string) {
-	if n.cfg.Streams == nil || stream == "" {
+// WithdrawStream tells the node that granted a stream that it did not begin at the engine of the grant. It does not
+// block.
+func (n *Node) WithdrawStream(g caller.Grant) {
+	if n.cfg.Streams == nil || g.Stream == "" {
 		return
 	}
-	if owner == n.cfg.Name {
-		n.cfg.Streams.Withdraw(decodeStreamKeys([]byte(stream)))
+	if g.Owner == n.cfg.Name {
+		n.cfg.Streams.Withdraw(decodeStreamKeys([]byte(g.Stream)))
 		return
 	}
 	n.tasks.Go(func() {
-		req := &peerpb.KeepStreamsRequest{Withdrawn: []byte(stream)}
+		req := &peerpb.KeepStreamsRequest{Withdrawn: []byte(g.Stream)}
 		for range releaseAttempts {
-			if n.keepStreams(n.ctx, owner, req) {
+			if n.keepStreams(n.ctx, g.Owner, req) {
 				return
 			}
 			sleep(n.ctx, ownerChangeRetry)
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -107,7 +107,11 @@
 		w.Resumed = true
 		w.ExpectedTokens, w.PromptTokens = max(x.pool.Engine.TokensPerEvent, w.ExpectedTokens-sent), w.PromptTokens+sent
 	}
-	return x.handler.Acquire(ctx, names, w)
+	g, err := x.handler.Acquire(ctx, names, w)
+	if err == nil {
+		x.recordGrant(g)
+	}
+	return g, err
 }
 
 // engines returns the names of the engines that the request may be sent to: those that accept
@@ -154,10 +158,7 @@
 func (x *exchange) tryEngine(ctx context.Context, g caller.Grant, mayResume bool) (res result) {
 	adapterMissing := false
 	var tokenTime time.Duration
-	defer func() {
-		g.HasBegun = x.originRecorded
-		x.handler.Release(g, adapterMissing, tokenTime)
-	}()
+	defer func() { x.handler.Release(g, adapterMissing, tokenTime) }()
 	s, ok := x.handler.Servers().Server(g.Engine)
 	if !ok {
 		return result{notRun: true, unsent: true, reason: "the engine is gone"}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -110,6 +110,9 @@
 	FindOrigin func(ctx context.Context, key backend.StreamKey, pool string) (o backend.Origin, ok bool)
 	// RecordOrigin records where a stream began, before the caller gets its first event.
 	RecordOrigin func(now time.Time, o backend.StreamOrigin)
+	// WithdrawStream, which is optional, tells the owner that issued a grant that the stream began at another
+	// software version. It does not block.
+	WithdrawStream func(g caller.Grant)
 	// MayBegin reports whether streams may begin at the software version of a server.
 	MayBegin func(s *backend.Server) bool
 	// CallerLeft, which is optional, reports whether the caller of a request has closed its
@@ -194,6 +197,7 @@
 	responseBegan  bool            // the last attempt had an event, or the first bytes of another success
 	attemptEvents  int             // events with content that the last attempt received
 	origin         *backend.Origin // of the stream; nil until an event was sent to the caller
+	granted        grantedStreams
 	originRecorded bool
 	trial          bool            // a quarantine is tested by this request, which is sent once only
 	grants         int             // number of grants that were asked for
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/vanilladrift/vanilladrift/backend"
@@ -70,6 +71,64 @@
 	return &granted, true
 }
 
+// grantedStreams is the grants whose owners were told of a stream. It is safe for concurrent use.
+type grantedStreams struct {
+	mu     sync.Mutex
+	grants []caller.Grant
+	build  string // at which the stream began; empty before
+}
+
+// add adds a grant, and returns it if the stream began at another software version.
+func (s *grantedStreams) add(g caller.Grant) []caller.Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grants = append(s.grants, g)
+	return s.others()
+}
+
+// begin records at which software version the stream began, and returns the grants for others.
+func (s *grantedStreams) begin(build string) []caller.Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.build = build
+	return s.others()
+}
+
+// others takes the grants for other versions than that at which the stream began. The caller holds s.mu.
+func (s *grantedStreams) others() (list []caller.Grant) {
+	if s.build == "" {
+		return nil
+	}
+	for _, g := range s.grants {
+		if g.Build != s.build {
+			list = append(list, g)
+		}
+	}
+	s.grants = nil
+	return list
+}
+
+// recordGrant records that the owner of an engine takes the stream for one that may begin there.
+func (x *exchange) recordGrant(g caller.Grant) {
+	if g.Stream == "" {
+		return
+	}
+	if s, ok := x.handler.Servers().Server(g.Engine); ok {
+		if s, ok = x.atGrantedStart(s, g); ok {
+			g.Build = s.Build
+		}
+	}
+	x.withdraw(x.granted.add(g))
+}
+
+func (x *exchange) withdraw(grants []caller.Grant) {
+	for _, g := range grants {
+		if x.handler.WithdrawStream != nil {
+			x.handler.WithdrawStream(g)
+		}
+	}
+}
+
 // recordOrigin records where the stream began whose next event is about to be sent to the caller.
 func (x *exchange) recordOrigin() {
 	if x.originRecorded || !x.route.IsResumableStream() {
@@ -79,6 +138,7 @@
 	if x.origin == nil {
 		x.origin = &backend.Origin{Pool: x.pool.Name, Build: x.event.Build}
 	}
+	x.withdraw(x.granted.begin(x.origin.Build))
 	if x.handler.RecordOrigin != nil {
 		x.handler.RecordOrigin(time.Now(), backend.StreamOrigin{Key: x.streamKey(x.head.ID), Origin: *x.origin})
 	}
