Remove a method that nothing calls, and name the calls that a message about streams takes

transport.Conn.NetConn was never used, as connections to servers keep the one below themselves. The comment on streamSharing.messages named a method that does not exist. No behaviour changes.

--- a/node/stream_sharing.go
+++ b/node/stream_sharing.go
@@ -111,7 +111,7 @@
 }
 
 // messages returns the messages to send now. keepers are the nodes to tell, and nodes is the size of the fleet.
-// The caller calls sent for each of them.
+// The caller calls begin before it sends each of them, and end after that.
 func (s *streamSharing) messages(now time.Time, keepers []string, nodes int) (list []streamMessage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -41,9 +41,6 @@
 	}
 }
 
-// NetConn returns the connection below.
-func (c *Conn) NetConn() net.Conn { return c.Conn }
-
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	done := make(chan struct{})
