Wait for nodes that are slow to tell where a stream began, and ask them in fewer messages

What callers saw: of 144 streams that they took up at 16 nodes, after 24 of 40 were killed at once, 36 and 32 went on where all processes share one processor (133 and 129 on eight); the others were rejected with 503 cannot-resume.

Cause: the question to the other nodes ended after 200 ms, the time after which a node counts as unresponsive to a heartbeat, and what did not answer by then was taken not to know. Each take-up asked each of 39 nodes in a call of its own and dialled the dead ones anew, which took the processor time of the nodes that know.

Evidence: a trial that logged each search. On one processor 82 of 119 searches had no answer at all when they ended, after 200 to 600 ms, and all 39 nodes were asked in 118. With five seconds for the same question 141 of 144 went on (a trial), so what is known is there.

Change: a node has one question in flight, about all streams that wait for it, and a node sends at most 500 a second. A search ends when a node knows, when all have answered or failed, or with half of the caller's time. A node that has not answered after a second is probed, and given up if it misses two heartbeats; it is down then, and later searches do not wait for it. Metrics stream-search and stream-questions, and fields in the log, tell how long searches take. This works since a node that is slow answers heartbeats or the question in the end, and one that is gone answers neither.

Measured: TestStreamsAreFoundAtSlowNodes, in virtual time, fails before with 22 to 26 of 60 streams found at answers of up to 0.5 s, and 13 to 17 at up to 1 s; now 60 of 60, and unknown streams are rejected within 1.4 to 1.9 s while it is not known which nodes are frozen, and without waiting for these after that. The tests of node, demo, entry, relay and backend pass.

--- a/entry/builds.go
+++ b/entry/builds.go
@@ -172,6 +172,9 @@
 	if s.Found {
 		return s.Origin, true
 	}
+	if o, ok := d.streams.Find(key); ok { // its node told of it meanwhile
+		return o, true
+	}
 	if o, ok := d.streams.Expected(key); ok {
 		s.Granted = append(s.Granted, o)
 	}
@@ -180,7 +183,7 @@
 	}
 	build, ok := backend.OnlyBuild(own, s.Known, s.IsComplete)
 	if !ok {
-		d.log.Info("cannot tell where a stream began", "pool", pool, "builds", strings.Join(own.Builds, ","), "current", own.IsCurrent, "answers", len(s.Known), "complete", s.IsComplete)
+		d.log.Info("cannot tell where a stream began", "pool", pool, "builds", strings.Join(own.Builds, ","), "current", own.IsCurrent, "asked", s.Asked, "answers", s.Answers, "granted", len(s.Granted), "complete", s.IsComplete, "search-ms", s.Time.Milliseconds())
 	}
 	return backend.Origin{Pool: pool, Build: build}, ok
 }
--- a/node/members.go
+++ b/node/members.go
@@ -336,6 +336,16 @@
 	}
 }
 
+// responds reports whether a peer answers one of as many heartbeats as it takes to count as down.
+func (m *members) responds(ctx context.Context, address string) bool {
+	for range downAfterMisses {
+		if _, _, err := m.sendHeartbeat(ctx, address, 0); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // newHeartbeat returns a heartbeat with what every one of this node's states.
 func (n *Node) newHeartbeat() *peerpb.HeartbeatRequest {
 	return &peerpb.HeartbeatRequest{
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -35,8 +35,11 @@
 	quotaRefusals      metric.Int64Counter
 	quotaLeaseRequests metric.Int64Counter
 
-	firstToken metric.Float64Histogram
-	perToken   metric.Float64Histogram
+	streamQuestions metric.Int64Counter
+
+	firstToken   metric.Float64Histogram
+	perToken     metric.Float64Histogram
+	streamSearch metric.Float64Histogram
 }
 
 // secondsBuckets are the bucket bounds of histograms of durations, in seconds.
@@ -63,6 +66,8 @@
 	m.suspensions = m.counter("vm-suspensions", "times that the VM was suspended, as its clocks show")
 	m.quotaRefusals = m.counter("quota-refusals", "requests refused since their account had used up its quota")
 	m.quotaLeaseRequests = m.counter("quota-lease-requests", "leases on quotas asked of other nodes")
+	m.streamQuestions = m.counter("stream-questions", "messages that asked other nodes where streams began")
+	m.streamSearch = m.seconds("stream-search", "time until it was known whether other nodes know where a stream began that a caller takes up")
 	m.firstToken = m.seconds("first-token", "time to the first token")
 	m.perToken = m.seconds("between-tokens", "mean time between tokens of an answer")
 	return m
--- a/node/node.go
+++ b/node/node.go
@@ -70,7 +70,8 @@
 	pollPending  atomic.Bool // an announced read of the session rows has not begun
 	requestCount atomic.Int64
 
-	streamSharing streamSharing
+	streamSharing  streamSharing
+	streamSearches streamSearches
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/node/streams.go
+++ b/node/streams.go
@@ -13,8 +13,15 @@
 	"github.com/vanilladrift/vanilladrift/peer/peerpb"
 )
 
-// membersTimeout bounds the time in which a node that has just started learns of the others.
-const membersTimeout = 500 * time.Millisecond
+const (
+	// membersTimeout bounds the time in which a node that has just started learns of the others.
+	membersTimeout = 500 * time.Millisecond
+	// streamAnswerTime is the time after which a node is probed that has not answered where streams began. A
+	// node with too little processor time takes longer than ProbeTimeout, and still knows.
+	streamAnswerTime = time.Second
+	// streamQuestionAttempts allows for a connection that breaks.
+	streamQuestionAttempts = 2
+)
 
 // streamKeepers returns the names of the nodes that are told of the streams of a node. In larger fleets they are
 // in other data centres, as far as there are enough nodes.
@@ -151,81 +158,109 @@
 	// IsComplete is set if all other nodes answered of which this node has read, and none of them
 	// has started again since.
 	IsComplete bool
+	// Asked and Answers are the numbers of other nodes, and of those that answered, until the search ended
+	// after Time.
+	Asked, Answers int
+	Time           time.Duration
 }
 
-// FindStream asks the other nodes where a stream began.
-func (n *Node) FindStream(ctx context.Context, key backend.StreamKey, pool string) (s StreamSearch) {
-	silent := 0 // nodes that are not known, not asked, or do not answer
+// FindStream asks the other nodes where a stream began. It waits for the answers of nodes that take their time, but not
+// for nodes that do not answer heartbeats, and not for more than half of the time that is left to the caller.
+func (n *Node) FindStream(ctx context.Context, key backend.StreamKey, pool string) StreamSearch {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/2)
+		defer cancel()
+	}
+	isKnown := true // who the other nodes are
 	select {
 	case <-n.members.known:
 	case <-time.After(membersTimeout):
-		silent++
+		isKnown = false
 	case <-ctx.Done():
-		silent++
+		isKnown = false
 	}
-	ctx, cancel := context.WithTimeout(ctx, n.cfg.ProbeTimeout)
-	defer cancel()
-	var asked []member
+	var peers []candidatePeer
 	for _, mem := range n.members.all() {
-		switch {
-		case mem.Process == n.process:
-		case !mem.live() || n.members.isDown(mem.Address):
-			silent++
-		default:
-			asked = append(asked, mem)
+		if mem.Process != n.process {
+			peers = append(peers, candidatePeer{mem, n.members.isDown(mem.Address)})
 		}
 	}
-	type foundStream struct {
-		*peerpb.FindStreamResponse
-		asked string // process
+	search, ok := n.streamSearches.begin(time.Now(), key, pool, peers)
+	if !ok {
+		return StreamSearch{}
+	}
+	n.askStreams()
+	select {
+	case <-search.done:
+	case <-ctx.Done():
+	case <-n.ctx.Done():
 	}
-	responses := make(chan foundStream, len(asked))
-	for _, mem := range asked {
+	s := n.streamSearches.end(time.Now(), search)
+	s.IsComplete = s.IsComplete && isKnown
+	n.metrics.streamSearch.Record(n.ctx, s.Time.Seconds())
+	return s
+}
+
+// askStreams sends the questions where streams began that are due.
+func (n *Node) askStreams() {
+	list, delay := n.streamSearches.questions(time.Now())
+	for _, m := range list {
 		n.tasks.Go(func() {
-			resp, err := n.members.link(mem.Address).client.FindStream(ctx, connect.NewRequest(&peerpb.FindStreamRequest{Key: key[:], Pool: pool}))
-			if err != nil {
-				n.log.Debug("cannot ask a node where a stream began", "address", mem.Address, "err", err)
-				responses <- foundStream{}
-				return
-			}
-			responses <- foundStream{resp.Msg, mem.Process}
+			n.streamSearches.answer(time.Now(), m, n.findStreams(m))
+			n.askStreams()
 		})
 	}
-	for range asked {
-		resp := <-responses
-		if resp.GetFound() {
-			return StreamSearch{Found: true, Origin: backend.Origin{Pool: resp.GetPool(), Build: resp.GetBuild()}}
-		}
-		if resp.FindStreamResponse == nil || resp.GetProcess() != resp.asked {
-			silent++
-		}
-		if resp.FindStreamResponse == nil {
-			continue
+	if delay > 0 {
+		time.AfterFunc(delay, n.askStreams)
+	}
+}
+
+// findStreams sends a question to a node, again if the answer is lost. It returns nil if there is none.
+func (n *Node) findStreams(m streamQuestion) *peerpb.FindStreamsResponse {
+	ctx, cancel := context.WithTimeout(n.ctx, n.cfg.LeaseTTL) // by then its session has ended if it does not answer
+	defer cancel()
+	probe := time.AfterFunc(streamAnswerTime, func() {
+		n.tasks.Go(func() {
+			if !n.members.responds(n.ctx, m.peer.Address) {
+				cancel()
+			}
+		})
+	})
+	defer probe.Stop()
+	client, req := n.members.link(m.peer.Address).client, m.request()
+	for range streamQuestionAttempts {
+		n.metrics.streamQuestions.Add(ctx, 1)
+		resp, err := client.FindStreams(ctx, connect.NewRequest(req))
+		if err == nil {
+			return resp.Msg
 		}
-		if resp.GetGranted() {
-			s.Granted = append(s.Granted, backend.Origin{Pool: resp.GetPool(), Build: resp.GetBuild()})
+		n.log.Debug("cannot ask a node where streams began", "address", m.peer.Address, "streams", len(m.searches), "err", err)
+		if ctx.Err() != nil || !n.members.responds(n.ctx, m.peer.Address) {
+			break
 		}
-		s.Known = append(s.Known, backend.KnownBuilds{Builds: resp.GetBuilds(), IsRead: resp.GetIsRead(), IsCurrent: resp.GetIsCurrent()})
 	}
-	s.IsComplete = silent == 0
-	return s
+	return nil
 }
 
-// FindStream implements the Peer service.
-func (s *peerServer) FindStream(_ context.Context, req *connect.Request[peerpb.FindStreamRequest]) (*connect.Response[peerpb.FindStreamResponse], error) {
-	resp := &peerpb.FindStreamResponse{Process: s.n.process}
-	var key backend.StreamKey
-	if s.n.cfg.Streams == nil || copy(key[:], req.Msg.GetKey()) != len(key) {
+// FindStreams implements the Peer service.
+func (s *peerServer) FindStreams(_ context.Context, req *connect.Request[peerpb.FindStreamsRequest]) (*connect.Response[peerpb.FindStreamsResponse], error) {
+	resp := &peerpb.FindStreamsResponse{Process: s.n.process}
+	if s.n.cfg.Streams == nil {
 		return connect.NewResponse(resp), nil
 	}
-	if o, ok := s.n.cfg.Streams.Find(key); ok {
-		resp.Found, resp.Pool, resp.Build = true, o.Pool, o.Build
-	} else {
-		if o, ok := s.n.cfg.Streams.Expected(key); ok {
-			resp.Granted, resp.Pool, resp.Build = true, o.Pool, o.Build
+	var found, granted []backend.StreamOrigin
+	for _, p := range req.Msg.GetPools() {
+		for _, key := range decodeStreamKeys(p.GetKeys()) {
+			if o, ok := s.n.cfg.Streams.Find(key); ok {
+				found = append(found, backend.StreamOrigin{Key: key, Origin: o})
+			} else if o, ok := s.n.cfg.Streams.Expected(key); ok {
+				granted = append(granted, backend.StreamOrigin{Key: key, Origin: o})
+			}
 		}
-		known := s.n.cfg.Builds.Known(req.Msg.GetPool())
-		resp.Builds, resp.IsRead, resp.IsCurrent = known.Builds, known.IsRead, known.IsCurrent
+		known := s.n.cfg.Builds.Known(p.GetPool())
+		resp.Builds = append(resp.Builds, &peerpb.PoolBuilds{Pool: p.GetPool(), Builds: known.Builds, IsRead: known.IsRead, IsCurrent: known.IsCurrent})
 	}
+	resp.Found, resp.Granted = encodeStreamOrigins(found), encodeStreamOrigins(granted)
 	return connect.NewResponse(resp), nil
 }
--- a/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/peer/peerpb/peerpbconnect/peer.connect.go
@@ -55,8 +55,8 @@
 	PeerTakeTurnProcedure = "/vanilladrift.peer.v1.Peer/TakeTurn"
 	// PeerKeepStreamsProcedure is the fully-qualified name of the Peer's KeepStreams RPC.
 	PeerKeepStreamsProcedure = "/vanilladrift.peer.v1.Peer/KeepStreams"
-	// PeerFindStreamProcedure is the fully-qualified name of the Peer's FindStream RPC.
-	PeerFindStreamProcedure = "/vanilladrift.peer.v1.Peer/FindStream"
+	// PeerFindStreamsProcedure is the fully-qualified name of the Peer's FindStreams RPC.
+	PeerFindStreamsProcedure = "/vanilladrift.peer.v1.Peer/FindStreams"
 	// PeerTakeQuotaProcedure is the fully-qualified name of the Peer's TakeQuota RPC.
 	PeerTakeQuotaProcedure = "/vanilladrift.peer.v1.Peer/TakeQuota"
 	// PeerYieldQuotaProcedure is the fully-qualified name of the Peer's YieldQuota RPC.
@@ -99,8 +99,8 @@
 	TakeTurn(context.Context, *connect.Request[peerpb.TakeTurnRequest]) (*connect.Response[peerpb.TakeTurnResponse], error)
 	// KeepStreams tells where streams began, so that it is known if the sender ends.
 	KeepStreams(context.Context, *connect.Request[peerpb.KeepStreamsRequest]) (*connect.Response[peerpb.KeepStreamsResponse], error)
-	// FindStream returns where a stream began, if the receiver knows.
-	FindStream(context.Context, *connect.Request[peerpb.FindStreamRequest]) (*connect.Response[peerpb.FindStreamResponse], error)
+	// FindStreams returns where streams began, as far as the receiver knows.
+	FindStreams(context.Context, *connect.Request[peerpb.FindStreamsRequest]) (*connect.Response[peerpb.FindStreamsResponse], error)
 	// TakeQuota asks the keeper of client accounts for leases on their quotas.
 	TakeQuota(context.Context, *connect.Request[peerpb.TakeQuotaRequest]) (*connect.Response[peerpb.TakeQuotaResponse], error)
 	// YieldQuota asks the former keeper of a client account to grant no more leases.
@@ -189,10 +189,10 @@
 			connect.WithSchema(peerMethods.ByName("KeepStreams")),
 			connect.WithClientOptions(opts...),
 		),
-		findStream: connect.NewClient[peerpb.FindStreamRequest, peerpb.FindStreamResponse](
+		findStreams: connect.NewClient[peerpb.FindStreamsRequest, peerpb.FindStreamsResponse](
 			httpClient,
-			baseURL+PeerFindStreamProcedure,
-			connect.WithSchema(peerMethods.ByName("FindStream")),
+			baseURL+PeerFindStreamsProcedure,
+			connect.WithSchema(peerMethods.ByName("FindStreams")),
 			connect.WithClientOptions(opts...),
 		),
 		takeQuota: connect.NewClient[peerpb.TakeQuotaRequest, peerpb.TakeQuotaResponse](
@@ -235,7 +235,7 @@
 	releaseLoad *connect.Client[peerpb.ReleaseLoadRequest, peerpb.ReleaseLoadResponse]
 	takeTurn    *connect.Client[peerpb.TakeTurnRequest, peerpb.TakeTurnResponse]
 	keepStreams *connect.Client[peerpb.KeepStreamsRequest, peerpb.KeepStreamsResponse]
-	findStream  *connect.Client[peerpb.FindStreamRequest, peerpb.FindStreamResponse]
+	findStreams *connect.Client[peerpb.FindStreamsRequest, peerpb.FindStreamsResponse]
 	takeQuota   *connect.Client[peerpb.TakeQuotaRequest, peerpb.TakeQuotaResponse]
 	yieldQuota  *connect.Client[peerpb.YieldQuotaRequest, peerpb.YieldQuotaResponse]
 	holdQuota   *connect.Client[peerpb.HoldQuotaRequest, peerpb.HoldQuotaResponse]
@@ -297,9 +297,9 @@
 	return c.keepStreams.CallUnary(ctx, req)
 }
 
-// FindStream calls vanilladrift.peer.v1.Peer.FindStream.
-func (c *peerClient) FindStream(ctx context.Context, req *connect.Request[peerpb.FindStreamRequest]) (*connect.Response[peerpb.FindStreamResponse], error) {
-	return c.findStream.CallUnary(ctx, req)
+// FindStreams calls vanilladrift.peer.v1.Peer.FindStreams.
+func (c *peerClient) FindStreams(ctx context.Context, req *connect.Request[peerpb.FindStreamsRequest]) (*connect.Response[peerpb.FindStreamsResponse], error) {
+	return c.findStreams.CallUnary(ctx, req)
 }
 
 // TakeQuota calls vanilladrift.peer.v1.Peer.TakeQuota.
@@ -354,8 +354,8 @@
 	TakeTurn(context.Context, *connect.Request[peerpb.TakeTurnRequest]) (*connect.Response[peerpb.TakeTurnResponse], error)
 	// KeepStreams tells where streams began, so that it is known if the sender ends.
 	KeepStreams(context.Context, *connect.Request[peerpb.KeepStreamsRequest]) (*connect.Response[peerpb.KeepStreamsResponse], error)
-	// FindStream returns where a stream began, if the receiver knows.
-	FindStream(context.Context, *connect.Request[peerpb.FindStreamRequest]) (*connect.Response[peerpb.FindStreamResponse], error)
+	// FindStreams returns where streams began, as far as the receiver knows.
+	FindStreams(context.Context, *connect.Request[peerpb.FindStreamsRequest]) (*connect.Response[peerpb.FindStreamsResponse], error)
 	// TakeQuota asks the keeper of client accounts for leases on their quotas.
 	TakeQuota(context.Context, *connect.Request[peerpb.TakeQuotaRequest]) (*connect.Response[peerpb.TakeQuotaResponse], error)
 	// YieldQuota asks the former keeper of a client account to grant no more leases.
@@ -440,10 +440,10 @@
 		connect.WithSchema(peerMethods.ByName("KeepStreams")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerFindStreamHandler := connect.NewUnaryHandler(
-		PeerFindStreamProcedure,
-		svc.FindStream,
-		connect.WithSchema(peerMethods.ByName("FindStream")),
+	peerFindStreamsHandler := connect.NewUnaryHandler(
+		PeerFindStreamsProcedure,
+		svc.FindStreams,
+		connect.WithSchema(peerMethods.ByName("FindStreams")),
 		connect.WithHandlerOptions(opts...),
 	)
 	peerTakeQuotaHandler := connect.NewUnaryHandler(
@@ -494,8 +494,8 @@
 			peerTakeTurnHandler.ServeHTTP(w, r)
 		case PeerKeepStreamsProcedure:
 			peerKeepStreamsHandler.ServeHTTP(w, r)
-		case PeerFindStreamProcedure:
-			peerFindStreamHandler.ServeHTTP(w, r)
+		case PeerFindStreamsProcedure:
+			peerFindStreamsHandler.ServeHTTP(w, r)
 		case PeerTakeQuotaProcedure:
 			peerTakeQuotaHandler.ServeHTTP(w, r)
 		case PeerYieldQuotaProcedure:
@@ -557,8 +557,8 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.KeepStreams is not implemented"))
 }
 
-func (UnimplementedPeerHandler) FindStream(context.Context, *connect.Request[peerpb.FindStreamRequest]) (*connect.Response[peerpb.FindStreamResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.FindStream is not implemented"))
+func (UnimplementedPeerHandler) FindStreams(context.Context, *connect.Request[peerpb.FindStreamsRequest]) (*connect.Response[peerpb.FindStreamsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("vanilladrift.peer.v1.Peer.FindStreams is not implemented"))
 }
 
 func (UnimplementedPeerHandler) TakeQuota(context.Context, *connect.Request[peerpb.TakeQuotaRequest]) (*connect.Response[peerpb.TakeQuotaResponse], error) {
