Keep what searches for streams hold small, and read addresses under their lock

A search kept a map entry for each node it waits for, some 75 MB for the 4,096 searches allowed at 360 nodes, by reckoning, where a process has 160 to 256 MB; each search also built the set of nodes anew. A question read the address of its node beside searches that replace it, which is a data race by reading; the race detector has not reported it. The time of an answer was taken before its question was sent, so that a node that had not answered for a second was asked again at once.

Searches count the nodes that they wait for, at most 1,024 are in progress, and a question carries the address.

--- a/node/members.go
+++ b/node/members.go
@@ -165,6 +165,19 @@
 	})
 }
 
+// candidatePeers returns the other nodes, for searches of streams.
+func (m *members) candidatePeers() (list []candidatePeer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, mem := range m.list {
+		if mem.Process != m.n.process {
+			l := m.links[mem.Address]
+			list = append(list, candidatePeer{mem.Process, mem.Address, mem.live(), l != nil && l.isDown})
+		}
+	}
+	return list
+}
+
 // all returns the members of the last update, sorted by name.
 func (m *members) all() []member {
 	m.mu.Lock()
--- a/node/stream_searches.go
+++ b/node/stream_searches.go
@@ -15,7 +15,7 @@
 	// maxAskedStreams bounds the streams that one message asks about.
 	maxAskedStreams = 512
 	// maxStreamSearches bounds the searches in progress at a node. Take-ups beyond it are rejected.
-	maxStreamSearches = 4096
+	maxStreamSearches = 1024
 	// streamRetryDelay is the time for which a node that did not answer is not asked again.
 	streamRetryDelay = time.Second
 )
@@ -31,10 +31,23 @@
 
 // askedPeer is another node that is asked.
 type askedPeer struct {
-	member
-	isAsked bool            // a message is in flight
-	next    time.Time       // no message is sent before
-	waiting []*streamSearch // that no message has asked about
+	candidatePeer
+	isAsked bool             // a message is in flight
+	next    time.Time        // no message is sent before
+	waiting []awaitingSearch // that no message has asked about
+}
+
+// candidatePeer is a node that a search may ask.
+type candidatePeer struct {
+	process, address string
+	canAnswer        bool // its session has not ended
+	isDown           bool // it did not answer the last heartbeats
+}
+
+// awaitingSearch is a search that asks a node.
+type awaitingSearch struct {
+	*streamSearch
+	isAwaiting bool // it does not end before the node has answered
 }
 
 // streamSearch is the search for the origin of one stream. The mutex of its streamSearches guards the fields.
@@ -42,9 +55,9 @@
 	key     backend.StreamKey
 	pool    string
 	began   time.Time
-	peers   int             // other nodes
-	awaited map[string]bool // processes that are expected to answer
-	answers int             // of processes of which this node has read
+	peers   int // other nodes
+	awaited int // nodes that are expected to answer
+	answers int // of processes of which this node has read
 	result  StreamSearch
 	isDone  bool
 	done    chan struct{} // closed once the origin is found or no answer is awaited
@@ -53,7 +66,8 @@
 // streamQuestion is a message that asks a node about the streams of some searches.
 type streamQuestion struct {
 	peer     *askedPeer
-	searches []*streamSearch
+	address  string
+	searches []awaitingSearch
 }
 
 // request returns the message.
@@ -72,12 +86,6 @@
 	return req
 }
 
-// candidatePeer is a node that a search may ask.
-type candidatePeer struct {
-	member
-	isDown bool // it did not answer the last heartbeats
-}
-
 // begin begins a search, unless too many are in progress. The caller calls end after it. peers are the other nodes,
 // among which those that are down are asked as well, but not waited for.
 func (q *streamSearches) begin(now time.Time, key backend.StreamKey, pool string, peers []candidatePeer) (*streamSearch, bool) {
@@ -87,41 +95,44 @@
 		return nil, false
 	}
 	q.count++
-	s := &streamSearch{key: key, pool: pool, began: now, peers: len(peers), awaited: make(map[string]bool), done: make(chan struct{})}
-	q.retain(peers)
+	s := &streamSearch{key: key, pool: pool, began: now, peers: len(peers), done: make(chan struct{})}
+	q.setPeers(peers)
 	for _, c := range peers {
-		p := q.peers[c.Process]
-		switch {
-		case !c.live(), c.isDown && (p.isAsked || now.Before(p.next)):
+		p := q.peers[c.process]
+		if !c.canAnswer || c.isDown && (p.isAsked || now.Before(p.next)) {
 			continue
-		case !c.isDown:
-			s.awaited[c.Process] = true
 		}
-		p.waiting = append(p.waiting, s)
+		if !c.isDown {
+			s.awaited++
+		}
+		p.waiting = append(p.waiting, awaitingSearch{s, !c.isDown})
 	}
 	s.finishIfDone()
 	return s, true
 }
 
-// retain forgets other nodes than these. The caller holds q.mu.
-func (q *streamSearches) retain(peers []candidatePeer) {
-	known := make(map[string]*askedPeer, len(peers))
+// setPeers replaces the nodes that are asked. The caller holds q.mu.
+func (q *streamSearches) setPeers(peers []candidatePeer) {
+	if q.peers == nil {
+		q.peers = make(map[string]*askedPeer)
+	}
 	for _, c := range peers {
-		p := q.peers[c.Process]
+		p := q.peers[c.process]
 		if p == nil {
 			p = &askedPeer{}
+			q.peers[c.process] = p
 		}
-		p.member = c.member
-		known[c.Process] = p
+		p.candidatePeer = c
+	}
+	if len(q.peers) == len(peers) {
+		return
 	}
 	for process, p := range q.peers {
-		if known[process] == nil {
-			for _, s := range p.waiting {
-				s.stopAwaiting(process)
-			}
+		if !slices.ContainsFunc(peers, func(c candidatePeer) bool { return c.process == process }) {
+			stopAwaiting(p.waiting)
+			delete(q.peers, process)
 		}
 	}
-	q.peers = known
 }
 
 // questions returns the messages to send now. If others must wait, the caller calls it again after a delay. The caller
@@ -135,7 +146,6 @@
 	interval := time.Duration(len(q.peers)) * time.Second / maxStreamQuestions
 	var next time.Time
 	for _, p := range q.peers {
-		p.waiting = slices.DeleteFunc(p.waiting, func(s *streamSearch) bool { return s.isDone })
 		switch {
 		case p.isAsked || len(p.waiting) == 0:
 		case now.Before(p.next):
@@ -143,10 +153,10 @@
 				next = p.next
 			}
 		default:
-			n := min(len(p.waiting), maxAskedStreams)
-			list = append(list, streamQuestion{p, slices.Clone(p.waiting[:n])})
-			p.waiting = slices.Clone(p.waiting[n:])
-			p.isAsked, p.next = true, now.Add(interval)
+			if m := p.take(); len(m) > 0 {
+				list = append(list, streamQuestion{p, p.address, m})
+				p.isAsked, p.next = true, now.Add(interval)
+			}
 		}
 	}
 	if next.IsZero() || !q.callsAt.IsZero() && !next.Before(q.callsAt) {
@@ -156,6 +166,14 @@
 	return list, next.Sub(now)
 }
 
+// take takes the searches for one message from those that wait.
+func (p *askedPeer) take() []awaitingSearch {
+	open := slices.DeleteFunc(p.waiting, func(s awaitingSearch) bool { return s.isDone })
+	n := min(len(open), maxAskedStreams)
+	p.waiting = slices.Clone(open[n:])
+	return open[:n]
+}
+
 // answer takes the answer to a message. It is nil if there is none; then the node has nothing to say about streams that
 // wait to be asked about either.
 func (q *streamSearches) answer(now time.Time, m streamQuestion, resp *peerpb.FindStreamsResponse) {
@@ -165,9 +183,8 @@
 	p.isAsked = false
 	if resp == nil {
 		p.next = now.Add(streamRetryDelay)
-		for _, s := range slices.Concat(m.searches, p.waiting) {
-			s.stopAwaiting(p.Process)
-		}
+		stopAwaiting(m.searches)
+		stopAwaiting(p.waiting)
 		p.waiting = nil
 		return
 	}
@@ -182,11 +199,11 @@
 			s.result.Granted = append(s.result.Granted, o)
 		}
 		s.result.Known = append(s.result.Known, known[s.pool])
-		if resp.GetProcess() == p.Process {
+		if resp.GetProcess() == p.process {
 			s.answers++
 		}
-		s.stopAwaiting(p.Process)
 	}
+	stopAwaiting(m.searches)
 }
 
 func originsByKey(list []*peerpb.StreamOrigins) map[backend.StreamKey]backend.Origin {
@@ -197,14 +214,18 @@
 	return m
 }
 
-// stopAwaiting records that a process has answered, or will not.
-func (s *streamSearch) stopAwaiting(process string) {
-	delete(s.awaited, process)
-	s.finishIfDone()
+// stopAwaiting records that a node has answered to searches, or will not.
+func stopAwaiting(list []awaitingSearch) {
+	for _, s := range list {
+		if s.isAwaiting {
+			s.awaited--
+		}
+		s.finishIfDone()
+	}
 }
 
 func (s *streamSearch) finishIfDone() {
-	if !s.isDone && (s.result.Found || len(s.awaited) == 0) {
+	if !s.isDone && (s.result.Found || s.awaited == 0) {
 		s.isDone = true
 		close(s.done)
 	}
--- a/node/stream_searches_test.go
+++ b/node/stream_searches_test.go
@@ -94,10 +94,11 @@
 					f.mu.Lock()
 					f.delay = delay
 					f.mu.Unlock()
-					order := f.rng.Perm(nodes)
+					rng := rand.New(rand.NewPCG(2, uint64(delay)))
+					order := rng.Perm(nodes)
 					gone := int(ended * nodes)
 					left := order[gone+frozen:]
-					keys := drawOrigins(f.rng, known)
+					keys := drawOrigins(rng, known)
 					for i, o := range keys {
 						f.streams[left[i%len(left)]].Learn(time.Now(), []backend.StreamOrigin{o})
 					}
@@ -171,9 +172,7 @@
 			rng := rand.New(rand.NewPCG(3, uint64(tt.nodes)))
 			var peers []candidatePeer
 			for i := range tt.nodes - 1 {
-				var c candidatePeer
-				c.Process = fmt.Sprint(i)
-				peers = append(peers, c)
+				peers = append(peers, candidatePeer{process: fmt.Sprint(i), canAnswer: true})
 			}
 			type inFlight struct {
 				streamQuestion
@@ -196,8 +195,8 @@
 				for _, m := range list {
 					calls++
 					bytes += proto.Size(m.request()) + messageBytes
-					most[m.peer.Process]++
-					is.Equal(most[m.peer.Process], 1) // one in flight to each node
+					most[m.peer.process]++
+					is.Equal(most[m.peer.process], 1) // one in flight to each node
 					sent = append(sent, inFlight{m, now.Add(time.Duration(rng.Int64N(int64(tt.delay))))})
 				}
 				var left []inFlight
@@ -206,14 +205,24 @@
 						left = append(left, m)
 						continue
 					}
-					most[m.peer.Process]--
-					resp := &peerpb.FindStreamsResponse{Process: m.peer.Process}
-					if i, _ := strconv.Atoi(m.peer.Process); i%10 < 6 { // it has ended
+					most[m.peer.process]--
+					resp := &peerpb.FindStreamsResponse{Process: m.peer.process}
+					if i, _ := strconv.Atoi(m.peer.process); i%10 < 6 { // it has ended
 						resp = nil
 					}
 					q.answer(now, m.streamQuestion, resp)
 				}
 				sent = left
+				var rest []*streamSearch
+				for _, s := range open {
+					select {
+					case <-s.done:
+						q.end(now, s)
+					default:
+						rest = append(rest, s)
+					}
+				}
+				open = rest
 			}
 			for _, s := range open {
 				q.end(now, s)
@@ -229,8 +238,7 @@
 func TestSearchesBeyondTheirBoundAreRejected(t *testing.T) {
 	is := is.New(t)
 	var q streamSearches
-	var c candidatePeer
-	c.Process = "a"
+	c := candidatePeer{process: "a", canAnswer: true}
 	var first *streamSearch
 	for i := range maxStreamSearches + 1 {
 		s, ok := q.begin(time.Now(), backend.StreamKey{byte(i), byte(i >> 8)}, "p", []candidatePeer{c})
@@ -251,8 +259,7 @@
 func TestNodeIsAskedAgainAfterAFailedQuestion(t *testing.T) {
 	is := is.New(t)
 	var q streamSearches
-	var c candidatePeer
-	c.Process = "a"
+	c := candidatePeer{process: "a", canAnswer: true}
 	now := time.Unix(1000, 0)
 	ask := func() *streamSearch {
 		s, ok := q.begin(now, backend.StreamKey{1}, "p", []candidatePeer{c})
--- a/node/streams.go
+++ b/node/streams.go
@@ -180,13 +180,7 @@
 	case <-ctx.Done():
 		isKnown = false
 	}
-	var peers []candidatePeer
-	for _, mem := range n.members.all() {
-		if mem.Process != n.process {
-			peers = append(peers, candidatePeer{mem, n.members.isDown(mem.Address)})
-		}
-	}
-	search, ok := n.streamSearches.begin(time.Now(), key, pool, peers)
+	search, ok := n.streamSearches.begin(time.Now(), key, pool, n.members.candidatePeers())
 	if !ok {
 		return StreamSearch{}
 	}
@@ -207,7 +201,8 @@
 	list, delay := n.streamSearches.questions(time.Now())
 	for _, m := range list {
 		n.tasks.Go(func() {
-			n.streamSearches.answer(time.Now(), m, n.findStreams(m))
+			resp := n.findStreams(m)
+			n.streamSearches.answer(time.Now(), m, resp)
 			n.askStreams()
 		})
 	}
@@ -222,21 +217,21 @@
 	defer cancel()
 	probe := time.AfterFunc(streamAnswerTime, func() {
 		n.tasks.Go(func() {
-			if !n.members.responds(n.ctx, m.peer.Address) {
+			if !n.members.responds(n.ctx, m.address) {
 				cancel()
 			}
 		})
 	})
 	defer probe.Stop()
-	client, req := n.members.link(m.peer.Address).client, m.request()
+	client, req := n.members.link(m.address).client, m.request()
 	for range streamQuestionAttempts {
 		n.metrics.streamQuestions.Add(ctx, 1)
 		resp, err := client.FindStreams(ctx, connect.NewRequest(req))
 		if err == nil {
 			return resp.Msg
 		}
-		n.log.Debug("cannot ask a node where streams began", "address", m.peer.Address, "streams", len(m.searches), "err", err)
-		if ctx.Err() != nil || !n.members.responds(n.ctx, m.peer.Address) {
+		n.log.Debug("cannot ask a node where streams began", "address", m.address, "streams", len(m.searches), "err", err)
+		if ctx.Err() != nil || !n.members.responds(n.ctx, m.address) {
 			break
 		}
 	}
