Ask in one place whether a peer is down, and remove an unused field of a test

The check of a link stood in four places of members.go, one of them new with candidatePeers. No behaviour changes.

--- a/node/members.go
+++ b/node/members.go
@@ -140,13 +140,17 @@
 	if !m.monitor.Expired(key, now) {
 		return false
 	}
-	l := m.links[address]
-	return l != nil && l.isDown || m.monitor.UnchangedFor(key, now) > m.n.leaseTime()+m.n.cfg.TableRenewEvery-m.n.cfg.RenewEvery
+	return m.linkIsDown(address) || m.monitor.UnchangedFor(key, now) > m.n.leaseTime()+m.n.cfg.TableRenewEvery-m.n.cfg.RenewEvery
 }
 
 func (m *members) isDown(address string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.linkIsDown(address)
+}
+
+// linkIsDown reports whether the peer at an address did not answer the last heartbeats. The caller holds m.mu.
+func (m *members) linkIsDown(address string) bool {
 	l := m.links[address]
 	return l != nil && l.isDown
 }
@@ -157,11 +161,7 @@
 	defer m.mu.Unlock()
 	return slices.DeleteFunc(names, func(name string) bool {
 		i := slices.IndexFunc(m.list, func(mem member) bool { return mem.Node == name })
-		if i < 0 {
-			return true
-		}
-		l := m.links[m.list[i].Address]
-		return l != nil && l.isDown
+		return i < 0 || m.linkIsDown(m.list[i].Address)
 	})
 }
 
@@ -171,8 +171,7 @@
 	defer m.mu.Unlock()
 	for _, mem := range m.list {
 		if mem.Process != m.n.process {
-			l := m.links[mem.Address]
-			list = append(list, candidatePeer{mem.Process, mem.Address, mem.live(), l != nil && l.isDown})
+			list = append(list, candidatePeer{mem.Process, mem.Address, mem.live(), m.linkIsDown(mem.Address)})
 		}
 	}
 	return list
--- a/node/slow_fleet_test.go
+++ b/node/slow_fleet_test.go
@@ -25,7 +25,6 @@
 	net     *standin.Network
 	nodes   []*Node
 	streams []*backend.StreamOrigins
-	stop    func()
 
 	mu    sync.Mutex
 	rng   *rand.Rand
