--- /dev/null
+++ b/review/rig3/server.go
@@ -0,0 +1,125 @@
+package rig3
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/vanilladrift/vanilladrift/platform"
+)
+
+// The headers of the platform that the cases look at.
+const (
+	HeaderID       = "X-Vanilladrift-Request-Id"
+	HeaderSeal     = "X-Vanilladrift-Response-Seal"
+	HeaderExpect   = "X-Vanilladrift-Expect-Instance"
+	HeaderNotRun   = "X-Vanilladrift-Not-Executed"
+	HeaderDeadline = "X-Vanilladrift-Deadline-Ms"
+)
+
+// Server is a stand-in of a plain replica.
+type Server struct {
+	ID      string
+	Service string
+	Address string
+	// Work is how long a request runs.
+	Work time.Duration
+	// OnRun, which is optional, is called when a request begins to run.
+	OnRun func(id string)
+	// LosesAnswer, which is optional, reports whether the answer to a request that ran is lost.
+	LosesAnswer func() bool
+
+	sys  *System
+	http *http.Server
+	born int64
+
+	mu   sync.Mutex
+	ran  map[string]int
+	lost map[string]int
+}
+
+// NewServer starts a replica and writes its entry.
+func (s *System) NewServer(id, service string, work time.Duration) (*Server, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Server{ID: id, Service: service, Address: ln.Addr().String(), Work: work, sys: s, born: time.Now().UnixMilli(), ran: make(map[string]int), lost: make(map[string]int)}
+	r.http = &http.Server{Handler: r}
+	go func() { _ = r.http.Serve(ln) }() // ends with Stop
+	r.Put("ready")
+	return r, nil
+}
+
+// Entry returns the fields of the replica's entry.
+func (r *Server) Entry(state string) map[string]any {
+	return map[string]any{
+		"service": r.Service, "address": r.Address, "zone": "gdansk", "version": "v1", "slots": 6, "state": state,
+		"cold_remaining_ms": 0, "sequence": 0, "born": r.born,
+	}
+}
+
+// Put writes the replica's entry.
+func (r *Server) Put(state string) { r.PutEntry(r.Entry(state)) }
+
+// PutEntry writes an entry under the replica's id.
+func (r *Server) PutEntry(entry map[string]any) {
+	b, err := json.Marshal(entry)
+	if err != nil {
+		panic(err) // it holds only texts and numbers
+	}
+	r.sys.Store.Put(platform.ServersTable+"/"+r.ID, b)
+	r.sys.Logf("entry of %s: %s", r.ID, b)
+}
+
+// Stop ends the replica at once.
+func (r *Server) Stop() {
+	r.sys.Logf("%s exits", r.ID)
+	_ = r.http.Close() // its connections end
+}
+
+// Ran returns how often a request began to run.
+func (r *Server) Ran(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ran[id]
+}
+
+// Lost returns how often the answer to a request was lost.
+func (r *Server) Lost(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lost[id]
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get(HeaderID)
+	h := w.Header()
+	h.Set(HeaderID, id)
+	if expected := req.Header.Get(HeaderExpect); expected != "" && expected != r.ID {
+		h.Set("X-Vanilladrift-Instance-Id", r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.mu.Lock()
+	r.ran[id]++
+	r.mu.Unlock()
+	r.sys.Logf("%s runs %s %s %s", r.ID, req.Method, req.RequestURI, id)
+	if r.OnRun != nil {
+		r.OnRun(id)
+	}
+	time.Sleep(r.Work)
+	if r.LosesAnswer != nil && r.LosesAnswer() {
+		r.mu.Lock()
+		r.lost[id]++
+		r.mu.Unlock()
+		r.sys.Logf("%s loses the answer to %s", r.ID, id)
+		panic(http.ErrAbortHandler) // the connection ends
+	}
+	h.Set(HeaderSeal, "seal-"+r.ID+"-"+id)
+	fmt.Fprintf(w, "%s ran %s\n", r.ID, id)
+}
