review: show that rows of other parts of the store's tables are used (case 12)

Cause: the client of the store drops the part of the rows in a change feed, which has those of all parts. A row of another writer in a part of its own is taken for an entry of a replica.

--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -35,25 +36,56 @@
 	sys  *System
 	http *http.Server
 	born int64
+	beat chan struct{} // closed when the replica writes no more entries
 
-	mu   sync.Mutex
-	ran  map[string]int
-	lost map[string]int
+	mu      sync.Mutex
+	state   string
+	ran     map[string]int
+	arrived map[string]time.Time
+	lost    map[string]int
 }
 
+// beatInterval is the time between two writes of a replica's entry: heartbeat_ms.
+const beatInterval = 1200 * time.Millisecond
+
 // NewServer starts a replica and writes its entry.
 func (s *System) NewServer(id, service string, work time.Duration) (*Server, error) {
+	r, err := s.NewForeignServer(id, service, work)
+	if err != nil {
+		return nil, err
+	}
+	r.Put("ready")
+	go r.writeEntries()
+	return r, nil
+}
+
+// NewForeignServer starts a server that writes no entry.
+func (s *System) NewForeignServer(id, service string, work time.Duration) (*Server, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &Server{ID: id, Service: service, Address: ln.Addr().String(), Work: work, sys: s, born: time.Now().UnixMilli(), ran: make(map[string]int), lost: make(map[string]int)}
+	r := &Server{ID: id, Service: service, Address: ln.Addr().String(), Work: work, sys: s, born: time.Now().UnixMilli(), beat: make(chan struct{}), ran: make(map[string]int), arrived: make(map[string]time.Time), lost: make(map[string]int)}
 	r.http = &http.Server{Handler: r}
-	go func() { _ = r.http.Serve(ln) }() // ends with Stop
-	r.Put("ready")
+	go func() { _ = r.http.Serve(ln) }() // ends with the process
 	return r, nil
 }
 
+// writeEntries writes the replica's entry again and again, at about the same intervals.
+func (r *Server) writeEntries() {
+	for {
+		select {
+		case <-time.After(beatInterval*9/10 + rand.N(beatInterval/5)):
+			r.mu.Lock()
+			state := r.state
+			r.mu.Unlock()
+			r.writeEntry(r.Entry(state))
+		case <-r.beat:
+			return
+		}
+	}
+}
+
 // Entry returns the fields of the replica's entry.
 func (r *Server) Entry(state string) map[string]any {
 	return map[string]any{
@@ -62,23 +94,42 @@
 	}
 }
 
-// Put writes the replica's entry.
-func (r *Server) Put(state string) { r.PutEntry(r.Entry(state)) }
+// Put changes the replica's state and writes its entry.
+func (r *Server) Put(state string) {
+	r.mu.Lock()
+	r.state = state
+	r.mu.Unlock()
+	r.PutEntry(r.Entry(state))
+}
 
-// PutEntry writes an entry under the replica's id.
+// PutEntry writes an entry under the replica's id, as any writer can.
 func (r *Server) PutEntry(entry map[string]any) {
+	r.sys.Logf("entry of %s: %s", r.ID, r.writeEntry(entry))
+}
+
+func (r *Server) writeEntry(entry map[string]any) []byte {
 	b, err := json.Marshal(entry)
 	if err != nil {
 		panic(err) // it holds only texts and numbers
 	}
 	r.sys.Store.Put(platform.ServersTable+"/"+r.ID, b)
-	r.sys.Logf("entry of %s: %s", r.ID, b)
+	return b
 }
 
-// Stop ends the replica at once.
+// Stop ends the replica at once, and removes its entry.
 func (r *Server) Stop() {
 	r.sys.Logf("%s exits", r.ID)
+	close(r.beat)
 	_ = r.http.Close() // its connections end
+	r.sys.Store.Remove(platform.ServersTable + "/" + r.ID)
+}
+
+// Arrived returns when a request reached the replica last.
+func (r *Server) Arrived(id string) (at time.Time, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, ok = r.arrived[id]
+	return at, ok
 }
 
 // Ran returns how often a request began to run.
@@ -107,7 +158,12 @@
 	}
 	r.mu.Lock()
 	r.ran[id]++
+	r.arrived[id] = time.Now()
+	leaving := r.state == "draining"
 	r.mu.Unlock()
+	if leaving {
+		h.Set("Server-Leaving", "1")
+	}
 	r.sys.Logf("%s runs %s %s %s", r.ID, req.Method, req.RequestURI, id)
 	if r.OnRun != nil {
 		r.OnRun(id)
--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -57,8 +57,6 @@
 	Config  string // of the operator
 	// Binary is the daemon's program; target/vanilladriftd by default.
 	Binary string
-	// Wrap, which is optional, returns the handler of the store, given that of the stand-in.
-	Wrap func(h http.Handler) http.Handler
 }
 
 // System is a running system.
@@ -106,11 +104,7 @@
 		return nil, err
 	}
 	s.storeURL = ln.Addr().String()
-	var h http.Handler = s.Store
-	if o.Wrap != nil {
-		h = o.Wrap(h)
-	}
-	s.server = &http.Server{Handler: h}
+	s.server = &http.Server{Handler: withParts(s.Store)}
 	go func() { _ = s.server.Serve(ln) }() // ends with Close
 	s.Store.Put(platform.ConfigRowKey, []byte(o.Config))
 	for i := range o.Daemons {
