review: show that entries without a version join streams of two versions (case 13)

Cause: an entry that lacks fields is taken for one that names a replica. Without a version, all such replicas count as having the same one, and a stream of v1 goes on at v2.

--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -1,11 +1,13 @@
 package rig3
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -30,6 +32,10 @@
 	Work time.Duration
 	// OnRun, which is optional, is called when a request begins to run.
 	OnRun func(id string)
+	// Version is that of the replica's software; v1 by default.
+	Version string
+	// Events, if set, makes the replica answer with a stream of so many events, at intervals of Work.
+	Events int
 	// LosesAnswer, which is optional, reports whether the answer to a request that ran is lost.
 	LosesAnswer func() bool
 
@@ -40,6 +46,7 @@
 
 	mu      sync.Mutex
 	state   string
+	crashed bool
 	ran     map[string]int
 	arrived map[string]time.Time
 	lost    map[string]int
@@ -59,6 +66,18 @@
 	return r, nil
 }
 
+// NewVersion starts a replica of a software version that answers with streams, and writes its entry.
+func (s *System) NewVersion(id, service, version string, gap time.Duration, events int) (*Server, error) {
+	r, err := s.NewForeignServer(id, service, gap)
+	if err != nil {
+		return nil, err
+	}
+	r.Version, r.Events = version, events
+	r.Put("ready")
+	go r.writeEntries()
+	return r, nil
+}
+
 // NewForeignServer starts a server that writes no entry.
 func (s *System) NewForeignServer(id, service string, work time.Duration) (*Server, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -89,7 +108,7 @@
 // Entry returns the fields of the replica's entry.
 func (r *Server) Entry(state string) map[string]any {
 	return map[string]any{
-		"service": r.Service, "address": r.Address, "zone": "gdansk", "version": "v1", "slots": 6, "state": state,
+		"service": r.Service, "address": r.Address, "zone": "gdansk", "version": cmp.Or(r.Version, "v1"), "slots": 6, "state": state,
 		"cold_remaining_ms": 0, "sequence": 0, "born": r.born,
 	}
 }
@@ -168,6 +187,10 @@
 	if r.OnRun != nil {
 		r.OnRun(id)
 	}
+	if r.Events > 0 {
+		r.stream(w, req, id)
+		return
+	}
 	time.Sleep(r.Work)
 	if r.LosesAnswer != nil && r.LosesAnswer() {
 		r.mu.Lock()
@@ -179,3 +202,38 @@
 	h.Set(HeaderSeal, "seal-"+r.ID+"-"+id)
 	fmt.Fprintf(w, "%s ran %s\n", r.ID, id)
 }
+
+// stream answers with events, from the one after Last-Event-Id on. Each states the version of the software.
+func (r *Server) stream(w http.ResponseWriter, req *http.Request, id string) {
+	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // 0 without one
+	h := w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set(HeaderSeal, "seal-"+r.ID+"-"+id)
+	for n := last + 1; n <= r.Events; n++ {
+		select {
+		case <-time.After(r.Work):
+		case <-req.Context().Done():
+			return
+		}
+		r.mu.Lock()
+		crashed := r.crashed
+		r.mu.Unlock()
+		if crashed {
+			panic(http.ErrAbortHandler) // the connection ends
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", n, cmp.Or(r.Version, "v1"), r.ID)
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+	}
+}
+
+// Crash ends all connections of the replica, which sends nothing more and writes no more entries. Its last entry stays.
+func (r *Server) Crash() {
+	r.sys.Logf("%s crashes", r.ID)
+	r.mu.Lock()
+	r.crashed = true
+	r.mu.Unlock()
+	close(r.beat)
+	_ = r.http.Close() // its connections end
+}
