Log how long the operator's rows take until they are in force

A configuration that is late may have waited for its call or for the processor. The line on rows that were read had the time of the call only, and came before they were decoded.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -209,7 +209,7 @@
 	d.state.accountsInForce = d.node.ExpectQuotas
 	d.operatorFeed = d.newFollower(platform.OperatorTable, operatorPollWait(s.CatchUpPeriod), 0, d.state.replaceOperatorRows, d.state.applyOperatorChanges)
 	d.operatorFeed.OnRead = func(r feed.Read) {
-		l.Info("operator's rows read", "version", r.Version, "rows", r.Rows, "complete", r.Complete, "store-ms", r.StoreTime.Milliseconds(), "call-ms", r.Elapsed.Milliseconds(), "age-ms", r.Age.Milliseconds())
+		l.Info("operator's rows read", "version", r.Version, "rows", r.Rows, "complete", r.Complete, "store-ms", r.StoreTime.Milliseconds(), "call-ms", r.Elapsed.Milliseconds(), "apply-ms", r.ApplyTime.Milliseconds(), "age-ms", r.Age.Milliseconds())
 	}
 	d.serversFeed = d.newFollower(platform.ServersTable, 0, serversPollInterval(s.DrainPeriod), d.state.replaceServerRows, d.state.applyServerChanges)
 	d.builds.Age = func() time.Duration { return d.age(d.serversFeed) }
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -47,7 +47,7 @@
 	// OnReadAgain, which is optional, is called before the complete table is read again,
 	// with the version that the follower had and the reason.
 	OnReadAgain func(version int64, reason string)
-	// OnRead, which is optional, is called before rows are passed on.
+	// OnRead, which is optional, is called when rows have been passed on.
 	OnRead func(r Read)
 	// PollWait is how long the store waits for a change before it responds, and PollGrace
 	// how long its response may take then (0 means ResponseTimeout). After that the follower polls again at once, without
@@ -113,10 +113,10 @@
 		if err != nil {
 			return err
 		}
-		f.observeRead(sent, Read{Version: snapshot.Version, Rows: len(snapshot.Rows), Complete: true, StoreTime: snapshot.StoreTime})
 		f.version, f.generation, f.synced = snapshot.Version, snapshot.Generation, true
 		f.unproved = true
-		f.Reset(snapshot)
+		r := Read{Version: snapshot.Version, Rows: len(snapshot.Rows), Complete: true, StoreTime: snapshot.StoreTime}
+		f.passOn(sent, r, func() { f.Reset(snapshot) })
 		return nil
 	}
 	wait, timeout := f.PollWait, f.PollWait+cmp.Or(f.PollGrace, f.ResponseTimeout)
@@ -147,8 +147,7 @@
 	f.version, f.unproved = changes.Version, false
 	answered := f.earliestAnswer(sent, f.Clock.Boot(), wait, changes)
 	if len(changes.Rows) > 0 {
-		f.observeRead(sent, Read{Version: changes.Version, Rows: len(changes.Rows), StoreTime: changes.StoreTime})
-		f.Apply(changes)
+		f.passOn(sent, Read{Version: changes.Version, Rows: len(changes.Rows), StoreTime: changes.StoreTime}, func() { f.Apply(changes) })
 	}
 	f.storeTime = changes.StoreTime
 	f.current.Store(&answered)
@@ -179,15 +178,17 @@
 	return time.Time{}
 }
 
-func (f *Follower) observeRead(sent time.Time, r Read) {
-	if f.OnRead == nil {
-		return
-	}
-	r.Elapsed = f.Clock.Boot().Sub(sent)
+// passOn passes rows on, which a call that was sent at the given time has brought.
+func (f *Follower) passOn(sent time.Time, r Read, apply func()) {
+	received := f.Clock.Boot()
 	if at := f.CurrentAt(); !at.IsZero() {
 		r.Age = sent.Sub(at)
 	}
-	f.OnRead(r)
+	apply()
+	if f.OnRead != nil {
+		r.Elapsed, r.ApplyTime = received.Sub(sent), f.Clock.Boot().Sub(received)
+		f.OnRead(r)
+	}
 }
 
 // incompleteReason returns why changes may be missing in a response, or "".
--- a/feed/read.go
+++ b/feed/read.go
@@ -12,4 +12,5 @@
 	StoreTime time.Duration
 	Elapsed   time.Duration // since the call was sent
 	Age       time.Duration // of what the follower knew when the call was sent; 0 before it knew anything
+	ApplyTime time.Duration // from the response until the rows were passed on
 }
