--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -205,3 +206,34 @@
 		is.True(!d.limits.IsLimited(next))
 	})
 }
+
+// Guards against a node that gets later the later it is, since it decodes each of several versions that
+// one response brings.
+func TestOnlyTheNewestOfSeveralConfigurationsIsInstalled(t *testing.T) {
+	configuration := func(version, value string) table.ChangedRow {
+		row := table.Row{Key: platform.ConfigRowKey, Value: bytes.Replace(platform.ExampleConfig, []byte(`"version": 1`), []byte(value), 1)}
+		row.Version, _ = strconv.ParseInt(version, 10, 64)
+		return table.ChangedRow{Row: row}
+	}
+	for _, tt := range []struct {
+		name      string
+		rows      []table.ChangedRow
+		version   int64
+		installed int
+	}{
+		{"all valid", []table.ChangedRow{configuration("2", `"version": 2`), configuration("3", `"version": 3`), configuration("4", `"version": 4`)}, 4, 1},
+		{"last one invalid", []table.ChangedRow{configuration("2", `"version": 2`), configuration("3", `"version": 3`), configuration("4", `"version": "x"`)}, 3, 1},
+		{"last one older", []table.ChangedRow{configuration("2", `"version": 2`), configuration("3", `"version": 5`), configuration("4", `"version": 1`)}, 5, 1},
+		{"all invalid", []table.ChangedRow{configuration("2", `"version": 0`), configuration("3", `"version": -1`)}, 1, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newStateFixture(t)
+			var out bytes.Buffer
+			d.state.log = log.New(&out)
+			d.state.applyOperatorChanges(table.Changes{Rows: tt.rows})
+			is.Equal(d.state.routes.Load().Version(), tt.version)
+			is.Equal(bytes.Count(out.Bytes(), []byte("configuration in force")), tt.installed)
+		})
+	}
+}
