Install only the newest of several configurations that one response brings

What callers saw: requests run by a service of an older configuration, at nodes that were behind.

Cause: the store's feed returns each version that a node has missed, and the node decoded and installed each in turn, the oldest first.

Change: of several configurations the one with the highest version is installed, and the next one only if it is not valid. To order them, only their versions are decoded.

--- a/entry/state.go
+++ b/entry/state.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,49 +57,72 @@
 
 // replaceOperatorRows applies a complete read of the operator's rows.
 func (s *platformState) replaceOperatorRows(snapshot table.Snapshot) {
-	for _, row := range snapshot.Rows {
-		s.applyOperatorRow(row)
-	}
+	s.applyOperatorRows(snapshot.Rows)
 }
 
 func (s *platformState) applyOperatorChanges(changes table.Changes) {
+	var rows []table.Row
 	for _, row := range changes.Rows {
 		if !row.Removed {
-			s.applyOperatorRow(row.Row)
+			rows = append(rows, row.Row)
 		}
 	}
+	s.applyOperatorRows(rows)
 }
 
-func (s *platformState) applyOperatorRow(row table.Row) {
-	key := strings.TrimPrefix(row.Key, platform.OperatorTable+"/")
-	switch {
-	case platform.IsConfigKey(key):
-		t, unknown, err := platform.DecodeConfig(row)
-		if err != nil {
-			s.log.Error("ignoring invalid configuration; keeping the one in force", "row-version", row.Version, "err", err)
-			return
-		}
-		for _, err := range unknown {
-			s.log.Warn("sending each request of a route once at most", "row-version", row.Version, "err", err)
-		}
-		if names := t.ConflictingAccounts(); len(names) > 0 {
-			s.log.Error("client accounts have keys in common; these keys authenticate nobody", "row-version", row.Version, "accounts", strings.Join(names, ","))
+// applyOperatorRows applies rows in the order in which they were written. Of several configurations it
+// installs only the newest valid one: a node that decoded each of them would be the later the more it
+// has missed.
+func (s *platformState) applyOperatorRows(rows []table.Row) {
+	var configs []table.Row
+	for _, row := range rows {
+		key := strings.TrimPrefix(row.Key, platform.OperatorTable+"/")
+		switch {
+		case platform.IsConfigKey(key):
+			configs = append(configs, row)
+		case platform.IsAdapterVersionKey(key):
+			v, err := platform.DecodeAdapterVersion(row)
+			if err != nil {
+				s.log.Error("ignoring invalid adapter version row", "key", key, "err", err)
+				continue
+			}
+			s.setAdapterVersion(v)
 		}
-		s.setRoutes(t, row)
-	case platform.IsAdapterVersionKey(key):
-		v, err := platform.DecodeAdapterVersion(row)
-		if err != nil {
-			s.log.Error("ignoring invalid adapter version row", "key", key, "err", err)
+	}
+	if len(configs) > 1 {
+		slices.Reverse(configs)
+		slices.SortStableFunc(configs, func(a, b table.Row) int {
+			return cmp.Compare(platform.ConfigVersion(b), platform.ConfigVersion(a))
+		})
+	}
+	for _, row := range configs {
+		if s.applyConfiguration(row) {
 			return
 		}
-		s.setAdapterVersion(v)
 	}
 }
 
+// applyConfiguration reports whether the configuration is in force now.
+func (s *platformState) applyConfiguration(row table.Row) bool {
+	t, unknown, err := platform.DecodeConfig(row)
+	if err != nil {
+		s.log.Error("ignoring invalid configuration; keeping the one in force", "row-version", row.Version, "err", err)
+		return false
+	}
+	for _, err := range unknown {
+		s.log.Warn("sending each request of a route once at most", "row-version", row.Version, "err", err)
+	}
+	if names := t.ConflictingAccounts(); len(names) > 0 {
+		s.log.Error("client accounts have keys in common; these keys authenticate nobody", "row-version", row.Version, "accounts", strings.Join(names, ","))
+	}
+	return s.setRoutes(t, row)
+}
+
 // setRoutes puts a configuration in force unless the one in force has a later version, or
 // the same version from a row that was written later. The operator may write a version
-// again with other contents if a restore of the store lost it.
-func (s *platformState) setRoutes(routes *route.Table, row table.Row) {
+// again with other contents if a restore of the store lost it. setRoutes reports whether the
+// configuration is in force now.
+func (s *platformState) setRoutes(routes *route.Table, row table.Row) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var inForce int64
@@ -108,12 +132,12 @@
 	l := s.log.With("version", routes.Version(), "row-version", row.Version, "generation", row.Generation)
 	if inForce > routes.Version() || inForce == routes.Version() && !isWrittenAfter(row, s.configRow) {
 		l.Info("configuration is not newer; keeping the one in force", "in-force", inForce)
-		return
+		return false
 	}
 	same := bytes.Equal(row.Value, s.configRow.Value)
 	s.configRow = row
 	if same {
-		return
+		return true
 	}
 	s.routes.Store(routes)
 	l.Info("configuration in force", "replaced", inForce, "pools", len(routes.Pools()), "accounts", routes.HasAccounts())
@@ -121,6 +145,7 @@
 	if routes.HasAccounts() && s.accountsInForce != nil {
 		s.accountsInForce()
 	}
+	return true
 }
 
 // isWrittenAfter reports whether a row was written after another version of it.
