Read the table again where the changes that were missed are longer

What callers saw: a node that was without the store for 2 s while large configurations came in quick succession ran requests by its old configuration from then on, for as long as they came.

Cause: the store's feed returns every version that was missed, and a call without a wait had to end within a second, whatever it brought. At 10 Mbit/s that is four configurations of 230 KB. From five on each call failed, and the next response was longer.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -7,7 +7,8 @@
 //
 // A follower reads the complete table first, and then polls for changes since
 // that version. It reads the complete table again if the store no longer has
-// those changes, or was restored from a copy and gives out versions again. While complete
+// those changes, if they are longer than the table, or if the store was restored from a copy and gives
+// out versions again. While complete
 // reads are older than the changes that the store keeps, it retries as after a failure. Every
 // call has a timeout, since a connection may hang without an error.
 //
@@ -106,7 +107,7 @@
 // poll reads the table, or its changes, once.
 func (f *Follower) poll(ctx context.Context) error {
 	if !f.synced {
-		ctx, cancel := context.WithTimeout(ctx, f.ResponseTimeout)
+		ctx, cancel := f.startCall(ctx, f.ResponseTimeout, func() {})
 		defer cancel()
 		sent := f.Clock.Boot()
 		snapshot, err := f.ReadAll(ctx, f.Table)
@@ -126,7 +127,7 @@
 	if wait == 0 {
 		timeout = f.ResponseTimeout
 	}
-	pollCtx, cancel := context.WithTimeout(ctx, timeout)
+	pollCtx, cancel := f.startCall(ctx, timeout, func() {})
 	defer cancel()
 	sent := f.Clock.Boot()
 	changes, err := f.ReadChanges(pollCtx, f.Table, f.version, wait)
@@ -136,7 +137,7 @@
 		if f.OnReadAgain != nil {
 			f.OnReadAgain(f.version, reason)
 		}
-		if f.unproved {
+		if f.unproved && !table.IsKind(err, table.TooLong) {
 			return &table.Error{Op: "follow", Kind: table.Unavailable, Key: f.Table, Err: errors.New("complete reads are out of date: " + reason)}
 		}
 		return f.poll(ctx)
@@ -196,6 +197,8 @@
 	switch {
 	case table.IsKind(err, table.HistoryLost):
 		return "the store no longer has the changes"
+	case table.IsKind(err, table.TooLong):
+		return "the changes are longer than the table"
 	case err != nil:
 		return ""
 	case changes.Generation != f.generation:
--- a/table/error.go
+++ b/table/error.go
@@ -12,6 +12,7 @@
 	Unavailable ErrorKind = "unavailable"  // the service did not process the call; nothing was written
 	Unknown     ErrorKind = "unknown"      // no response came; the write may have been applied
 	HistoryLost ErrorKind = "history-lost" // the requested changes are no longer kept
+	TooLong     ErrorKind = "too-long"     // the requested changes are longer than the table
 	Restored    ErrorKind = "restored"     // the table was restored from a copy since its rows were read
 	Malformed   ErrorKind = "malformed"    // a request could not be built, or a row not decoded
 )
