Do not run requests by a configuration that is known to be replaced

What callers saw: requests run by a service of an older configuration, longer after the confirmation of a newer one than config_apply_ms, at nodes that were short of processor time or link.

Cause: a node knew up to when it had passed on all changes, logged that age with each request, and acted on it only where no route matched. A matching route was run, whatever its age.

Change: the follower tells since when changes are missing that the store has answered with, or is about to: rows that are arriving or being installed, and a poll that was sent with knowledge older than 300 ms, which the store answers at once. That is 0 while the store holds a poll, and once it has not responded for 2 s: during an outage a node serves by what it knows, as all nodes do. From config_apply_ms on, requests get 503 with a Retry-After of 100 ms; they have not run, and other nodes know better.

That requests on known routes go on during an outage is in TestUnknownRouteIsNoFinalAnswerWhileTheConfigurationMayBeOld, unchanged.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -32,6 +32,8 @@
 	storeTimeout = time.Second
 	// defaultCatchUpPeriod is the catch-up period if the settings state none.
 	defaultCatchUpPeriod = 3 * time.Second
+	// defaultConfigDeadline is the time in which a configuration must be in force if the settings state none.
+	defaultConfigDeadline = 2 * time.Second
 	// minOperatorPollWait bounds the calls of nodes with a short catch-up period.
 	minOperatorPollWait = 500 * time.Millisecond
 	// pollGrace is how long the response to a poll may take once the store no longer holds it.
@@ -218,6 +220,7 @@
 	for f, name := range map[*feed.Follower]string{d.operatorFeed: "configuration-age-seconds", d.serversFeed: "servers-age-seconds"} {
 		d.node.Meter().Gauge(name, "time since when changes of the table may have been missed", func() float64 { return d.age(f).Seconds() })
 	}
+	d.node.Meter().Gauge("configuration-behind-seconds", "time since when changes of the configuration are missing that the store has; 0 while none are expected", func() float64 { return d.operatorFeed.Behind().Seconds() })
 	d.node.Meter().Gauge("ordered-by-cost", "1 while requests are ordered and refused by what that costs callers", func() float64 {
 		if d.isByCost() {
 			return 1
@@ -232,7 +235,7 @@
 	d.acquirer.CanUse = d.canUseEngine
 	d.acquirer.RequestGrant = d.withTurnDelays(d.acquirer.RequestGrant)
 	d.relayHandler = &relay.Handler{
-		Table: d.state.routes.Load, IsTableCurrent: d.isConfigurationCurrent, TableAge: func() time.Duration { return d.age(d.operatorFeed) }, Servers: d.state.servers.View, RequiredVersion: d.state.adapterVersion,
+		Table: d.state.routes.Load, IsTableCurrent: d.isConfigurationCurrent, IsTableOutdated: d.isConfigurationOutdated, TableAge: func() time.Duration { return d.age(d.operatorFeed) }, Servers: d.state.servers.View, RequiredVersion: d.state.adapterVersion,
 		DecodeRequest: platform.DecodeRequestHead, NewServerRequest: platform.NewReplicaRequest, DecodeResponse: platform.DecodeResponseHead, RequestIDHeader: platform.RequestIDHeader,
 		Transport: d.transports.forPool, Acquire: d.acquire, Release: d.node.Release,
 		Prompts: prompts, OnQuarantine: d.node.LogQuarantine, Requests: requests, OnRequestQuarantine: d.node.LogRequestQuarantine,
@@ -422,6 +425,11 @@
 	return !f.CurrentAt().IsZero() && d.age(f) <= f.PollWait+f.PollGrace
 }
 
+// isConfigurationOutdated reports whether a configuration that was not read yet must be in force already.
+func (d *Daemon) isConfigurationOutdated() bool {
+	return d.operatorFeed.Behind() > cmp.Or(d.settings.ConfigDeadline, defaultConfigDeadline)
+}
+
 // serveReadiness responds to the load balancer's readiness checks.
 func (d *Daemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if d.shuttingDown.Load() || d.state.routes.Load() == nil || d.state.servers.View() == nil {
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -30,6 +30,15 @@
 	"github.com/vanilladrift/vanilladrift/table"
 )
 
+const (
+	// promptAge is the age of what a follower knows from which on the store may have changes that
+	// are not on their way: far above the time of a call.
+	promptAge = 300 * time.Millisecond
+	// outageAfter is the time without a response, in response timeouts, after which the store is taken for
+	// unavailable to all.
+	outageAfter = 2
+)
+
 // Follower follows one table. Set the fields before [Follower.Run].
 type Follower struct {
 	Table string
@@ -65,6 +74,8 @@
 	Clock         clock.Clock
 
 	current    atomic.Pointer[time.Time] // see CurrentAt
+	missing    atomic.Pointer[time.Time] // see Behind
+	downSince  atomic.Pointer[time.Time] // nil while the store responds
 	version    int64
 	generation int64         // in which the version was read
 	storeTime  time.Duration // of the last response to a poll; 0 if it is not stated
@@ -82,6 +93,8 @@
 		if err := f.poll(ctx); err != nil && ctx.Err() == nil {
 			if !f.down {
 				f.down = true
+				now := f.Clock.Boot()
+				f.downSince.Store(&now)
 				f.OnDown(err)
 			}
 			if f.overdue {
@@ -97,6 +110,7 @@
 		}
 		if f.down {
 			f.down = false
+			f.downSince.Store(nil)
 			f.OnUp()
 		}
 		delay = f.RetryDelay
@@ -120,17 +134,24 @@
 		f.passOn(sent, r, func() { f.Reset(snapshot) })
 		return nil
 	}
+	sent := f.Clock.Boot()
 	wait, timeout := f.PollWait, f.PollWait+cmp.Or(f.PollGrace, f.ResponseTimeout)
-	if f.down || f.unproved {
+	if f.down || f.unproved || f.expectChanges(sent) {
 		wait = 0 // tells early that the store is available, or what was missed
 	}
 	if wait == 0 {
 		timeout = f.ResponseTimeout
 	}
-	pollCtx, cancel := f.startCall(ctx, timeout, func() {})
+	pollCtx, cancel := f.startCall(ctx, timeout, func() {
+		// The store ends a poll that it holds as soon as there is a change.
+		f.miss(f.Clock.Boot())
+	})
 	defer cancel()
-	sent := f.Clock.Boot()
+	before := f.missing.Load()
 	changes, err := f.ReadChanges(pollCtx, f.Table, f.version, wait)
+	if err != nil {
+		f.missing.Store(before) // the response need not have held changes
+	}
 	f.overdue = wait > 0 && err != nil && pollCtx.Err() != nil
 	if reason := f.incompleteReason(changes, err); reason != "" {
 		f.synced = false
@@ -147,14 +168,53 @@
 	}
 	f.version, f.unproved = changes.Version, false
 	answered := f.earliestAnswer(sent, f.Clock.Boot(), wait, changes)
+	if wait > 0 {
+		f.miss(answered)
+	}
 	if len(changes.Rows) > 0 {
 		f.passOn(sent, Read{Version: changes.Version, Rows: len(changes.Rows), StoreTime: changes.StoreTime}, func() { f.Apply(changes) })
 	}
 	f.storeTime = changes.StoreTime
 	f.current.Store(&answered)
+	f.missing.Store(nil)
+	f.expectChanges(f.Clock.Boot())
 	return nil
 }
 
+// expectChanges reports whether the store may have changes that the follower should have read by now,
+// and records since when.
+func (f *Follower) expectChanges(now time.Time) bool {
+	at := f.current.Load()
+	if f.down || at == nil || now.Sub(*at) <= promptAge {
+		return false
+	}
+	f.miss(*at)
+	return true
+}
+
+// miss records that changes since a time have not been passed on, unless earlier ones have not either.
+func (f *Follower) miss(at time.Time) {
+	if old := f.missing.Load(); old == nil || at.Before(*old) {
+		f.missing.Store(&at)
+	}
+}
+
+// Behind returns the time since when changes have not been passed on that the store has answered with, or is
+// about to. It is 0 if the follower has no reason to expect any, and while the store does not respond:
+// what others know is no newer then. Unlike the time since [Follower.CurrentAt], it does not grow while the
+// store holds a poll.
+func (f *Follower) Behind() time.Duration {
+	at := f.missing.Load()
+	if at == nil {
+		return 0
+	}
+	now := f.Clock.Boot()
+	if down := f.downSince.Load(); down != nil && now.Sub(*down) > outageAfter*f.ResponseTimeout {
+		return 0
+	}
+	return now.Sub(*at)
+}
+
 // earliestAnswer returns the earliest time at which the store can have sent the response to a poll:
 // after the poll was sent, after the wait if there was no change, and after the last response by as
 // much as the store's clock has gone on since.
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -362,3 +362,59 @@
 		stop()
 	})
 }
+
+// Guards against a follower that takes itself for current while it waits for what the store has answered
+// with, and against one that takes an unavailable store for changes that it misses.
+func TestBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tbl := &stubTable{rows: map[string]int64{}}
+		tbl.putRow("a")
+		rec := &recorder{versions: map[string]int64{}}
+		f := newFollower(tbl, rec)
+		f.PollWait, f.Clock = 2*time.Second, clock.Virtual()
+		var arrival time.Duration // of a response that holds rows, from its beginning
+		f.ReadChanges = func(ctx context.Context, name string, after int64, wait time.Duration) (table.Changes, error) {
+			ch, err := tbl.readChanges(ctx, name, after, wait)
+			if err == nil {
+				table.Progress(ctx)
+			}
+			if len(ch.Rows) > 0 {
+				for range arrival / (100 * time.Millisecond) {
+					time.Sleep(100 * time.Millisecond)
+					table.Progress(ctx)
+				}
+			}
+			return ch, err
+		}
+		defer run(f)()
+		time.Sleep(10 * time.Second)
+		is.Equal(f.Behind(), time.Duration(0)) // the store holds a poll
+
+		arrival = 3 * time.Second // longer than a call without any progress may take
+		tbl.update(func() { tbl.putRow("b") })
+		time.Sleep(time.Second)
+		tbl.update(func() { tbl.putRow("c") })
+		time.Sleep(1500 * time.Millisecond)
+		is.True(f.Behind() > 2400*time.Millisecond && f.Behind() <= 2500*time.Millisecond)
+		time.Sleep(time.Second)
+		is.Equal(rec.version("b"), int64(2))
+		is.Equal(rec.version("c"), int64(0))
+		is.True(f.Behind() > 3400*time.Millisecond) // since the response with b, which may lack c
+		time.Sleep(3 * time.Second)
+		is.Equal(rec.version("c"), int64(3))
+		time.Sleep(time.Second)
+		is.Equal(f.Behind(), time.Duration(0))
+
+		tbl.update(func() { tbl.putRow("d") })
+		time.Sleep(time.Second)
+		tbl.update(func() { tbl.hangs = true })
+		time.Sleep(2500 * time.Millisecond) // the follower has d and asks what it missed meanwhile
+		is.True(f.Behind() > 3*time.Second)
+		time.Sleep(5 * time.Second)
+		is.Equal(f.Behind(), time.Duration(0)) // nobody reads changes
+		tbl.update(func() { tbl.hangs = false })
+		time.Sleep(5 * time.Second)
+		is.Equal(f.Behind(), time.Duration(0))
+	})
+}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -57,6 +57,9 @@
 	// IsTableCurrent, which is optional, reports whether the configuration has all changes that it
 	// should have. If it may lack some, a request without a route is not rejected for good.
 	IsTableCurrent func() bool
+	// IsTableOutdated, which is optional, reports whether the configuration is known to lack changes that
+	// must be in force already. Requests are not run by it then.
+	IsTableOutdated func() bool
 	// TableAge, which is optional, returns the time since when changes of the configuration may have
 	// been missed.
 	TableAge func() time.Duration
@@ -215,6 +218,9 @@
 	if x.head, err = x.handler.DecodeRequest(x.r.Header); err != nil {
 		return &Error{Op: op, Kind: BadRequest, Reason: err.Error()}
 	}
+	if x.handler.IsTableOutdated != nil && x.handler.IsTableOutdated() {
+		return &Error{Op: op, Kind: NotReady, Reason: "the configuration that the node knows has been replaced", RetryAfter: otherNodeRetryAfter}
+	}
 	var ok bool
 	if x.route, ok = x.table.Match(x.r.Host, x.r.URL.Path); !ok {
 		if x.handler.IsTableCurrent != nil && !x.handler.IsTableCurrent() {
