--- a/demo/mortal_network_test.go
+++ b/demo/mortal_network_test.go
@@ -22,13 +22,29 @@
 	dead    bool
 	closers map[interface{ Close() error }]string // open connections and listeners, by address
 	isCut   func(address string) bool             // nil while nothing is cut off
+	how     cutKind
 }
 
+// cutKind tells what becomes of connections to addresses that are cut off.
+type cutKind string
+
+const (
+	cutEnds    cutKind = "connections end, new ones time out"
+	cutRefuses cutKind = "connections live, new ones are refused"
+	cutHangs   cutKind = "connections hang"
+)
+
+// cutUserTimeout is how long a connection that hangs lives on, as TCP's user timeout makes it.
+const cutUserTimeout = 1500 * time.Millisecond
+
 // cut ends the connections from and to the addresses that isCut names, and lets no new ones come
 // about until it is called with nil.
-func (n *mortalNetwork) cut(isCut func(address string) bool) {
+func (n *mortalNetwork) cut(isCut func(address string) bool) { n.cutSo(cutEnds, isCut) }
+
+// cutSo is like cut for a kind of cut.
+func (n *mortalNetwork) cutSo(how cutKind, isCut func(address string) bool) {
 	n.mu.Lock()
-	n.isCut = isCut
+	n.isCut, n.how = isCut, how
 	var conns []net.Conn
 	for c, address := range n.closers {
 		if conn, ok := c.(net.Conn); ok && isCut != nil && isCut(address) {
@@ -36,11 +52,34 @@
 		}
 	}
 	n.mu.Unlock()
+	switch how {
+	case cutEnds:
+		closeAll(conns)
+	case cutHangs:
+		time.AfterFunc(cutUserTimeout, func() { closeAll(conns) })
+	}
+}
+
+func closeAll(conns []net.Conn) {
 	for _, c := range conns {
 		_ = c.Close() // the other end is out of reach
 	}
 }
 
+// hangs reports whether connections to an address hang.
+func (n *mortalNetwork) hangs(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.how == cutHangs && n.isCut != nil && n.isCut(address)
+}
+
+// refuses reports whether an address refuses new connections.
+func (n *mortalNetwork) refuses(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.how == cutRefuses && n.isCut != nil && n.isCut(address)
+}
+
 func (n *mortalNetwork) reaches(address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -90,6 +129,9 @@
 		return &mortalListener{ln, n, address}, n.check(ln, address)
 	}
 	out.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if n.refuses(address) {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		}
 		if !n.reaches(address) {
 			select {
 			case <-time.After(cutDialTimeout):
@@ -101,7 +143,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &mortalConn{c, n}, n.check(c, address)
+		return &mortalConn{c, n, address}, n.check(c, address)
 	}
 	return out
 }
@@ -129,7 +171,7 @@
 	if !l.network.reaches(l.address) {
 		_ = c.Close() // comes from an address that is cut off
 	}
-	return &mortalConn{c, l.network}, l.network.check(c, l.address)
+	return &mortalConn{c, l.network, l.address}, l.network.check(c, l.address)
 }
 
 // Close implements net.Listener.
@@ -141,6 +183,25 @@
 type mortalConn struct {
 	net.Conn
 	network *mortalNetwork
+	address string
+}
+
+// Write implements net.Conn.
+func (c *mortalConn) Write(p []byte) (int, error) {
+	if c.network.hangs(c.address) {
+		return len(p), nil // is not delivered
+	}
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn.
+func (c *mortalConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.network.hangs(c.address) {
+		time.Sleep(cutUserTimeout)
+		return 0, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}
+	}
+	return n, err
 }
 
 // Close implements net.Conn.
