Serve callers of a node without a path to servers through other nodes

Cause: a node had only its own path. The class: what one node cannot do is taken for what the system cannot do.

Change: a node decides for each pool whether it reaches any server (backend.Reach): three servers that accept no connection or let one die, and no answer from any for 250 ms. While that lasts, it hands requests of the pool to other nodes as they came, before it takes quota or retries for them; a request whose last server could not be connected to is handed over as well. The other node serves it as its own. It names a refusal that is about itself, and then the next node is asked, three at most; a relayed request is not relayed again. What may have run is not sent again. A node that stops finishes what it has taken.

--- a/backend/view.go
+++ b/backend/view.go
@@ -22,6 +22,15 @@
 	return found
 }
 
+// Addresses returns the addresses of all servers.
+func (v *View) Addresses() map[string]bool {
+	addresses := make(map[string]bool, len(v.byID))
+	for _, s := range v.byID {
+		addresses[s.Address] = true
+	}
+	return addresses
+}
+
 // Server returns the server with the given ID.
 func (v *View) Server(id string) (*Server, bool) {
 	if v == nil {
--- a/demo/mortal_network_test.go
+++ b/demo/mortal_network_test.go
@@ -196,12 +196,15 @@
 
 // Read implements net.Conn.
 func (c *mortalConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if c.network.hangs(c.address) {
-		time.Sleep(cutUserTimeout)
-		return 0, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.network.hangs(c.address) {
+			return n, err
+		}
+		if err != nil {
+			return 0, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}
+		}
 	}
-	return n, err
 }
 
 // Close implements net.Conn.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -243,6 +243,7 @@
 		IsOverloaded: d.overload.Rejects, AdmitPlain: d.admitPlain, ObservePlain: d.poolGates.Observe, CallerLeft: d.callerLeft, TakeQuota: d.node.TakeQuota,
 		FindOrigin: d.findOrigin, RecordOrigin: d.streams.Begin, WithdrawStream: d.node.WithdrawStream, MayBegin: d.mayBegin,
 	}
+	d.relayHandler.Relays = d.newRelays()
 	return d, nil
 }
 
@@ -340,7 +341,7 @@
 		srv           *http.Server
 	}{
 		{"readiness", d.settings.ReadinessAddress, operatorFiles, &http.Server{Handler: http.HandlerFunc(d.serveReadiness)}},
-		{"peers", d.settings.PeerAddress, peerFiles, peer.NewHTTPServer(d.node.Peers(), nil)},
+		{"peers", d.settings.PeerAddress, peerFiles, peer.NewHTTPServer(d.relayHandler.RelayedHandler(d.node.Peers()), nil)},
 		{"operators", d.settings.OperatorAddress, operatorFiles, &http.Server{Handler: d.node.Operators()}},
 	} {
 		ln, err := d.network.Listen(l.address)
@@ -367,6 +368,7 @@
 	d.tasks.Go(func() { d.serversFeed.Run(d.ctx) })
 	d.tasks.Go(d.keepBuilds)
 	d.tasks.Go(d.watchLoad)
+	d.tasks.Go(d.watchReach)
 	d.tasks.Go(func() {
 		t := time.NewTicker(restoredInterval)
 		defer t.Stop()
@@ -462,11 +464,15 @@
 	defer cancel()
 	d.tasks.Go(func() { d.node.HandOverEngines(ctx) })
 	time.Sleep(acceptAfterSIGTERM)
-	d.relayHandler.Close()
+	idle := d.relayHandler.Close()
 	defer context.AfterFunc(ctx, d.relayHandler.End)()
 	if err := d.callerServer.Shutdown(ctx); err != nil {
 		d.log.Warn("requests in flight were aborted at the end of the grace period", "err", err)
 	}
+	select {
+	case <-idle: // requests that other nodes relayed have ended as well
+	case <-ctx.Done():
+	}
 	if err := d.node.Close(ctx); err != nil {
 		d.log.Warn("node did not shut down within the grace period", "err", err)
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -57,5 +57,5 @@
 		"gap-ms", ev.MaxEventGap.Milliseconds(), "left-ms", ev.TimeLeft.Milliseconds(), "retry-ms", ev.RetryAfter.Milliseconds(), "config", ev.ConfigVersion, "config-age-ms", ev.ConfigAge.Milliseconds(), "prompt-parts", parts, "fingerprint", ev.Fingerprint,
 		"server-status", ev.ServerStatus, "server-not-run", ev.ServerNotRun, "conn", ev.Connection.ID, "conn-age-ms", ev.Connection.Age.Milliseconds(),
 		"conn-requests", ev.Connection.Requests, "conn-last", ev.Connection.LastRequestID,
-		"build", ev.Build, "resumes", ev.Resumes, "after-event", ev.LastEventID)
+		"build", ev.Build, "relayed-by", ev.RelayedBy, "relayed-to", ev.RelayedTo, "resumes", ev.Resumes, "after-event", ev.LastEventID)
 }
--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/vanilladrift/vanilladrift/backend"
 	"github.com/vanilladrift/vanilladrift/platform"
 	"github.com/vanilladrift/vanilladrift/route"
 	"github.com/vanilladrift/vanilladrift/transport"
@@ -24,6 +24,7 @@
 // connections are divided among the nodes.
 type poolTransports struct {
 	network   Network
+	reach     backend.Reach
 	nodeCount func() int // number of nodes that share the limits
 	// paused, which is optional, reports whether the server at an address has asked this
 	// node to send it nothing for a time.
@@ -143,16 +144,18 @@
 		err = errors.New("the server has asked for a pause")
 	}
 	if err != nil {
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
+		return nil, transport.Unsent(err)
 	}
 	resp, err := t.transportFor(r).RoundTrip(r)
 	if err != nil {
 		h.release()
 		if used.unsent.Load() {
-			err = &net.OpError{Op: "dial", Net: "tcp", Err: err}
+			err = transport.Unsent(err)
 		}
+		t.parent.observeFailure(r, err)
 		return nil, err
 	}
+	t.parent.reach.ObserveAnswer(time.Now(), r.URL.Host)
 	if err := transport.CheckResponse(resp); err != nil {
 		h.release()
 		used.close()
--- /dev/null
+++ b/entry/relays.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/vanilladrift/vanilladrift/backend"
+	"github.com/vanilladrift/vanilladrift/platform"
+	"github.com/vanilladrift/vanilladrift/relay"
+	"github.com/vanilladrift/vanilladrift/transport"
+)
+
+const (
+	// reachInterval is the time between two attempts to connect to a server of a pool that this node is
+	// cut off from.
+	reachInterval = 500 * time.Millisecond
+	// unreachableTime is how long a node that reaches no server of a pool either is asked no more, and
+	// busyTime how long one that cannot serve requests for now.
+	unreachableTime = 2 * time.Second
+	busyTime        = 100 * time.Millisecond
+)
+
+// relayNodes chooses the nodes that requests are relayed to.
+type relayNodes struct {
+	addresses func() []string // of the other nodes that take requests
+
+	mu      sync.Mutex
+	refused map[relayKey]time.Time // until when a node is not asked
+}
+
+type relayKey struct{ pool, address string }
+
+// next implements the Next function of [relay.Relays].
+func (n *relayNodes) next(pool string, tried map[string]bool) (address string, ok bool) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for _, a := range n.addresses() {
+		if tried[a] || now.Before(n.refused[relayKey{pool, a}]) {
+			continue
+		}
+		count++
+		if rand.IntN(count) == 0 {
+			address = a
+		}
+	}
+	return address, count > 0
+}
+
+// setRefused implements the Refused function of [relay.Relays].
+func (n *relayNodes) setRefused(pool, address string, isUnreachable bool) {
+	d := busyTime
+	if isUnreachable {
+		d = unreachableTime
+	}
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.refused == nil {
+		n.refused = make(map[relayKey]time.Time)
+	}
+	for k, until := range n.refused {
+		if now.After(until) {
+			delete(n.refused, k)
+		}
+	}
+	n.refused[relayKey{pool, address}] = now.Add(d)
+}
+
+// newRelays returns the relays of the daemon. Their connections are apart from those of the peer protocol,
+// whose calls must not wait behind responses.
+func (d *Daemon) newRelays() *relay.Relays {
+	nodes := &relayNodes{addresses: d.node.OtherNodes}
+	return &relay.Relays{
+		Node: d.settings.Node, IsCutOff: d.isCutOff, Next: nodes.next, Refused: nodes.setRefused,
+		NewRequest: platform.NewNodeRequest, Transport: d.network.newPeerClient().Transport,
+	}
+}
+
+// isCutOff reports whether this node reaches no server of a pool.
+func (d *Daemon) isCutOff(pool string) bool {
+	return d.transports.reach.IsCutOff(time.Now(), pool, func() []*backend.Server { return d.state.servers.View().Pool(pool) })
+}
+
+// watchReach connects to a server of each pool that this node is cut off from, from time to time, until the
+// daemon ends.
+func (d *Daemon) watchReach() {
+	t := time.NewTicker(reachInterval)
+	defer t.Stop()
+	cutOff := make(map[string]bool)
+	for {
+		select {
+		case <-t.C:
+		case <-d.ctx.Done():
+			return
+		}
+		routes, view := d.state.routes.Load(), d.state.servers.View()
+		if routes == nil || view == nil {
+			continue
+		}
+		for _, p := range routes.Pools() {
+			isCutOff := d.isCutOff(p.Name)
+			if isCutOff != cutOff[p.Name] {
+				cutOff[p.Name] = isCutOff
+				d.log.Warn("path to the servers of a pool", "pool", p.Name, "cut-off", isCutOff)
+			}
+			if isCutOff {
+				d.tryServer(view.Pool(p.Name))
+			}
+		}
+		d.transports.reach.Keep(view.Addresses())
+	}
+}
+
+// tryServer connects to one of the servers.
+func (d *Daemon) tryServer(servers []*backend.Server) {
+	if len(servers) == 0 {
+		return
+	}
+	address := servers[rand.IntN(len(servers))].Address
+	ctx, cancel := context.WithTimeout(d.ctx, dialTimeout)
+	defer cancel()
+	conn, err := d.transports.dial(ctx, "tcp", address)
+	if err != nil {
+		return // recorded by dial
+	}
+	d.transports.reach.ObserveAnswer(time.Now(), address)
+	_ = conn.Close() // nothing was sent
+}
+
+// observeFailure records that a request got no response since its connection failed.
+func (c *poolTransports) observeFailure(r *http.Request, err error) {
+	var op *net.OpError
+	if r.Context().Err() == nil && errors.As(err, &op) && !transport.IsDialError(err) { // dial records the others
+		c.reach.ObserveFailure(time.Now(), r.URL.Host)
+	}
+}
--- a/entry/server_conn.go
+++ b/entry/server_conn.go
@@ -133,6 +133,9 @@
 func (c *poolTransports) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := c.network.Dial(ctx, network, address)
 	if err != nil {
+		if ctx.Err() == nil {
+			c.reach.ObserveFailure(time.Now(), address)
+		}
 		return nil, err
 	}
 	return &serverConn{Conn: transport.NewConn(conn), lower: conn, id: c.lastConn.Add(1), since: time.Now()}, nil
--- a/node/node.go
+++ b/node/node.go
@@ -297,6 +297,16 @@
 	return max(1, n.members.countLive())
 }
 
+// OtherNodes returns the addresses of the other nodes that take requests.
+func (n *Node) OtherNodes() (addresses []string) {
+	for _, mem := range n.members.all() {
+		if mem.live() && !mem.Leaving && mem.Process != n.process && !n.members.isDown(mem.Address) {
+			addresses = append(addresses, mem.Address)
+		}
+	}
+	return addresses
+}
+
 // HandOverEngines hands over the node's engines. The node still serves as an entry
 // node.
 func (n *Node) HandOverEngines(ctx context.Context) {
--- a/relay/event.go
+++ b/relay/event.go
@@ -13,6 +13,8 @@
 	Account     string   // client account; empty if there is none
 	Server      string   // the server of the last attempt
 	Build       string   // of that server
+	RelayedBy   string   // the node that the request came from; empty if it came from a caller
+	RelayedTo   string   // address of the node that the request was relayed to last
 	Resumes     string   // of the request; see [RequestHead]
 	LastEventID string   // after which the request resumes a stream
 	PromptParts []string // of the request; see [RequestHead]
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -139,6 +139,8 @@
 	Memory *memory.Budget
 	// BodyProgress, which is optional, returns the time within which some of a body must arrive.
 	BodyProgress func() time.Duration
+	// Relays, which is optional, hands requests over to other nodes.
+	Relays *Relays
 	// Observe, which is optional, is called for each finished request and each
 	// failed attempt that is followed by another.
 	Observe func(Event)
@@ -154,9 +156,13 @@
 // whether it may have run, unless its response has begun.
 func (h *Handler) End() { h.active.End() }
 
-// ServeHTTP implements http.Handler.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{handler: h, w: w, r: r, start: time.Now(), holding: h.Memory.Hold(memory.OfCaller)}
+// ServeHTTP implements http.Handler, for callers.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serve(w, r, "") }
+
+// serve serves a request that came from a caller, or from the node relayedBy.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, relayedBy string) {
+	r.Header.Del(relayedByHeader)
+	x := &exchange{handler: h, w: w, r: r, relayedBy: relayedBy, start: time.Now(), holding: h.Memory.Hold(memory.OfCaller)}
 	x.body.Holding = x.holding
 	defer x.holding.Release()
 	w.Header().Set(h.RequestIDHeader, r.Header.Get(h.RequestIDHeader))
@@ -181,6 +187,10 @@
 	r       *http.Request
 	start   time.Time
 
+	relayedBy    string // the node that the request came from; empty if it came from a caller
+	isOverloaded bool   // it was refused as the node has too little processor time
+	isUnreached  bool   // the last server that it was to be sent to cannot be reached from this node
+
 	head     RequestHead
 	fp       *backend.Fingerprint // see fingerprint; nil until it is asked for
 	table    *route.Table
@@ -232,17 +242,9 @@
 		return err
 	}
 	if x.handler.IsOverloaded != nil && x.handler.IsOverloaded(x.start, x.gateRequest()) {
+		x.isOverloaded = true
 		return &Error{Op: op, Kind: Busy, Reason: "the node has too little processor time", RetryAfter: otherNodeRetryAfter}
 	}
-	giveBack, err := x.takeQuota(ctx)
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if !x.mayHaveRun {
-			giveBack()
-		}
-	}()
 	attempt := x.head.ID
 	if x.isTakeUp() && x.head.Resumes != "" {
 		attempt = x.head.Resumes // its pool began the stream
@@ -254,12 +256,60 @@
 	if x.head.Timeout > 0 && x.head.Timeout < x.route.Timeout {
 		x.deadline = x.start.Add(x.head.Timeout)
 	}
+	if x.isCutOff() {
+		if x.relayedBy != "" {
+			x.isUnreached = true
+			return &Error{Op: op, Kind: NoServer, Reason: "no server of the pool can be reached", RetryAfter: otherNodeRetryAfter}
+		}
+		if done, err := x.relayUnread(ctx); done {
+			return err
+		}
+	}
+	err = x.serveHere(ctx)
+	if err != nil && x.isUnreached && x.mayRelay() {
+		if done, err := x.relayUnread(ctx); done {
+			return err
+		}
+	}
+	return err
+}
+
+// relayUnread is like relay for a request whose body may not have been read yet.
+func (x *exchange) relayUnread(ctx context.Context) (done bool, err error) {
 	if err := x.readBody(); err != nil {
-		return err
+		return true, err
 	}
+	ctx, cancel := x.withDeadline(ctx)
+	defer cancel()
+	return x.relay(ctx)
+}
+
+// withDeadline returns the context of the work on the request.
+func (x *exchange) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	stop := context.AfterFunc(x.handler.active.Ending(), cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// serveHere serves the request by a server that this node reaches.
+func (x *exchange) serveHere(ctx context.Context) error {
+	giveBack, err := x.takeQuota(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if !x.mayHaveRun {
+			giveBack()
+		}
+	}()
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	ctx, cancel := x.withDeadline(ctx)
 	defer cancel()
-	defer context.AfterFunc(x.handler.active.Ending(), cancel)()
 	x.handler.RetryBudget(x.pool.Name).CountRequest(x.start)
 	if err := x.admit(); err != nil {
 		return err
@@ -277,8 +327,12 @@
 // buffers and the state of the exchange.
 const requestBytes = 32 << 10
 
+// readBody reads the body, unless that was done before.
 func (x *exchange) readBody() error {
 	const op = "read"
+	if x.bodyRead {
+		return nil
+	}
 	limit := x.table.Limits().BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -380,6 +434,7 @@
 	if err := x.checkAccount(); err != nil {
 		return nil, ResponseHead{}, &result{done: true, notRun: true, err: err}
 	}
+	x.isUnreached = false
 	resp, head, err := x.roundTrip(ctx, s)
 	switch {
 	case err != nil && x.callerLeft(): // which may be why it was not sent
@@ -389,6 +444,7 @@
 			return nil, ResponseHead{}, &result{done: true, notRun: true, err: err}
 		}
 		x.handler.Balancer.ObserveRefusal(time.Now(), s.Server)
+		x.isUnreached = transport.IsUnreachable(err)
 		return nil, head, &result{failed: true, notRun: true, unsent: true, reason: err.Error()}
 	case err != nil:
 		x.mayHaveRun = true
@@ -566,6 +622,7 @@
 		x.event.Kind, x.event.Reason, x.event.RetryAfter = e.Kind, e.Error(), e.RetryAfter
 		if !x.headerWritten && e.Kind != CallerDisconnected {
 			x.event.Status = e.Status()
+			x.refuseRelayed(e)
 			writeError(x.w, e)
 		}
 	}
@@ -596,7 +653,7 @@
 	if x.route != nil {
 		ev.Route = x.route.Name
 	}
-	ev.Account = x.accountName()
+	ev.Account, ev.RelayedBy = x.accountName(), x.relayedBy
 	if x.table != nil {
 		ev.ConfigVersion = x.table.Version()
 	}
