Keep the refusals of brittle servers within what they bear

Cause: a node sends a plain server as many requests as it has, and leaves it to the server to turn away what it has no room for. Nothing read Server-Brittle.

Change: while a server is brittle, the requests that it runs at once are dealt out among the nodes with a session in force, and a node has no more in flight there. A node without a place relays to one that has one. The stand-in for servers states it, lets fewer wait, and falls over; it can also fall silent and go on.

--- a/backend/asks.go
+++ b/backend/asks.go
@@ -14,4 +14,9 @@
 	PerSecond float64
 	Limited   bool
 	LimitErr  error // the limit cannot be read
+	// MaxRefusals is the number of requests that it may turn away in a second for want of room, if
+	// Brittle is set. It falls over if there are more.
+	MaxRefusals float64
+	Brittle     bool
+	BrittleErr  error // that number cannot be read
 }
--- a/backend/balancer.go
+++ b/backend/balancer.go
@@ -26,6 +26,9 @@
 	DataCenter string // data centre of this node
 	Pauses     Pauses // pauses that servers have asked for
 	Paces      Paces  // times that servers take from event to event of a stream
+	Brittle    Brittle
+	// Places, which is optional, returns the requests that this node may have in flight at a brittle server.
+	Places func(s *Server) int
 
 	mu      sync.Mutex
 	loads   map[string]*serverLoad
@@ -39,7 +42,8 @@
 }
 
 // Pick returns the server with the lowest cost for a request, or nil. It skips
-// draining, paused and excluded servers. The caller must call done when the request has
+// draining, paused and excluded servers, and brittle ones at which this node has its part of the
+// requests. The caller must call done when the request has
 // ended, and report whether the server failed it.
 func (b *Balancer) Pick(now time.Time, servers []*Server, excluded map[string]bool) (s *Server, done func(now time.Time, failed bool)) {
 	b.mu.Lock()
@@ -47,7 +51,7 @@
 	var best *Server
 	var bestCost float64
 	for _, s := range servers {
-		if excluded[s.ID] || !b.IsUsable(now, s) {
+		if excluded[s.ID] || !b.IsUsable(now, s) || b.isFull(now, s) {
 			continue
 		}
 		cost := b.cost(now, s) + rand.Float64()/2 // break ties at random
@@ -76,6 +80,43 @@
 	return !s.Draining && b.Pauses.IsOpen(now, s)
 }
 
+// isFull reports whether this node has as many requests in flight at a brittle server as it may. The
+// caller holds b.mu.
+func (b *Balancer) isFull(now time.Time, s *Server) bool {
+	if _, ok := b.Brittle.Refusals(now, s); !ok {
+		return false
+	}
+	l := b.loads[s.Incarnation()]
+	return l != nil && l.inFlight >= b.places(s) || b.places(s) == 0
+}
+
+// HasFull reports whether one of the servers would be picked if this node had fewer requests in flight
+// there.
+func (b *Balancer) HasFull(now time.Time, servers []*Server, excluded map[string]bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range servers {
+		if !excluded[s.ID] && b.IsUsable(now, s) && b.isFull(now, s) && b.places(s) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Balancer) places(s *Server) int {
+	if b.Places == nil {
+		return s.MaxRequests
+	}
+	return b.Places(s)
+}
+
+// ObserveNoRoom records that a server has turned a request away for want of room.
+func (b *Balancer) ObserveNoRoom(now time.Time, s *Server) {
+	if refusals, ok := b.Brittle.Refusals(now, s); ok {
+		b.Pauses.DelayTurn(now, s, refusalWait(s, refusals))
+	}
+}
+
 // ObserveRefusal records that a server accepted no connection.
 func (b *Balancer) ObserveRefusal(now time.Time, s *Server) {
 	b.mu.Lock()
--- a/entry/asks.go
+++ b/entry/asks.go
@@ -12,6 +12,7 @@
 func (d *Daemon) recordAsks(s *backend.Server, sent time.Time, a backend.Asks) {
 	if !a.Late {
 		d.recordLimit(s, sent, a)
+		d.recordBrittle(s, a)
 	}
 	d.recordPause(s, a)
 }
@@ -22,6 +23,7 @@
 	if a.Limited || a.LimitErr != nil {
 		d.recordLimit(s, sent, a)
 	}
+	d.recordBrittle(s, a)
 	d.recordPause(s, a)
 }
 
@@ -63,6 +65,17 @@
 	}
 }
 
+// recordBrittle records whether a server states that it falls over if it must turn many requests away.
+func (d *Daemon) recordBrittle(s *backend.Server, a backend.Asks) {
+	if !d.balancer.Brittle.Observe(time.Now(), s, a) {
+		return
+	}
+	if a.BrittleErr != nil {
+		d.log.Warn("server stated in a form that cannot be read how many requests it may turn away", "server", s.ID, "err", a.BrittleErr)
+	}
+	d.log.Info("server stated whether it is brittle", "server", s.ID, "born", s.StartMS, "pool", s.Pool, "brittle", a.Brittle, "refusals-per-second", a.MaxRefusals)
+}
+
 // isPaused reports whether the server at an address must get no requests now.
 func (d *Daemon) isPaused(address string) bool {
 	return d.balancer.Pauses.IsPaused(time.Now(), address, d.state.servers.View().Server)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -231,6 +231,7 @@
 		high, low := d.overload.Admitted(time.Now())
 		return (high + low) / 2
 	})
+	d.balancer.Places = func(s *backend.Server) int { return d.places(s, d.settings.Node) }
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
 	d.acquirer.CanUse = d.canUseEngine
 	d.acquirer.RequestGrant = d.withTurnDelays(d.acquirer.RequestGrant)
--- a/entry/relays.go
+++ b/entry/relays.go
@@ -28,7 +28,9 @@
 
 // relayNodes chooses the nodes that requests are relayed to.
 type relayNodes struct {
-	addresses func() []string // of the other nodes that take requests
+	addresses func() map[string]string // of the other nodes that take requests, by name
+	// hasPlace reports whether a node may send requests to a server of a pool.
+	hasPlace func(node, pool string) bool
 
 	mu      sync.Mutex
 	refused map[relayKey]time.Time // until when a node is not asked
@@ -42,8 +44,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	count := 0
-	for _, a := range n.addresses() {
-		if tried[a] || now.Before(n.refused[relayKey{pool, a}]) {
+	for node, a := range n.addresses() {
+		if tried[a] || now.Before(n.refused[relayKey{pool, a}]) || !n.hasPlace(node, pool) {
 			continue
 		}
 		count++
@@ -77,9 +79,9 @@
 // newRelays returns the relays of the daemon. Their connections are apart from those of the peer protocol,
 // whose calls must not wait behind responses.
 func (d *Daemon) newRelays() *relay.Relays {
-	nodes := &relayNodes{addresses: d.node.OtherNodes}
+	nodes := &relayNodes{addresses: d.node.OtherNodes, hasPlace: d.hasPlace}
 	return &relay.Relays{
-		Node: d.settings.Node, IsCutOff: d.isCutOff, Next: nodes.next, Refused: nodes.setRefused,
+		Node: d.settings.Node, IsCutOff: d.isCutOff, HasPlace: func(pool string) bool { return d.hasPlace(d.settings.Node, pool) }, Next: nodes.next, Refused: nodes.setRefused,
 		NewRequest: platform.NewNodeRequest, Transport: d.network.newPeerClient().Transport,
 	}
 }
@@ -89,6 +91,24 @@
 	return d.transports.reach.IsCutOff(time.Now(), pool, func() []*backend.Server { return d.state.servers.View().Pool(pool) })
 }
 
+// places returns the requests that a node may have in flight at a brittle server.
+func (d *Daemon) places(s *backend.Server, node string) int {
+	return backend.Places(s, node, d.node.LiveNodeNames())
+}
+
+// hasPlace reports whether a node may send requests to a server of a pool of plain servers, as far as they are
+// brittle. The owner of a model engine sees to that there.
+func (d *Daemon) hasPlace(node, pool string) bool {
+	now := time.Now()
+	servers := d.state.servers.View().Pool(pool)
+	for _, s := range servers {
+		if _, isBrittle := d.balancer.Brittle.Refusals(now, s); !isBrittle || !s.Draining && d.places(s, node) > 0 {
+			return true
+		}
+	}
+	return len(servers) == 0
+}
+
 // watchReach connects to a server of each pool that this node is cut off from, from time to time, until the
 // daemon ends.
 func (d *Daemon) watchReach() {
--- a/node/node.go
+++ b/node/node.go
@@ -297,11 +297,15 @@
 	return max(1, n.members.countLive())
 }
 
-// OtherNodes returns the addresses of the other nodes that take requests.
-func (n *Node) OtherNodes() (addresses []string) {
+// LiveNodeNames returns the names of the nodes that may own engines.
+func (n *Node) LiveNodeNames() []string { return n.members.liveNames() }
+
+// OtherNodes returns the addresses of the other nodes that take requests, by name.
+func (n *Node) OtherNodes() map[string]string {
+	addresses := make(map[string]string)
 	for _, mem := range n.members.all() {
 		if mem.live() && !mem.Leaving && mem.Process != n.process && !n.members.isDown(mem.Address) {
-			addresses = append(addresses, mem.Address)
+			addresses[mem.Node] = mem.Address
 		}
 	}
 	return addresses
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -190,6 +190,9 @@
 	relayedBy    string // the node that the request came from; empty if it came from a caller
 	isOverloaded bool   // it was refused as the node has too little processor time
 	isUnreached  bool   // the last server that it was to be sent to cannot be reached from this node
+	hasNoPlace   bool   // this node has no place at the servers, which are brittle
+
+	placeDeadline time.Time // until when a place at a brittle server is awaited; zero before it is
 
 	head     RequestHead
 	fp       *backend.Fingerprint // see fingerprint; nil until it is asked for
@@ -256,10 +259,9 @@
 	if x.head.Timeout > 0 && x.head.Timeout < x.route.Timeout {
 		x.deadline = x.start.Add(x.head.Timeout)
 	}
-	if x.isCutOff() {
+	if x.mustRelay() {
 		if x.relayedBy != "" {
-			x.isUnreached = true
-			return &Error{Op: op, Kind: NoServer, Reason: "no server of the pool can be reached", RetryAfter: otherNodeRetryAfter}
+			return &Error{Op: op, Kind: NoServer, Reason: "no server of the pool can get it from this node", RetryAfter: otherNodeRetryAfter}
 		}
 		if done, err := x.relayUnread(ctx); done {
 			return err
@@ -451,6 +453,9 @@
 		return nil, head, &result{failed: true, brokenOff: head.Status == 0, reason: err.Error()}
 	case head.NotRun:
 		discardBody(resp.Body)
+		if head.Status == http.StatusServiceUnavailable {
+			x.handler.Balancer.ObserveNoRoom(time.Now(), s.Server)
+		}
 		return nil, head, &result{failed: !head.Misdirected, notRun: true, reason: "the server refused it", head: head}
 	}
 	x.mayHaveRun = true
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -33,6 +33,9 @@
 		servers := slices.DeleteFunc(slices.Clone(x.handler.Servers().Pool(x.pool.Name)), func(s *backend.Server) bool { return !x.canUse(s) })
 		s, done := x.handler.Balancer.Pick(time.Now(), servers, tried)
 		if s == nil {
+			if x.awaitPlace(ctx, servers, tried) {
+				continue
+			}
 			return x.noServerError(len(tried) > 0)
 		}
 		if x.handler.TakeTurn != nil && !x.handler.TakeTurn(ctx, s) {
@@ -58,6 +61,35 @@
 	}
 }
 
+const (
+	// placeInterval is the time between two looks for a place at a brittle server.
+	placeInterval = 5 * time.Millisecond
+	// placeWaitShare is the part of the time until the target for which a place is awaited.
+	placeWaitShare = 0.5
+)
+
+// awaitPlace waits a little if all servers that the request may get are brittle ones at which this node has
+// its part of the requests. It returns false if that is not so, or has lasted too long for the request.
+func (x *exchange) awaitPlace(ctx context.Context, servers []*backend.Server, tried map[string]bool) bool {
+	if !x.handler.Balancer.HasFull(time.Now(), servers, tried) {
+		return false
+	}
+	if x.placeDeadline.IsZero() {
+		x.placeDeadline = time.Now().Add(time.Duration(placeWaitShare * float64(x.timeLeftToAnswer())))
+	}
+	if time.Now().After(x.placeDeadline) {
+		return false
+	}
+	t := time.NewTimer(placeInterval)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // result is the outcome of one attempt.
 type result struct {
 	done   bool // the response has been written, or err is the final error
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -35,13 +35,16 @@
 	TimeLeft      time.Duration // until the request's deadline
 }
 
-// Relays hands requests over to other nodes while this node reaches no server of their pool. The
+// Relays hands requests over to other nodes while this node reaches no server of their pool, or has no place
+// at any of them. The
 // other node serves them as its own, and decides all about them.
 type Relays struct {
 	// Node is the name of this node.
 	Node string
 	// IsCutOff reports whether this node reaches no server of a pool.
 	IsCutOff func(pool string) bool
+	// HasPlace, which is optional, reports whether this node may send requests to a server of a pool.
+	HasPlace func(pool string) bool
 	// Next returns the address of a node that may serve requests of a pool, other than those in tried.
 	Next func(pool string, tried map[string]bool) (address string, ok bool)
 	// Refused is called when the node at an address reaches no server of a pool either, or, if
@@ -69,9 +72,16 @@
 	})
 }
 
-// isCutOff reports whether this node reaches no server of the request's pool.
-func (x *exchange) isCutOff() bool {
-	return x.handler.Relays != nil && x.handler.Relays.IsCutOff(x.pool.Name)
+// mustRelay reports whether no server of the request's pool can be reached from this node, or none is to get
+// requests of it.
+func (x *exchange) mustRelay() bool {
+	r := x.handler.Relays
+	if r == nil {
+		return false
+	}
+	x.isUnreached = r.IsCutOff(x.pool.Name)
+	x.hasNoPlace = !x.isUnreached && x.pool.Engine == nil && r.HasPlace != nil && !r.HasPlace(x.pool.Name)
+	return x.isUnreached || x.hasNoPlace
 }
 
 // mayRelay reports whether a request that has not run may be served by another node.
@@ -182,7 +192,7 @@
 	switch {
 	case x.isUnreached:
 		x.w.Header().Set(relayRefusedHeader, refusedUnreachable)
-	case e.Kind == NotReady || x.isOverloaded || e.Kind == OutOfMemoryBudget:
+	case e.Kind == NotReady || x.isOverloaded || x.hasNoPlace || e.Kind == OutOfMemoryBudget:
 		x.w.Header().Set(relayRefusedHeader, refusedNotNow)
 	}
 }
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -42,9 +42,15 @@
 	Unframed bool
 	// Limit, if set, is the number of requests a second that the replica states it takes from
 	// all nodes together. It is stated as it is written here.
-	Limit   string
-	KeepRow bool // changes of the state are not written to the row
-	Drip    Drip // streams that stall
+	Limit string
+	// Brittle, if above 0, is the number of requests that the replica may turn away in a second. It
+	// states that. With more it falls over, and starts again after BrittleDowntime. Only BrittleQueue
+	// requests may wait then, if it is set.
+	Brittle         int
+	BrittleQueue    *int
+	BrittleDowntime time.Duration
+	KeepRow         bool // changes of the state are not written to the row
+	Drip            Drip // streams that stall
 	// SlowStreams are streams that take SlowFactor times as long for their first and
 	// between all events.
 	SlowStreams int
@@ -85,6 +91,9 @@
 	record         ReplicaRecord
 	pauseStart     time.Time // when requests begin to violate the pause that was asked for
 	pauseEnd       time.Time
+	waiting        int         // requests that wait for a request slot
+	refusals       []time.Time // within the last second, for want of room
+	silentUntil    time.Time
 }
 
 type timedState struct {
@@ -173,6 +182,7 @@
 		return // the connection ended within the command
 	}
 	r.serveDown()
+	r.awaitSilence()
 	r.recordKey(req)
 	w = &replicaResponse{ResponseWriter: w, replica: r}
 	if pause := r.observeArrival(time.Now()); pause > 0 {
@@ -244,12 +254,16 @@
 	name := head.AdapterName()
 	timeout := time.NewTimer(head.Timeout)
 	defer timeout.Stop()
-	if !r.hasRoom() || r.isFull() {
+	if !r.hasRoom() || r.isFull() || !r.tryWait() {
+		r.recordRefusal(time.Now())
 		platform.WriteNotExecuted(w, head.ID, http.StatusServiceUnavailable)
 		return
 	}
+	endWait := sync.OnceFunc(r.endWait)
+	defer endWait()
 	select {
 	case r.requestSlots <- struct{}{}:
+		endWait()
 		defer func() { <-r.requestSlots }()
 	case <-timeout.C:
 		platform.WriteNotExecuted(w, head.ID, http.StatusServiceUnavailable)
--- a/standin/replica_crash.go
+++ b/standin/replica_crash.go
@@ -16,9 +16,14 @@
 		return // it has ended already
 	}
 	r.record.RequestCrashes = append(r.record.RequestCrashes, time.Now())
+	r.fall(r.fault.CrashDowntime)
+}
+
+// fall ends the incarnation, and starts the next one after the downtime. r.mu must be held.
+func (r *Replica) fall(downtime time.Duration) {
 	r.isDown = true
 	r.reset()
-	time.AfterFunc(r.fault.CrashDowntime, func() {
+	time.AfterFunc(downtime, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.isDown = false
--- a/standin/replica_record.go
+++ b/standin/replica_record.go
@@ -19,6 +19,10 @@
 	// DuringPause is the number of requests of any kind that came during a pause, later
 	// than pauseNotice after the replica had asked for it.
 	DuringPause int
+	// Falls is how often the replica fell over as it was brittle, and BrittleRefusals the requests that it
+	// turned away for want of room while it was.
+	Falls           int
+	BrittleRefusals int
 	// LimitedArrivals are the arrivals of callers' requests while a limit was stated.
 	LimitedArrivals []time.Time
 }
--- a/standin/replica_response.go
+++ b/standin/replica_response.go
@@ -15,6 +15,7 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (w *replicaResponse) WriteHeader(status int) {
+	w.replica.awaitSilence()
 	if !w.sent {
 		w.addHeaders()
 	}
@@ -29,6 +30,9 @@
 	if limit := w.replica.statedLimit(); limit != "" {
 		platform.SetLimitHeader(w.Header(), limit)
 	}
+	if n := w.replica.statedRefusals(); n > 0 {
+		platform.SetBrittleHeader(w.Header(), n)
+	}
 }
 
 // Write implements http.ResponseWriter.
@@ -36,6 +40,7 @@
 	if !w.sent {
 		w.WriteHeader(http.StatusOK)
 	}
+	w.replica.awaitSilence()
 	return w.ResponseWriter.Write(p)
 }
 
