Find out sooner that connections to all servers hang

What callers saw: requests that wait until their deadline on connections that hang, one after the other, before the node opens a new one that fails and takes itself for cut off.

Cause: only failed connections counted as a sign of a cut, and connections that hang fail seconds later.

It then tries a connection, whose failure settles it. Busy servers accept it.

Evidence: TestReach, case of unanswered requests.

--- a/backend/reach.go
+++ b/backend/reach.go
@@ -29,13 +29,15 @@
 	pools map[string]poolReach
 }
 
-// addressReach holds when a server last answered, and when a connection to it last failed.
-type addressReach struct{ answered, failed time.Time }
+// addressReach holds when a server last answered, when a connection to it last failed, and when a request
+// last ended that it had not answered for long.
+type addressReach struct{ answered, failed, unanswered time.Time }
 
 type poolReach struct {
-	isCutOff bool
-	decided  time.Time
-	since    time.Time // when the node was cut off
+	isCutOff   bool
+	isSuspect  bool // it may be cut off, but no connection has failed
+	decided    time.Time
+	cutOffFrom time.Time
 }
 
 // ObserveAnswer records that the server at an address has answered, if only with a refusal, or accepted a
@@ -57,6 +59,16 @@
 	r.put(address, a)
 }
 
+// ObserveNoAnswer records that a request to an address ended before an answer came, and after a long time.
+// That alone may also be due to a server that is busy.
+func (r *Reach) ObserveNoAnswer(now time.Time, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.addrs[address]
+	a.unanswered = now
+	r.put(address, a)
+}
+
 func (r *Reach) put(address string, a addressReach) {
 	if r.addrs == nil {
 		r.addrs = make(map[string]addressReach)
@@ -74,26 +86,37 @@
 // IsCutOff reports whether the node is cut off from the servers of a pool. The servers are all of
 // the pool.
 func (r *Reach) IsCutOff(now time.Time, pool string, servers func() []*Server) bool {
+	return r.look(now, pool, servers).isCutOff
+}
+
+// IsSuspect reports whether the node may be cut off from the servers of a pool, and a connection should be
+// tried to find out.
+func (r *Reach) IsSuspect(now time.Time, pool string, servers func() []*Server) bool {
+	return r.look(now, pool, servers).isSuspect
+}
+
+func (r *Reach) look(now time.Time, pool string, servers func() []*Server) poolReach {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.pools[pool]
 	if !p.decided.IsZero() && now.Sub(p.decided) < reachValidFor {
-		return p.isCutOff
+		return p
 	}
-	wasCutOff := p.isCutOff
-	p.decided, p.isCutOff = now, r.decide(now, servers(), p)
-	if p.isCutOff && !wasCutOff {
-		p.since = now
+	last := p
+	p.decided = now
+	p.isCutOff, p.isSuspect = r.decide(now, servers(), last)
+	if p.isCutOff && !last.isCutOff {
+		p.cutOffFrom = now
 	}
 	if r.pools == nil {
 		r.pools = make(map[string]poolReach)
 	}
 	r.pools[pool] = p
-	return p.isCutOff
+	return p
 }
 
 // decide looks through the servers of a pool. The caller holds r.mu.
-func (r *Reach) decide(now time.Time, servers []*Server, last poolReach) bool {
+func (r *Reach) decide(now time.Time, servers []*Server, last poolReach) (isCutOff, isSuspect bool) {
 	var answered time.Time
 	for _, s := range servers {
 		if a := r.addrs[s.Address]; a.answered.After(answered) {
@@ -101,16 +124,23 @@
 		}
 	}
 	if last.isCutOff && len(servers) > 0 {
-		return !answered.After(last.since)
+		return !answered.After(last.cutOffFrom), false
 	}
 	if now.Sub(answered) < minSilence {
-		return false
+		return false, false
 	}
-	failing := 0
+	isRecent := func(at time.Time) bool { return at.After(answered) && now.Sub(at) <= unreachableTTL }
+	failed, unanswered := 0, 0
 	for _, s := range servers {
-		if at := r.addrs[s.Address].failed; at.After(answered) && now.Sub(at) <= unreachableTTL {
-			failing++
+		switch a := r.addrs[s.Address]; {
+		case isRecent(a.failed):
+			failed++
+		case isRecent(a.unanswered):
+			unanswered++
 		}
 	}
-	return failing > 0 && failing >= min(minUnreachable, len(servers))
+	if failed+unanswered == 0 || failed+unanswered < min(minUnreachable, len(servers)) {
+		return false, false
+	}
+	return failed > 0, failed == 0
 }
--- a/backend/reach_test.go
+++ b/backend/reach_test.go
@@ -89,6 +89,23 @@
 		f.pass(minSilence)
 		is.True(!f.isCutOff())
 	})
+	t.Run("requests go unanswered", func(t *testing.T) {
+		is := is.New(t)
+		f := newReachFixture(9)
+		isSuspect := func() bool { return f.IsSuspect(f.now, "pool", func() []*Server { return f.servers }) }
+		f.answer(0)
+		f.pass(minSilence)
+		for i := range minUnreachable {
+			is.True(!isSuspect())
+			f.ObserveNoAnswer(f.now, strconv.Itoa(i))
+			f.pass(reachValidFor)
+		}
+		is.True(isSuspect())
+		is.True(!f.isCutOff()) // the servers may be busy
+		f.fail(5)
+		is.True(f.isCutOff())
+		is.True(!isSuspect())
+	})
 	t.Run("few servers", func(t *testing.T) {
 		is := is.New(t)
 		f := newReachFixture(2)
--- a/entry/pool_transport.go
+++ b/entry/pool_transport.go
@@ -146,13 +146,14 @@
 	if err != nil {
 		return nil, transport.Unsent(err)
 	}
+	sent := time.Now()
 	resp, err := t.transportFor(r).RoundTrip(r)
 	if err != nil {
 		h.release()
 		if used.unsent.Load() {
 			err = transport.Unsent(err)
 		}
-		t.parent.observeFailure(r, err)
+		t.parent.observeFailure(r, sent, err)
 		return nil, err
 	}
 	t.parent.reach.ObserveAnswer(time.Now(), r.URL.Host)
--- a/entry/relays.go
+++ b/entry/relays.go
@@ -19,7 +19,10 @@
 const (
 	// reachInterval is the time between two attempts to connect to a server of a pool that this node is
 	// cut off from.
-	reachInterval = 500 * time.Millisecond
+	reachInterval = 250 * time.Millisecond
+	// noAnswerTime is how long a request must have been without an answer when it ends, for its server to
+	// be taken for out of reach with others.
+	noAnswerTime = 500 * time.Millisecond
 	// unreachableTime is how long a node that reaches no server of a pool either is asked no more, and
 	// busyTime how long one that cannot serve requests for now.
 	unreachableTime = 2 * time.Second
@@ -88,7 +91,11 @@
 
 // isCutOff reports whether this node reaches no server of a pool.
 func (d *Daemon) isCutOff(pool string) bool {
-	return d.transports.reach.IsCutOff(time.Now(), pool, func() []*backend.Server { return d.state.servers.View().Pool(pool) })
+	return d.transports.reach.IsCutOff(time.Now(), pool, d.serversOf(pool))
+}
+
+func (d *Daemon) serversOf(pool string) func() []*backend.Server {
+	return func() []*backend.Server { return d.state.servers.View().Pool(pool) }
 }
 
 // places returns the requests that a node may have in flight at a brittle server.
@@ -109,8 +116,8 @@
 	return len(servers) == 0
 }
 
-// watchReach connects to a server of each pool that this node is cut off from, from time to time, until the
-// daemon ends.
+// watchReach connects to a server of each pool that this node is cut off from, or may be, from time to time,
+// until the daemon ends.
 func (d *Daemon) watchReach() {
 	t := time.NewTicker(reachInterval)
 	defer t.Stop()
@@ -131,7 +138,7 @@
 				cutOff[p.Name] = isCutOff
 				d.log.Warn("path to the servers of a pool", "pool", p.Name, "cut-off", isCutOff)
 			}
-			if isCutOff {
+			if isCutOff || d.transports.reach.IsSuspect(time.Now(), p.Name, d.serversOf(p.Name)) {
 				d.tryServer(view.Pool(p.Name))
 			}
 		}
@@ -155,10 +162,15 @@
 	_ = conn.Close() // nothing was sent
 }
 
-// observeFailure records that a request got no response since its connection failed.
-func (c *poolTransports) observeFailure(r *http.Request, err error) {
+// observeFailure records that a request that was sent at the given time got no response.
+func (c *poolTransports) observeFailure(r *http.Request, sent time.Time, err error) {
+	now := time.Now()
 	var op *net.OpError
-	if r.Context().Err() == nil && errors.As(err, &op) && !transport.IsDialError(err) { // dial records the others
-		c.reach.ObserveFailure(time.Now(), r.URL.Host)
+	switch {
+	case transport.IsDialError(err): // recorded by dial
+	case r.Context().Err() != nil && now.Sub(sent) >= noAnswerTime:
+		c.reach.ObserveNoAnswer(now, r.URL.Host)
+	case r.Context().Err() == nil && errors.As(err, &op):
+		c.reach.ObserveFailure(now, r.URL.Host)
 	}
 }
