Keep connections to servers that are silent for a second or so

What callers saw: requests that ended with 502, and new connections, as a sound server fell silent for less than a second.

Cause: TCP_USER_TIMEOUT, 1.5 s, also decides when unanswered keep-alive probes end a connection, whatever their count. It counts from when something last came, so of a connection that was idle for a second half a second of silence was left.

Change: the user timeout is the time until the first probe, 1.5 s of silence and the time between two probes, 3 s. The count of probes follows from the same silence. A peer without power is given up after 3 s instead of 1.5 s where nothing else finds that out.

--- a/entry/network.go
+++ b/entry/network.go
@@ -17,13 +17,17 @@
 	// dialTimeout bounds connection setup; it is many round trips within a region.
 	dialTimeout = 400 * time.Millisecond
 	// userTimeout is the TCP_USER_TIMEOUT: it closes a connection whose data is not
-	// acknowledged, such as one to a VM without power.
-	userTimeout = 1500 * time.Millisecond
+	// acknowledged, such as one to a VM without power. It also decides when unanswered keep-alive probes
+	// do, counted from when something last came. So a peer that is silent for maxSilence must fit in after
+	// an idle time that no probe has ended yet.
+	userTimeout = keepAliveIdle + maxSilence + keepAliveInterval
+	// maxSilence is how long a sound server may be silent.
+	maxSilence = 1500 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount are the TCP keep-alive
 	// settings. They detect idle connections whose peer is gone.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
+	keepAliveCount    = int((maxSilence + keepAliveInterval - 1) / keepAliveInterval)
 	// ioBufferBytes is the size of a connection's read and write buffers.
 	ioBufferBytes = 4 << 10
 	// maxHeadBytes bounds the head of a response, including all informational ones
