Play brittle and silent servers, and a node without a path, in the demo

Three more guarantees of the platform in one command: brittle servers that let none wait, servers of each kind that fall silent for 1.2 s, and a daemon that gets no connections to servers. The test of brittle servers is built without the race detector, as other large plays.

--- a/demo/brittle_test.go
+++ b/demo/brittle_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package demo
 
 import (
--- a/demo/platform.go
+++ b/demo/platform.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	t := newPlatformTraffic(sys, o.Seed)
-	portion := o.Requests / 5
+	portion := o.Requests / 7
 	logf("adding client accounts")
 	t.addAccounts()
 	logf("sending requests while replicas refuse some and send some responses a second time, late")
@@ -55,12 +55,16 @@
 	t.run(portion)
 	logf("sending a request again and again that crashes each server that runs it")
 	t.crashServers()
+	logf("making the servers brittle, while some fall silent for a second")
+	t.sendWhileServersAreBrittle(portion)
+	logf("cutting the daemon at %s off from all servers", sys.callerAddrs[0])
+	t.sendWhileCutOff(portion)
 	logf("replacing the key of a client account")
 	t.replaceKey()
 	logf("draining a replica while the store loses responses and its history")
 	t.drainReplica(portion)
 	logf("stopping the daemon at %s", sys.callerAddrs[0])
-	t.stopDaemon(o.Requests - 4*portion)
+	t.stopDaemon(o.Requests - 6*portion)
 	t.collect()
 	t.result.LoggedKeys = int(search.found.Load())
 	return summarize(o, t.result, t.result.print, t.result.violations())
@@ -84,6 +88,49 @@
 // refusalInterval is the number of requests for each that a replica refuses as if it were full.
 const refusalInterval = 5
 
+const (
+	// refusalsBorne is the number of refusals a second that brittle servers bear.
+	refusalsBorne   = 4
+	brittleDowntime = 2 * time.Second
+	// maxFalls bounds the falls of fewer than ten brittle servers, for engines and plain servers together. The
+	// platform defines it for each service.
+	maxFalls = 2
+	// brittleLearningTime is how long servers state that they are brittle before they let fewer wait. The
+	// platform defines it.
+	brittleLearningTime = 3 * time.Second
+	// silence is how long a sound server may be silent.
+	silence = 1200 * time.Millisecond
+)
+
+// sendWhileServersAreBrittle sends requests while the servers let none wait and fall over if they turn many
+// away, and one of each kind falls silent.
+func (t *platformTraffic) sendWhileServersAreBrittle(n int) {
+	servers, queue := slices.Concat(t.sys.replicas, t.sys.ledgers), 0
+	for _, r := range servers {
+		r.SetFault(standin.ReplicaFault{Brittle: refusalsBorne, BrittleDowntime: brittleDowntime})
+	}
+	end := time.Now().Add(brittleLearningTime)
+	t.run(n / 2)
+	time.Sleep(time.Until(end))
+	for _, r := range servers {
+		r.SetFault(standin.ReplicaFault{Brittle: refusalsBorne, BrittleDowntime: brittleDowntime, BrittleQueue: &queue})
+	}
+	t.sys.replicas[0].FallSilent(silence)
+	t.sys.ledgers[0].FallSilent(silence)
+	t.run(n - n/2)
+	for _, r := range servers {
+		r.SetFault(standin.ReplicaFault{})
+		t.result.Falls += r.Record().Falls
+	}
+}
+
+// sendWhileCutOff sends requests while the first daemon gets no connections to servers.
+func (t *platformTraffic) sendWhileCutOff(n int) {
+	t.sys.isCutOff.Store(true)
+	t.run(n)
+	t.sys.isCutOff.Store(false)
+}
+
 // publishVersions publishes new versions of the most used adapters. After
 // versionDeadline, callers must get them.
 func (t *platformTraffic) publishVersions(n int) {
@@ -201,6 +248,7 @@
 		counter{r.WrongAccount, "requests run under another client account"},
 		counter{r.LoggedKeys, "lines of the daemons' log with a key"},
 		counter{r.Admitted, "requests without a valid key that were not refused for good"},
+		counter{max(0, r.Falls-maxFalls), "falls of brittle servers too many"},
 		counter{r.StartedAfterDrain, "requests started on a replica after its drain period"},
 	)
 	violations = append(violations, r.OwnerViolations...)
@@ -223,6 +271,7 @@
 		{r.OwnerAlternations, "owner alternation"},
 		{r.StartedAfterDrain, "after drain"},
 		{r.LateArrivals, "crashing requests"},
+		{r.Falls, "brittle falls"},
 		{r.TakenUp, "taken up"},
 		{r.WentOn, "went on"},
 		{r.MixedBuilds, "mixed versions"},
--- a/demo/platform_system.go
+++ b/demo/platform_system.go
@@ -1,12 +1,16 @@
 package demo
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -56,6 +60,9 @@
 	copies     atomic.Int64
 	copiesLate atomic.Bool
 
+	// isCutOff is set while the first daemon gets no new connections to servers.
+	isCutOff atomic.Bool
+
 	mu       sync.Mutex
 	versions map[string]int64 // latest version by adapter, if it is not 1
 }
@@ -144,7 +151,7 @@
 		Node: name, IP: netip.MustParseAddr("127.0.0.1"), CallerAddress: addrs[0], ReadinessAddress: addrs[1], PeerAddress: addrs[2], OperatorAddress: addrs[3],
 		StoreAddress: storeAddr, MemoryBytes: daemonMemoryBytes, OwnerAlternationGap: ownerAlternationGap, GracePeriod: gracePeriod, DrainPeriod: drainPeriod,
 		RetryRatio: 0.2, RetrySlack: 54, RetryWindow: 10 * time.Second,
-	}, sys.network, log.NewWithOptions(logOut, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.JSONFormatter}).With("node", name))
+	}, sys.networkOf(len(sys.daemons)), log.NewWithOptions(logOut, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.JSONFormatter}).With("node", name))
 	if err != nil {
 		return err
 	}
@@ -152,6 +159,29 @@
 	return d.Start()
 }
 
+// networkOf returns the network of the ith daemon.
+func (sys *platformSystem) networkOf(i int) entry.Network {
+	n := sys.network
+	if i > 0 {
+		return n
+	}
+	dial := n.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: time.Second}).DialContext
+	}
+	n.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if sys.isCutOff.Load() && sys.isServer(address) {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		}
+		return dial(ctx, network, address)
+	}
+	return n
+}
+
+func (sys *platformSystem) isServer(address string) bool {
+	return slices.ContainsFunc(slices.Concat(sys.replicas, sys.ledgers), func(r *standin.Replica) bool { return r.Self.Address == address })
+}
+
 // freeAddress returns an address without a listener.
 func (sys *platformSystem) freeAddress() (string, error) {
 	ln, err := sys.listen(freePort)
--- a/demo/platform_traffic.go
+++ b/demo/platform_traffic.go
@@ -43,6 +43,7 @@
 	OwnerAlternations int            `json:"owners-back-and-forth"`
 	StartedAfterDrain int            `json:"started-after-drain"`
 	LateArrivals      int            `json:"crashing-requests"` // arrivals of a request later than crashLearningTime after its third crash
+	Falls             int            `json:"brittle-falls"`     // of brittle servers that turned too many requests away
 	TakenUp           int            `json:"taken-up"`          // streams that broke off, and that their callers took up
 	WentOn            int            `json:"went-on"`           // of these, those that brought another event
 	MixedBuilds       int            `json:"mixed-builds"`      // streams with events of two software versions
