Deal the places at brittle servers out once for all requests, and relay once only

A request for which no other node was found was offered to them a second time after it had failed here. Heads of up to 64 KB pass between nodes, as from callers: 16 KB were enough for the peer protocol only.

--- a/backend/brittle.go
+++ b/backend/brittle.go
@@ -1,7 +1,9 @@
 package backend
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,23 +68,23 @@
 	return known.refusals, ok && now.Sub(known.at) <= brittleTTL
 }
 
-// Places returns the requests that a node may have in flight at a brittle server. All nodes that know the same
-// nodes share the requests that the server runs at once, so that none of them waits there. Which nodes
-// get one more than others, or one at all, differs from server to server.
-func Places(s *Server, node string, nodes []string) int {
+// DealPlaces deals the requests that a brittle server runs at once out among the nodes, so that none waits there:
+// each node may have as many in flight as it has places. All that know the same nodes deal alike. Which nodes get
+// one more than others, or one at all, differs from server to server.
+func DealPlaces(s *Server, nodes []string) map[string]int {
+	places := make(map[string]int, len(nodes))
 	if len(nodes) == 0 {
-		return s.MaxRequests
+		return places
 	}
-	own, before := placeHash(s, node), 0
-	for _, other := range nodes {
-		if h := placeHash(s, other); h < own || h == own && other < node {
-			before++
+	order := slices.SortedFunc(slices.Values(nodes), func(a, b string) int {
+		return cmp.Or(cmp.Compare(placeHash(s, a), placeHash(s, b)), cmp.Compare(a, b))
+	})
+	for i, node := range order {
+		places[node] = s.MaxRequests / len(nodes)
+		if i < s.MaxRequests%len(nodes) {
+			places[node]++
 		}
 	}
-	places := s.MaxRequests / len(nodes)
-	if before < s.MaxRequests%len(nodes) {
-		places++
-	}
 	return places
 }
 
--- a/backend/brittle_test.go
+++ b/backend/brittle_test.go
@@ -13,7 +13,7 @@
 func TestBrittleServer(t *testing.T) {
 	is := is.New(t)
 	now, s := time.Unix(100, 0), &Server{ID: "s", StartMS: 5, MaxRequests: 6}
-	b := Balancer{Places: func(s *Server) int { return Places(s, "a", []string{"a", "b", "c"}) }}
+	b := Balancer{Places: func(s *Server) int { return DealPlaces(s, []string{"a", "b", "c"})["a"] }}
 	pick := func() (done func()) {
 		picked, end := b.Pick(now, []*Server{s}, nil)
 		if picked == nil {
@@ -75,7 +75,8 @@
 			}
 			balancers := make([]Balancer, nodes)
 			for i := range balancers {
-				balancers[i].Places = func(s *Server) int { return Places(s, names[i], known(i)) }
+				places := DealPlaces(s, known(i))[names[i]]
+				balancers[i].Places = func(*Server) int { return places }
 				balancers[i].Brittle.Observe(now, s, Asks{Brittle: true, MaxRefusals: refusals})
 			}
 			var ends []time.Time // of the requests that run
@@ -128,8 +129,8 @@
 		}
 		for _, s := range []*Server{{ID: "a", MaxRequests: 6}, {ID: "b", MaxRequests: 100}} {
 			sum := 0
-			for _, name := range names {
-				sum += Places(s, name, names)
+			for _, places := range DealPlaces(s, names) {
+				sum += places
 			}
 			is.Equal(sum, s.MaxRequests)
 		}
--- a/entry/client_limits.go
+++ b/entry/client_limits.go
@@ -49,7 +49,7 @@
 
 	// Limits of the listeners for nodes, operators and readiness checks. Nodes keep idle connections
 	// for 90 s.
-	internalHeadBytes   = 16 << 10
+	internalHeadBytes   = maxHeadBytes // nodes relay requests with their heads
 	internalBodyBytes   = 32 << 20
 	internalHeadTimeout = 3 * time.Second
 	internalIdleTimeout = 2 * time.Minute
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -122,6 +122,7 @@
 	builds       *backend.BuildHistory
 	overload     caller.Overload
 	poolGates    backend.PoolGates
+	places       places
 	streams      *backend.StreamOrigins
 	metrics      *metrics
 
@@ -231,7 +232,8 @@
 		high, low := d.overload.Admitted(time.Now())
 		return (high + low) / 2
 	})
-	d.balancer.Places = func(s *backend.Server) int { return d.places(s, d.settings.Node) }
+	d.places.nodes = d.node.LiveNodeNames
+	d.balancer.Places = func(s *backend.Server) int { return d.places.get(s, d.settings.Node) }
 	d.acquirer = d.node.Acquirer(engine.NewRouter(engine.RouterConfig{}), d.state.hasLoaded, func() bool { return false })
 	d.acquirer.CanUse = d.canUseEngine
 	d.acquirer.RequestGrant = d.withTurnDelays(d.acquirer.RequestGrant)
--- a/entry/relays.go
+++ b/entry/relays.go
@@ -98,18 +98,13 @@
 	return func() []*backend.Server { return d.state.servers.View().Pool(pool) }
 }
 
-// places returns the requests that a node may have in flight at a brittle server.
-func (d *Daemon) places(s *backend.Server, node string) int {
-	return backend.Places(s, node, d.node.LiveNodeNames())
-}
-
 // hasPlace reports whether a node may send requests to a server of a pool of plain servers, as far as they are
 // brittle. The owner of a model engine sees to that there.
 func (d *Daemon) hasPlace(node, pool string) bool {
 	now := time.Now()
 	servers := d.state.servers.View().Pool(pool)
 	for _, s := range servers {
-		if _, isBrittle := d.balancer.Brittle.Refusals(now, s); !isBrittle || !s.Draining && d.places(s, node) > 0 {
+		if _, isBrittle := d.balancer.Brittle.Refusals(now, s); !isBrittle || !s.Draining && d.places.get(s, node) > 0 {
 			return true
 		}
 	}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -259,7 +259,8 @@
 	if x.head.Timeout > 0 && x.head.Timeout < x.route.Timeout {
 		x.deadline = x.start.Add(x.head.Timeout)
 	}
-	if x.mustRelay() {
+	mustRelay := x.mustRelay()
+	if mustRelay {
 		if x.relayedBy != "" {
 			return &Error{Op: op, Kind: NoServer, Reason: "no server of the pool can get it from this node", RetryAfter: otherNodeRetryAfter}
 		}
@@ -268,7 +269,7 @@
 		}
 	}
 	err = x.serveHere(ctx)
-	if err != nil && x.isUnreached && x.mayRelay() {
+	if err != nil && !mustRelay && x.isUnreached && x.mayRelay() {
 		if done, err := x.relayUnread(ctx); done {
 			return err
 		}
