Try servers that were not asked when a node may be cut off

Cause: a node took itself for cut off when three servers had failed. While the owners of the engines are cut off too, requests come no further than one engine and then wait for a grant, so no three ever fail.

Change: when a pool has been silent for 250 ms and one of its servers has failed, or a request of 250 ms ended without an answer, the node tries connections to up to three others that have not failed.

TestReach, one server goes unanswered.

--- a/backend/reach.go
+++ b/backend/reach.go
@@ -35,7 +35,7 @@
 
 type poolReach struct {
 	isCutOff   bool
-	isSuspect  bool // it may be cut off, but no connection has failed
+	isSuspect  bool // it may be cut off: the pool is silent, and a server has failed
 	decided    time.Time
 	cutOffFrom time.Time
 }
@@ -89,12 +89,6 @@
 	return r.look(now, pool, servers).isCutOff
 }
 
-// IsSuspect reports whether the node may be cut off from the servers of a pool, and a connection should be
-// tried to find out.
-func (r *Reach) IsSuspect(now time.Time, pool string, servers func() []*Server) bool {
-	return r.look(now, pool, servers).isSuspect
-}
-
 func (r *Reach) look(now time.Time, pool string, servers func() []*Server) poolReach {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -139,8 +133,26 @@
 			unanswered++
 		}
 	}
-	if failed+unanswered == 0 || failed+unanswered < min(minUnreachable, len(servers)) {
-		return false, false
+	isCutOff = failed > 0 && failed+unanswered >= min(minUnreachable, len(servers))
+	return isCutOff, !isCutOff && failed+unanswered > 0
+}
+
+// ToTry returns servers of a pool that a connection should be tried to: one if the node is cut off from it, and
+// several that have not failed yet if it may be. They are the first suitable ones.
+func (r *Reach) ToTry(now time.Time, pool string, servers []*Server) (list []*Server) {
+	p := r.look(now, pool, func() []*Server { return servers })
+	if p.isCutOff {
+		return servers[:min(1, len(servers))]
+	}
+	if !p.isSuspect {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range servers {
+		if len(list) < minUnreachable && now.Sub(r.addrs[s.Address].failed) > unreachableTTL {
+			list = append(list, s)
+		}
 	}
-	return failed > 0, failed == 0
+	return list
 }
--- a/backend/reach_test.go
+++ b/backend/reach_test.go
@@ -92,19 +92,29 @@
 	t.Run("requests go unanswered", func(t *testing.T) {
 		is := is.New(t)
 		f := newReachFixture(9)
-		isSuspect := func() bool { return f.IsSuspect(f.now, "pool", func() []*Server { return f.servers }) }
+		tried := func() int { return len(f.ToTry(f.now, "pool", f.servers)) }
 		f.answer(0)
 		f.pass(minSilence)
+		is.Equal(tried(), 0)
 		for i := range minUnreachable {
-			is.True(!isSuspect())
 			f.ObserveNoAnswer(f.now, strconv.Itoa(i))
 			f.pass(reachValidFor)
+			is.Equal(tried(), minUnreachable) // those that are tried may not have been asked before
 		}
-		is.True(isSuspect())
 		is.True(!f.isCutOff()) // the servers may be busy
 		f.fail(5)
 		is.True(f.isCutOff())
-		is.True(!isSuspect())
+		is.Equal(tried(), 1)
+	})
+	t.Run("one server goes unanswered", func(t *testing.T) {
+		is := is.New(t)
+		f := newReachFixture(9)
+		f.ObserveNoAnswer(f.now, "0")
+		for _, s := range f.ToTry(f.now, "pool", f.servers) {
+			f.ObserveFailure(f.now, s.Address)
+		}
+		f.pass(reachValidFor)
+		is.True(f.isCutOff())
 	})
 	t.Run("few servers", func(t *testing.T) {
 		is := is.New(t)
--- a/entry/relays.go
+++ b/entry/relays.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,7 +23,7 @@
 	reachInterval = 250 * time.Millisecond
 	// noAnswerTime is how long a request must have been without an answer when it ends, for its server to
 	// be taken for out of reach with others.
-	noAnswerTime = 500 * time.Millisecond
+	noAnswerTime = 250 * time.Millisecond
 	// unreachableTime is how long a node that reaches no server of a pool either is asked no more, and
 	// busyTime how long one that cannot serve requests for now.
 	unreachableTime = 2 * time.Second
@@ -133,21 +134,25 @@
 				cutOff[p.Name] = isCutOff
 				d.log.Warn("path to the servers of a pool", "pool", p.Name, "cut-off", isCutOff)
 			}
-			if isCutOff || d.transports.reach.IsSuspect(time.Now(), p.Name, d.serversOf(p.Name)) {
-				d.tryServer(view.Pool(p.Name))
-			}
+			d.tryServers(p.Name, view.Pool(p.Name))
 		}
 		d.transports.reach.Keep(view.Addresses())
 	}
 }
 
-// tryServer connects to one of the servers.
-func (d *Daemon) tryServer(servers []*backend.Server) {
-	if len(servers) == 0 {
-		return
+// tryServers connects to some of the servers of a pool, if the node is cut off from it or may be.
+func (d *Daemon) tryServers(pool string, servers []*backend.Server) {
+	servers = slices.Clone(servers)
+	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, s := range d.transports.reach.ToTry(time.Now(), pool, servers) {
+		wg.Go(func() { d.tryServer(s.Address) })
 	}
-	address := servers[rand.IntN(len(servers))].Address
-	ctx, cancel := context.WithTimeout(d.ctx, dialTimeout)
+}
+
+func (d *Daemon) tryServer(address string) {
+	ctx, cancel := context.WithTimeout(d.ctx, dialTimeout+reachInterval) // dial has a timeout of its own
 	defer cancel()
 	conn, err := d.transports.dial(ctx, "tcp", address)
 	if err != nil {
