--- a/demo/cut_off_test.go
+++ b/demo/cut_off_test.go
@@ -100,7 +100,7 @@
 					cut, others := p.firstTries(n)
 					t.Logf("served at the first attempt: %d of %d at daemons that are cut off, %d of %d at others", cut, n, others, n)
 					is.True(3*cut >= 2*others)
-					is.True(others-cut <= 10+n/50)
+					is.True(n-cut <= 10+n/50)
 					p.heal()
 					p.traffic.run(n)
 				}
